--- a/Makefile
+++ b/Makefile
@@ -11,8 +11,8 @@
 include mk/common.mk
 
 PREFIX ?= /usr/local
-SUB = $(MAKE) --no-print-directory VARIANT=$(VARIANT)
-LIBS = $(patsubst lib/%/Makefile,%,$(wildcard $(LIBDIRS:%=lib/%/Makefile)))
+SUB = $(MAKE) --no-print-directory VARIANT=$(VARIANT) BUILD_ROOT=$(BUILD_ROOT)
+LIBS = $(LIBDIRS)
 PROGS = $(patsubst %/Makefile,%,$(wildcard \
 	cmd/*/Makefile bench/*/Makefile tests/*/Makefile))
 
@@ -29,17 +29,21 @@
 test-programs: $(LIBS:%=libtest-%) $(PROGS:%=progtest-%)
 
 $(LIBS:%=lib-%): lib-%:
-	@+$(SUB) -C lib/$*
+	@+$(SUB) -C $(call libdir,$*)
 
 $(PROGS:%=prog-%): prog-%:
 	@+$(SUB) -C $*
 
 $(LIBS:%=libtest-%): libtest-%:
-	@+$(SUB) -C lib/$* tests
+	@+$(SUB) -C $(call libdir,$*) tests
 
 $(PROGS:%=progtest-%): progtest-%:
 	@+$(SUB) -C $* tests
 
+# The daemon for the users' platform, without the other programs.
+rwfront: $(LIBS:%=lib-%)
+	@+$(SUB) -C cmd/rwfront
+
 deps:
 	@sh mk/deps.sh
 
@@ -72,6 +76,7 @@
 clean:
 	rm -rf build
 
-.PHONY: all build programs tests test-programs deps check demo bench format \
+
+.PHONY: all rwfront build programs tests test-programs deps check demo bench format \
 	install clean $(LIBS:%=lib-%) $(PROGS:%=prog-%) \
 	$(LIBS:%=libtest-%) $(PROGS:%=progtest-%)
--- /dev/null
+++ b/cmd/rwfront/answer.c
@@ -0,0 +1,161 @@
+#include <string.h>
+
+#include "front.h"
+
+/* Until when a caller should come back after a request that no target took:
+   queues of a few parts have moved on by then.  */
+#define RETRY_BUSY (50 * RW_MSEC)
+
+const char *
+frn_outcome_name (enum frn_outcome outcome)
+{
+  switch (outcome)
+    {
+    case FRN_WHOLE:
+      return "whole";
+    case FRN_PARTIAL:
+      return "partial";
+    case FRN_PASSED:
+      return "passed";
+    case FRN_REFUSED:
+      return "refused";
+    case FRN_FAILED:
+      return "failed";
+    case FRN_GONE:
+      return "gone";
+    case FRN_NO_ROUTE:
+      return "no-route";
+    case FRN_INVALID:
+      return "invalid";
+    case FRN_OUTCOMES:
+      break;
+    }
+  return "unknown";
+}
+
+/* One line for each request that did not get all it asked for in time, and a
+   sample of the others.  */
+void
+frn_log_outcome (struct frn_request *request, enum frn_outcome outcome,
+                 int status)
+{
+  struct frn_daemon *daemon = request->daemon;
+  rw_time now = frn_now ();
+  rw_time took = now - request->start;
+  bool plain = outcome == FRN_WHOLE || outcome == FRN_PASSED;
+
+  sta_inc (daemon->metrics.outcome[outcome]);
+  sta_observe (daemon->metrics.latency, took);
+  evt_line (
+      &daemon->log,
+      plain && took < request->route->aim ? EVT_SAMPLE : EVT_NORMAL,
+      "request", now,
+      "%s: id=%.*s route=%.*s status=%d ms=%lld aim_ms=%lld parts=%zu/%zu "
+      "lost=%zu sends=%zu error=\"%s\" target=%s version=%llu age_ms=%lld",
+      frn_outcome_name (outcome), RW_STR_ARG (request->id),
+      RW_STR_ARG (request->route->name), status, (long long)(took / RW_MSEC),
+      (long long)(request->route->aim / RW_MSEC), request->query.done,
+      request->query.plan.parts, request->query.lost, request->query.sends,
+      request->last_error != NULL ? request->last_error : "",
+      request->last_target,
+      (unsigned long long)request->config->version,
+      (long long)((now - daemon->config_since) / RW_MSEC));
+}
+
+/* Answers a request that has not run.  RETRY_AFTER below 0: none is stated.  */
+void
+frn_answer_refusal (struct frn_daemon *daemon, struct h1_conn *conn,
+                    int status, rw_time retry_after)
+{
+  char header[64] = "";
+  struct h1_reply reply = { .status = status };
+  (void)daemon;
+  if (retry_after >= 0)
+    snprintf (header, sizeof header, "Retry-After: %.3f\r\n",
+              (double)retry_after / RW_SEC);
+  reply.headers = rw_str_from (header);
+  h1_answer (conn, &reply);
+}
+
+static void
+answer_parts (struct frn_request *request)
+{
+  const struct gat_query *query = &request->query;
+  struct h1_reply reply = { .status = 200 };
+  struct rw_buf stamps;
+  struct rw_buf headers;
+
+  rw_buf_init (&stamps);
+  rw_buf_init (&headers);
+  for (size_t i = 0; i < query->plan.parts; i++)
+    {
+      if (query->parts[i].state != GAT_PART_DONE)
+        continue;
+      if (stamps.len > 0)
+        rw_buf_append (&stamps, ", ", 2);
+      rw_buf_append_str (&stamps, query->parts[i].stamp);
+    }
+  plt_write_parts (&headers, rw_buf_str (&stamps),
+                   query->plan.parts - query->done);
+  reply.headers = rw_buf_str (&headers);
+  reply.body
+      = gat_merge (query, request->route->u.gather.top, &request->arena);
+  frn_log_outcome (request,
+                   query->done == query->plan.parts ? FRN_WHOLE : FRN_PARTIAL,
+                   reply.status);
+  h1_answer (request->conn, &reply);
+  rw_buf_finish (&stamps);
+  rw_buf_finish (&headers);
+}
+
+/* Whether a send of the request may have run.  */
+static bool
+may_have_run (const struct frn_request *request)
+{
+  for (const struct frn_send *s = request->sends; s != NULL; s = s->next)
+    if (s->state == FRN_SEND_SENT)
+      return true;
+  for (size_t i = 0; i < request->query.plan.parts; i++)
+    {
+      const struct gat_part *p = &request->query.parts[i];
+      if (p->state == GAT_PART_DONE || p->attempts > p->running)
+        return true;
+    }
+  return false;
+}
+
+static void
+answer_failure (struct frn_request *request)
+{
+  bool late = frn_now () >= request->query.plan.deadline;
+  if (request->has_failure)
+    {
+      frn_log_outcome (request, FRN_FAILED, request->failure.status);
+      h1_answer (request->conn, &request->failure);
+      return;
+    }
+  if (!may_have_run (request))
+    {
+      frn_log_outcome (request, FRN_REFUSED, 503);
+      frn_answer_refusal (request->daemon, request->conn, 503, RETRY_BUSY);
+      return;
+    }
+  frn_log_outcome (request, FRN_FAILED, late ? 504 : 502);
+  struct h1_reply reply = { .status = late ? 504 : 502 };
+  h1_answer (request->conn, &reply);
+}
+
+void
+frn_answer_query (struct frn_request *request, bool success)
+{
+  request->ended = true;
+  if (!success)
+    answer_failure (request);
+  else if (request->route->kind == CAT_ROUTE_GATHER)
+    answer_parts (request);
+  else
+    {
+      frn_log_outcome (request, FRN_PASSED, request->failure.status);
+      h1_answer (request->conn, &request->failure);
+    }
+}
--- /dev/null
+++ b/cmd/rwfront/front.h
@@ -0,0 +1,264 @@
+/* The daemon of the query tier on a platform whose store can only be read.
+   daemon.c: life cycle and timers.  store.c: configuration and targets from
+   the store.  request.c: one request from its arrival to its sends.  answer.c:
+   what the caller gets.  pool.c: links to targets.  admin.c: readiness and
+   metrics.  */
+
+#ifndef FRN_FRONT_H
+#define FRN_FRONT_H
+
+#include <netinet/in.h>
+
+#include "cat.h"
+#include "event.h"
+#include "follow.h"
+#include "gather.h"
+#include "h1.h"
+#include "platform.h"
+#include "stat.h"
+#include "steer.h"
+
+#define FRN_MAX_SEEDS 8
+
+/* The settings of a daemon, from its settings file.  */
+struct frn_settings
+{
+  char name[64];
+  char dc[64];
+  struct sockaddr_in callers; /* where callers connect */
+  struct sockaddr_in ready;   /* readiness and metrics */
+  struct sockaddr_in store;
+  struct sockaddr_in peers; /* for other daemons */
+  struct sockaddr_in seeds[FRN_MAX_SEEDS];
+  size_t seed_count;
+  unsigned int max_files;
+  rw_time drain_time;   /* a leaving target serves this long */
+  rw_time stop_time;    /* from SIGTERM to SIGKILL */
+  double extra_ratio;   /* extra sends for each request */
+  double extra_slack;   /* further ones in a window, of all daemons */
+  rw_time extra_window;
+};
+
+int frn_settings_parse (struct rw_str text, struct frn_settings *settings,
+                        struct rw_err *err);
+int frn_settings_read (const char *path, struct frn_settings *settings,
+                       struct rw_err *err);
+
+enum frn_outcome
+{
+  FRN_WHOLE,    /* all parts */
+  FRN_PARTIAL,  /* some shards are missing */
+  FRN_PASSED,   /* a target's own answer */
+  FRN_REFUSED,  /* not run */
+  FRN_FAILED,   /* may have run */
+  FRN_GONE,     /* the caller left */
+  FRN_NO_ROUTE, /* 404 */
+  FRN_INVALID,  /* 400, 408, 413, 431 */
+  FRN_OUTCOMES
+};
+
+enum frn_send_outcome
+{
+  FRN_SEND_OK,
+  FRN_SEND_REFUSED,
+  FRN_SEND_BROKEN,
+  FRN_SEND_ABANDONED,
+  FRN_SEND_OUTCOMES
+};
+
+struct frn_metrics
+{
+  struct sta_set set;
+  struct sta_series *outcome[FRN_OUTCOMES];
+  struct sta_series *send_outcome[FRN_SEND_OUTCOMES];
+  struct sta_series *latency;
+  struct sta_series *first;
+  struct sta_series *retries;
+  struct sta_series *hedges;
+  struct sta_series *budget_empty;
+  struct sta_series *links;
+  struct sta_series *store_calls;
+  struct sta_series *store_errors;
+  struct sta_series *store_age;
+  struct sta_series *config_version;
+  struct sta_series *config_age;
+  struct sta_series *loop_lag;
+  struct sta_series *log_left_out;
+};
+
+/* What is remembered of a route over all versions of the configuration.  */
+struct frn_route_stats
+{
+  struct ste_latency latency; /* of its parts */
+  int64_t budget_ms;          /* the longest time that callers have waited */
+  struct rw_rng rng;          /* draws the service of a split */
+};
+
+/* A data centre that was taken out of service, or back.  */
+struct frn_dc
+{
+  uint64_t key;
+  int64_t revision;
+  bool out;
+  bool listed;
+};
+
+struct frn_store
+{
+  struct h1_link link;
+  bool link_used; /* the memory of LINK belongs to libuv */
+  bool ended;     /* LINK is to be opened again */
+  struct fol_reader reader;
+  struct fol_call call;
+  bool waiting; /* CALL is to be sent once the link is open */
+  uv_timer_t timer;
+  rw_time call_deadline;
+  char after[256]; /* key after which the next page begins */
+  struct rw_map listed;
+  struct frn_dc dcs[STE_MAX_DCS_OUT];
+  size_t dc_count;
+};
+
+struct frn_daemon
+{
+  uv_loop_t *loop;
+  const char *settings_path;
+  struct frn_settings settings;
+  struct evt_log log;
+  struct frn_metrics metrics;
+  struct ste_fleet fleet;
+  struct cat_config *config; /* null: none known yet */
+  rw_time config_since;
+  struct rw_map routes; /* frn_route_stats by hash of the name */
+  struct h1_limits limits;
+  struct h1_server callers;
+  struct h1_limits admin_limits;
+  struct h1_server admin;
+  struct frn_store store;
+  char *scratch;
+  uv_timer_t tick;
+  uv_signal_t sigterm;
+  uv_signal_t sighup;
+  rw_time ticked;
+  size_t requests; /* not yet freed */
+  bool stopping;
+  rw_time stop_began;
+  int64_t settings_mtime;
+};
+
+rw_time frn_now (void);
+
+int frn_daemon_init (struct frn_daemon *daemon, uv_loop_t *loop,
+                     const char *settings_path, struct rw_err *err);
+void frn_daemon_finish (struct frn_daemon *daemon);
+bool frn_is_ready (const struct frn_daemon *daemon);
+
+void frn_metrics_init (struct frn_metrics *metrics);
+int frn_admin_init (struct frn_daemon *daemon);
+
+int frn_store_init (struct frn_daemon *daemon);
+void frn_store_finish (struct frn_daemon *daemon);
+
+/* Requests.  */
+
+struct frn_send;
+
+struct frn_request
+{
+  struct frn_daemon *daemon;
+  struct rw_arena arena;
+  struct h1_conn *conn; /* null: answered, or the caller left */
+  struct cat_config *config;
+  struct cat_route *route;
+  struct frn_route_stats *stats;
+  struct gat_query query;
+  struct ste_service **services; /* of each part */
+  struct ste_target **tried;     /* plan.attempts of each part */
+  struct frn_send *sends;
+  uv_timer_t timer;
+  rw_time start;
+  rw_time deadline;
+  rw_time caller_deadline;
+  struct rw_str id;
+  struct rw_str method;
+  struct rw_str target;
+  struct rw_str headers; /* lines to pass on */
+  struct rw_str body;
+  bool head;
+  struct h1_reply failure; /* a target's own failure, to pass on */
+  bool has_failure;
+  bool ended; /* answered, or the caller left */
+  bool closing;
+  const char *last_error; /* of a send, for the log */
+  char last_target[64];
+};
+
+extern const struct h1_server_ops frn_caller_ops;
+/* A send ended.  MESSAGE and REPLY are null if there was no answer.  */
+void frn_request_reply (struct frn_send *send, const struct h1_message *message,
+                        const struct plt_reply *reply);
+void frn_request_failed (struct frn_send *send, enum gat_failure failure,
+                         const char *reason);
+/* Answers with what the query has; ends the request.  */
+void frn_answer_query (struct frn_request *request, bool success);
+void frn_answer_refusal (struct frn_daemon *daemon, struct h1_conn *conn,
+                         int status, rw_time retry_after);
+const char *frn_outcome_name (enum frn_outcome outcome);
+void frn_log_outcome (struct frn_request *request, enum frn_outcome outcome,
+                      int status);
+
+/* Links.  */
+
+enum frn_send_state
+{
+  FRN_SEND_QUEUED, /* waits for a link */
+  FRN_SEND_SENT,
+  FRN_SEND_ENDED
+};
+
+/* One send of one part to one target.  In the arena of its request.  */
+struct frn_send
+{
+  struct ste_send steer;
+  struct frn_request *request;
+  struct frn_send *next; /* of the request */
+  size_t part;
+  enum frn_send_state state;
+  struct ste_target *target;
+  struct frn_link *link;
+  struct frn_send *queue_next;
+};
+
+struct frn_link
+{
+  struct h1_link link;
+  struct frn_pool *pool;
+  struct frn_link *next; /* all links of the pool */
+  struct frn_send *send;
+  rw_time opened;
+  rw_time idle_since;
+  rw_time idle_limit; /* 0: none */
+};
+
+struct frn_pool
+{
+  struct frn_daemon *daemon;
+  struct ste_target *target;
+  struct frn_link *links;
+  size_t count;
+  struct frn_send *queue;
+  struct frn_send *queue_last;
+  bool opened; /* a link was opened once */
+  rw_time used;
+};
+
+/* Sends, or queues for a link.  */
+void frn_pool_send (struct frn_daemon *daemon, struct frn_send *send);
+/* Gives up a send whose request has ended.  */
+void frn_send_abandon (struct frn_send *send);
+void frn_pool_sweep (struct frn_daemon *daemon, rw_time now);
+bool frn_pool_release (void *arg, struct ste_target *target);
+/* Writes the request of SEND.  */
+void frn_request_write (const struct frn_send *send, struct rw_buf *out);
+
+#endif
--- /dev/null
+++ b/cmd/rwfront/request.c
@@ -0,0 +1,573 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "front.h"
+
+#define ARENA_BLOCK 8192
+/* Kept from the caller's time for the way of the answer and for timers that
+   fire late.  */
+#define ANSWER_MARGIN (15 * RW_MSEC)
+/* The same for the aim: both ways to the caller take up to 6 ms, the rest is
+   a part of the aim.  */
+#define AIM_MARGIN (6 * RW_MSEC)
+#define AIM_MARGIN_PART 20
+/* After the answer, sends that have no result may still end by themselves:
+   longer than a pause of a target, shorter than the half second after which a
+   target should not work for a caller that left.  */
+#define LINGER (300 * RW_MSEC)
+/* When there is no budget or no good target for a hedge.  */
+#define HEDGE_DELAY (10 * RW_MSEC)
+#define RETRY_DELAY (20 * RW_MSEC)
+/* A hedge is not sent to a target that is expected to take longer than this
+   part of the aim.  */
+#define HEDGE_WORTH 1.0
+/* Answers with Retry-After: another daemon may be able to serve at once.  */
+#define RETRY_NO_CONFIG (100 * RW_MSEC)
+#define RETRY_NO_TARGET (200 * RW_MSEC)
+
+static void request_run (struct frn_request *request);
+
+static struct frn_route_stats *
+route_stats (struct frn_daemon *daemon, struct cat_route *route)
+{
+  if (route->user != NULL)
+    return route->user;
+  uint64_t key = rw_hash (route->name);
+  struct frn_route_stats *stats = rw_map_get (&daemon->routes, key);
+  if (stats == NULL)
+    {
+      stats = rw_xcalloc (1, sizeof *stats);
+      ste_latency_init (&stats->latency, route->aim);
+      rw_rng_init (&stats->rng, rw_rng_next (&daemon->fleet.rng));
+      rw_map_put (&daemon->routes, key, stats);
+    }
+  route->user = stats;
+  return stats;
+}
+
+/* Draws the service of a split by its weights.  */
+static uint32_t
+draw_service (const struct cat_route *route, struct frn_route_stats *stats)
+{
+  uint64_t at = rw_rng_below (&stats->rng, route->u.split.total);
+  size_t last = 0;
+  for (size_t i = 0; i < route->u.split.count; i++)
+    {
+      const struct cat_share *share = &route->u.split.shares[i];
+      if (at < share->weight)
+        return share->service;
+      at -= share->weight;
+      last = i;
+    }
+  return route->u.split.shares[last].service;
+}
+
+static void
+bind_services (struct frn_request *request)
+{
+  const struct cat_route *route = request->route;
+  const struct cat_service *services = request->config->services;
+  size_t parts = request->query.plan.parts;
+  request->services = rw_arena_zalloc (&request->arena, parts,
+                                       sizeof (struct ste_service *));
+  switch (route->kind)
+    {
+    case CAT_ROUTE_SERVICE:
+      request->services[0] = services[route->u.service].user;
+      break;
+    case CAT_ROUTE_SPLIT:
+      request->services[0]
+          = services[draw_service (route, request->stats)].user;
+      break;
+    case CAT_ROUTE_GATHER:
+      for (size_t i = 0; i < parts; i++)
+        request->services[i]
+            = services[route->u.gather.services[i]].user;
+      break;
+    }
+}
+
+static rw_time
+clamp (rw_time value, rw_time low, rw_time high)
+{
+  if (value < low)
+    return low;
+  return value < high ? value : high;
+}
+
+/* The parts, times and limits of a request.  A caller that states less time
+   than others on its route has spent the difference on earlier attempts.  */
+static struct gat_plan
+make_plan (const struct frn_request *request, int64_t time_left_ms)
+{
+  const struct cat_route *route = request->route;
+  struct frn_route_stats *stats = request->stats;
+  struct gat_plan plan = { .parts = 1, .need = 1 };
+  rw_time spent = 0;
+  rw_time longest = route->aim * 6 / 10;
+
+  if (time_left_ms > stats->budget_ms)
+    stats->budget_ms = time_left_ms;
+  if (time_left_ms >= 0)
+    spent = (stats->budget_ms - time_left_ms) * RW_MSEC;
+  if (route->kind == CAT_ROUTE_GATHER)
+    {
+      double share = route->u.gather.min_share * (double)route->u.gather.count;
+      plan.parts = route->u.gather.count;
+      plan.need = (size_t)share;
+      if ((double)plan.need < share - 1e-9)
+        plan.need++;
+      if (plan.need == 0)
+        plan.need = 1;
+      longest = route->aim / 3;
+    }
+  plan.attempts = route->attempts;
+  plan.repeatable = route->repeatable;
+  plan.hedge_after
+      = clamp ((rw_time)(stats->latency.high * 1.3), route->aim / 10, longest);
+  plan.cut = request->start + route->aim - spent - AIM_MARGIN
+             - route->aim / AIM_MARGIN_PART;
+  plan.deadline = request->deadline;
+  return plan;
+}
+
+static void
+append_line (struct rw_buf *out, const struct h1_header *header)
+{
+  rw_buf_append_str (out, header->name);
+  rw_buf_append (out, ": ", 2);
+  rw_buf_append_str (out, header->value);
+  rw_buf_append (out, "\r\n", 2);
+}
+
+/* Copies what is passed on to targets.  */
+static void
+copy_message (struct frn_request *request, const struct h1_message *message,
+              struct rw_str id)
+{
+  struct rw_buf lines;
+  request->id = rw_arena_str (&request->arena, id);
+  request->method = rw_str_from (http_method_str (message->method));
+  request->head = message->method == HTTP_HEAD;
+  request->target = rw_arena_str (&request->arena, message->target);
+  request->body = rw_arena_str (&request->arena, message->body);
+  rw_buf_init (&lines);
+  for (size_t i = 0; i < message->header_count; i++)
+    {
+      struct rw_str name = message->headers[i].name;
+      if (!h1_is_hop_header (message, name) && !plt_sets_header (name)
+          && !h1_name_eq (name, "Content-Length"))
+        append_line (&lines, &message->headers[i]);
+    }
+  request->headers = rw_arena_str (&request->arena, rw_buf_str (&lines));
+  rw_buf_finish (&lines);
+}
+
+static bool
+has_body (const struct frn_request *request)
+{
+  return request->body.len > 0 || rw_str_eq_cstr (request->method, "POST")
+         || rw_str_eq_cstr (request->method, "PUT");
+}
+
+void
+frn_request_write (const struct frn_send *send, struct rw_buf *out)
+{
+  const struct frn_request *request = send->request;
+  rw_time left = request->caller_deadline - frn_now ();
+  rw_buf_printf (out, "%.*s %.*s HTTP/1.1\r\n", RW_STR_ARG (request->method),
+                 RW_STR_ARG (request->target));
+  rw_buf_append_str (out, request->headers);
+  plt_write_send (out, left > 0 ? left / RW_MSEC : 0, send->target->id);
+  if (has_body (request))
+    rw_buf_printf (out, "Content-Length: %zu\r\n", request->body.len);
+  rw_buf_append (out, "\r\n", 2);
+  rw_buf_append_str (out, request->body);
+}
+
+static void
+on_timer_closed (uv_handle_t *handle)
+{
+  struct frn_request *request = handle->data;
+  request->daemon->requests--;
+  cat_config_unref (request->config);
+  rw_arena_finish (&request->arena);
+  free (request);
+}
+
+static bool
+has_sends (const struct frn_request *request)
+{
+  for (const struct frn_send *s = request->sends; s != NULL; s = s->next)
+    if (s->state != FRN_SEND_ENDED)
+      return true;
+  return false;
+}
+
+/* Frees the request once it has ended and nothing of it is on its way.  */
+static void
+request_release (struct frn_request *request)
+{
+  if (!request->ended || request->closing || has_sends (request))
+    return;
+  request->closing = true;
+  uv_close ((uv_handle_t *)&request->timer, on_timer_closed);
+}
+
+static void
+abandon_sends (struct frn_request *request, bool queued_only)
+{
+  for (struct frn_send *s = request->sends; s != NULL; s = s->next)
+    if (!queued_only || s->state == FRN_SEND_QUEUED)
+      frn_send_abandon (s);
+}
+
+static void
+on_timer (uv_timer_t *timer)
+{
+  struct frn_request *request = timer->data;
+  if (!request->ended)
+    request_run (request);
+  else
+    {
+      abandon_sends (request, false);
+      request_release (request);
+    }
+}
+
+/* After the answer, or after the caller left: what waits for a link is not
+   sent any more, the rest may end by itself for a while.  */
+static void
+request_end (struct frn_request *request)
+{
+  request->ended = true;
+  request->conn = NULL;
+  abandon_sends (request, true);
+  uv_timer_start (&request->timer, on_timer, LINGER / RW_MSEC, 0);
+  request_release (request);
+}
+
+static void
+arm_timer (struct frn_request *request, rw_time now)
+{
+  rw_time next = gat_next_event (&request->query, now);
+  /* Rounded up, so that the timer does not fire before its time.  */
+  uint64_t ms = (uint64_t)((next - now + RW_MSEC - 1) / RW_MSEC);
+  uv_timer_start (&request->timer, on_timer, ms, 0);
+}
+
+static struct ste_target **
+tried_of (struct frn_request *request, size_t part)
+{
+  return request->tried + part * (request->query.plan.attempts + 4);
+}
+
+static void
+send_part (struct frn_request *request, size_t part,
+           struct ste_target *target, rw_time now)
+{
+  struct frn_send *send
+      = rw_arena_zalloc (&request->arena, 1, sizeof *send);
+  size_t count = request->query.parts[part].sends;
+  tried_of (request, part)[count] = target;
+  send->request = request;
+  send->part = part;
+  send->target = target;
+  send->next = request->sends;
+  request->sends = send;
+  gat_on_sent (&request->query, part, now);
+  ste_on_sent (&send->steer, target, &request->stats->latency, now);
+  frn_pool_send (request->daemon, send);
+}
+
+/* Chooses the target of a part and sends it there, or puts it off.  */
+static void
+try_part (struct frn_request *request, size_t part, enum gat_send_kind kind,
+          rw_time now)
+{
+  struct frn_daemon *daemon = request->daemon;
+  struct ste_service *service = request->services[part];
+  struct ste_latency *latency = &request->stats->latency;
+  struct ext_limits limits = { daemon->settings.extra_ratio,
+                               daemon->settings.extra_slack,
+                               daemon->settings.extra_window,
+                               daemon->fleet.settings.daemons };
+  size_t tried_n = request->query.parts[part].sends;
+  struct ste_target *target
+      = ste_pick (&daemon->fleet, service, latency, tried_of (request, part),
+                  tried_n, now);
+  if (target == NULL && kind == GAT_SEND_RETRY)
+    target = ste_pick (&daemon->fleet, service, latency, NULL, 0, now);
+  if (target == NULL)
+    {
+      gat_postpone (&request->query, part, now,
+                    kind == GAT_SEND_FIRST ? -1 : RETRY_DELAY);
+      return;
+    }
+  if (kind == GAT_SEND_HEDGE
+      && ste_expected (&daemon->fleet, target, latency, now)
+             > (double)request->route->aim * HEDGE_WORTH)
+    {
+      gat_postpone (&request->query, part, now, HEDGE_DELAY);
+      return;
+    }
+  if (kind == GAT_SEND_FIRST)
+    {
+      ext_count_first (&service->budget, &limits, now);
+      sta_inc (daemon->metrics.first);
+    }
+  else if (!ext_take (&service->budget, &limits, now))
+    {
+      sta_inc (daemon->metrics.budget_empty);
+      gat_postpone (&request->query, part, now, RETRY_DELAY);
+      return;
+    }
+  else
+    sta_inc (kind == GAT_SEND_HEDGE ? daemon->metrics.hedges
+                                    : daemon->metrics.retries);
+  send_part (request, part, target, now);
+}
+
+/* Sends what is due, then answers, gives up or waits.  */
+static void
+request_run (struct frn_request *request)
+{
+  rw_time now = frn_now ();
+  size_t position = 0;
+  size_t part;
+  enum gat_send_kind kind;
+
+  enum gat_decision decision = gat_decide (&request->query, now);
+  while (decision == GAT_WAIT
+         && gat_next_send (&request->query, now, &position, &part, &kind))
+    {
+      try_part (request, part, kind, now);
+      if (request->ended)
+        return;
+      decision = gat_decide (&request->query, now);
+    }
+  if (decision == GAT_WAIT)
+    {
+      arm_timer (request, now);
+      return;
+    }
+  frn_answer_query (request, decision == GAT_ANSWER);
+  request_end (request);
+}
+
+/* Keeps a target's own failure: it is passed on if no attempt succeeds.  */
+static void
+keep_failure (struct frn_request *request, const struct h1_message *message)
+{
+  struct rw_buf lines;
+  rw_buf_init (&lines);
+  for (size_t i = 0; i < message->header_count; i++)
+    if (!h1_is_hop_header (message, message->headers[i].name)
+        && !h1_name_eq (message->headers[i].name, "Content-Length"))
+      append_line (&lines, &message->headers[i]);
+  request->failure.status = message->status;
+  request->failure.headers
+      = rw_arena_str (&request->arena, rw_buf_str (&lines));
+  request->failure.body = rw_arena_str (&request->arena, message->body);
+  request->has_failure = true;
+  rw_buf_finish (&lines);
+}
+
+static void
+note_error (struct frn_request *request, const struct frn_send *send,
+            const char *reason)
+{
+  request->last_error = reason;
+  rw_str_copy (request->last_target, sizeof request->last_target,
+               rw_str_from (send->target->id));
+}
+
+static void
+after_failure (struct frn_request *request, size_t part,
+               enum gat_failure failure)
+{
+  gat_on_failure (&request->query, part, failure, frn_now (),
+                  failure == GAT_FAIL_NOT_RUN ? RW_MSEC : 0);
+  if (request->ended)
+    request_release (request);
+  else
+    request_run (request);
+}
+
+void
+frn_request_failed (struct frn_send *send, enum gat_failure failure,
+                    const char *reason)
+{
+  struct frn_request *request = send->request;
+  sta_inc (request->daemon->metrics.send_outcome[FRN_SEND_BROKEN]);
+  note_error (request, send, reason);
+  after_failure (request, send->part, failure);
+}
+
+void
+frn_request_reply (struct frn_send *send, const struct h1_message *message,
+                   const struct plt_reply *reply)
+{
+  struct frn_request *request = send->request;
+  struct frn_metrics *metrics = &request->daemon->metrics;
+  bool gather = request->route->kind == CAT_ROUTE_GATHER;
+  bool success = message->status >= 200 && message->status < 300;
+
+  if (reply->not_run)
+    {
+      sta_inc (metrics->send_outcome[FRN_SEND_REFUSED]);
+      note_error (request, send, "target refused");
+      after_failure (request, send->part, GAT_FAIL_NOT_RUN);
+      return;
+    }
+  if (!success && (gather || message->status >= 500))
+    {
+      sta_inc (metrics->send_outcome[FRN_SEND_BROKEN]);
+      note_error (request, send, "target failed");
+      if (!gather && !request->ended)
+        keep_failure (request, message);
+      after_failure (request, send->part, GAT_FAIL_RAN);
+      return;
+    }
+  sta_inc (metrics->send_outcome[FRN_SEND_OK]);
+  if (request->ended)
+    {
+      request_release (request);
+      return;
+    }
+  if (!gather)
+    keep_failure (request, message);
+  gat_on_part (&request->query, send->part,
+               rw_arena_str (&request->arena, reply->stamp),
+               gather ? rw_arena_str (&request->arena, message->body)
+                      : (struct rw_str){ NULL, 0 });
+  request_run (request);
+}
+
+/* Shards that no target serves now make an answer impossible: refused at
+   once.  */
+static bool
+is_servable (const struct frn_request *request, rw_time now)
+{
+  const struct gat_plan *plan = &request->query.plan;
+  size_t served = 0;
+  for (size_t i = 0; i < plan->parts; i++)
+    for (const struct ste_target *t = request->services[i]->targets; t != NULL;
+         t = t->next)
+      if (ste_usable (&request->daemon->fleet, t, now))
+        {
+          served++;
+          break;
+        }
+  return served >= plan->need;
+}
+
+static void
+request_begin (struct frn_daemon *daemon, struct h1_conn *conn,
+               const struct h1_message *message, struct cat_route *route,
+               const struct plt_request *head)
+{
+  rw_time now = frn_now ();
+  struct frn_request *request = rw_xcalloc (1, sizeof *request);
+  rw_time limit = route->timeout;
+
+  if (head->time_left_ms >= 0 && head->time_left_ms * RW_MSEC < limit)
+    limit = head->time_left_ms * RW_MSEC;
+  request->daemon = daemon;
+  request->conn = conn;
+  request->config = cat_config_ref (daemon->config);
+  request->route = route;
+  request->stats = route_stats (daemon, route);
+  request->start = now;
+  request->caller_deadline = now + limit;
+  request->deadline = now + limit - ANSWER_MARGIN;
+  rw_arena_init (&request->arena, ARENA_BLOCK);
+  copy_message (request, message, head->id);
+  struct gat_plan plan = make_plan (request, head->time_left_ms);
+  gat_init (&request->query, &request->arena, &plan, now);
+  request->tried = rw_arena_zalloc (
+      &request->arena, plan.parts * (plan.attempts + 4),
+      sizeof (struct ste_target *));
+  bind_services (request);
+  uv_timer_init (daemon->loop, &request->timer);
+  request->timer.data = request;
+  daemon->requests++;
+  h1_conn_set_user (conn, request);
+  if (!is_servable (request, now))
+    {
+      note_error (request, &(struct frn_send){ .target = &(struct ste_target){
+                                                   .id = "-" } },
+                  "no target");
+      frn_log_outcome (request, FRN_REFUSED, 503);
+      frn_answer_refusal (daemon, conn, 503, RETRY_NO_TARGET);
+      request_end (request);
+      return;
+    }
+  request_run (request);
+}
+
+static void
+on_request (void *arg, struct h1_conn *conn, const struct h1_message *message)
+{
+  struct frn_daemon *daemon = arg;
+  struct plt_request head;
+  struct rw_str path = message->target;
+
+  h1_conn_set_user (conn, NULL);
+  if (daemon->config == NULL)
+    {
+      sta_inc (daemon->metrics.outcome[FRN_REFUSED]);
+      frn_answer_refusal (daemon, conn, 503, RETRY_NO_CONFIG);
+      return;
+    }
+  const char *query = memchr (path.ptr, '?', path.len);
+  if (query != NULL)
+    path.len = (size_t)(query - path.ptr);
+  struct cat_route *route = cat_config_find (
+      daemon->config, h1_header_value (message, "Host"), path);
+  plt_read_request (message, &head);
+  if (route == NULL)
+    {
+      sta_inc (daemon->metrics.outcome[FRN_NO_ROUTE]);
+      evt_line (&daemon->log, EVT_NORMAL, "request", frn_now (),
+                "no route: id=%.*s path=%.*s version=%llu",
+                RW_STR_ARG (head.id), RW_STR_ARG (path),
+                (unsigned long long)daemon->config->version);
+      frn_answer_refusal (daemon, conn, 404, -1);
+      return;
+    }
+  if (head.id.len == 0)
+    {
+      sta_inc (daemon->metrics.outcome[FRN_INVALID]);
+      frn_answer_refusal (daemon, conn, 400, -1);
+      return;
+    }
+  request_begin (daemon, conn, message, route, &head);
+}
+
+static void
+on_gone (void *arg, struct h1_conn *conn)
+{
+  struct frn_request *request = h1_conn_user (conn);
+  (void)arg;
+  if (request == NULL || request->ended)
+    return;
+  frn_log_outcome (request, FRN_GONE, 0);
+  request_end (request);
+}
+
+static void
+on_refused (void *arg, struct h1_conn *conn, int status)
+{
+  struct frn_daemon *daemon = arg;
+  (void)conn;
+  sta_inc (daemon->metrics.outcome[FRN_INVALID]);
+  evt_line (&daemon->log, EVT_NORMAL, "caller", frn_now (),
+            "unreadable request: status=%d", status);
+}
+
+const struct h1_server_ops frn_caller_ops = {
+  .on_request = on_request,
+  .on_gone = on_gone,
+  .on_refused = on_refused,
+};
--- /dev/null
+++ b/cmd/rwfront/settings.c
@@ -0,0 +1,188 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "front.h"
+
+#define MAX_FILE (64 * 1024)
+
+static int
+bad (struct rw_err *err, struct rw_str name, const char *what)
+{
+  return rw_err_set (err, RW_E_PARSE, "settings", name, "%s", what);
+}
+
+/* Reads "HOST:PORT" with a numeric IPv4 address.  */
+static int
+parse_addr (struct rw_str text, struct sockaddr_in *addr)
+{
+  char host[64];
+  size_t colon = text.len;
+  int64_t port;
+  while (colon > 0 && text.ptr[colon - 1] != ':')
+    colon--;
+  if (colon < 2 || colon > sizeof host)
+    return RW_E_PARSE;
+  struct rw_str digits = { text.ptr + colon, text.len - colon };
+  if (rw_str_to_int (digits, 1, 65535, &port) != 0)
+    return RW_E_PARSE;
+  rw_str_copy (host, sizeof host, (struct rw_str){ text.ptr, colon - 1 });
+  return uv_ip4_addr (host, (int)port, addr) == 0 ? 0 : RW_E_PARSE;
+}
+
+static int
+parse_seeds (struct rw_str text, struct frn_settings *settings)
+{
+  settings->seed_count = 0;
+  while (text.len > 0 && settings->seed_count < FRN_MAX_SEEDS)
+    {
+      struct rw_str word = rw_str_trim (rw_str_token (&text, ","));
+      if (word.len == 0)
+        continue;
+      if (parse_addr (word, &settings->seeds[settings->seed_count]) != 0)
+        return RW_E_PARSE;
+      settings->seed_count++;
+    }
+  return 0;
+}
+
+/* Reads a number with at most three decimals.  */
+static int
+parse_number (struct rw_str text, double *value)
+{
+  char buf[32];
+  char *end;
+  if (text.len == 0 || text.len >= sizeof buf)
+    return RW_E_PARSE;
+  rw_str_copy (buf, sizeof buf, text);
+  *value = strtod (buf, &end);
+  return *end == '\0' && *value >= 0 && *value < 1e9 ? 0 : RW_E_PARSE;
+}
+
+static int
+parse_time (struct rw_str text, double unit, rw_time *value)
+{
+  double number;
+  if (parse_number (text, &number) != 0)
+    return RW_E_PARSE;
+  *value = (rw_time)(number * unit);
+  return 0;
+}
+
+static int
+parse_count (struct rw_str text, unsigned int *value)
+{
+  int64_t number;
+  if (rw_str_to_int (text, 0, 10000000, &number) != 0)
+    return RW_E_PARSE;
+  *value = (unsigned int)number;
+  return 0;
+}
+
+static int
+parse_setting (struct rw_str name, struct rw_str value,
+               struct frn_settings *s)
+{
+  if (rw_str_eq_cstr (name, "RWF_NAME"))
+    rw_str_copy (s->name, sizeof s->name, value);
+  else if (rw_str_eq_cstr (name, "RWF_DC"))
+    rw_str_copy (s->dc, sizeof s->dc, value);
+  else if (rw_str_eq_cstr (name, "RWF_CALLERS"))
+    return parse_addr (value, &s->callers);
+  else if (rw_str_eq_cstr (name, "RWF_READY"))
+    return parse_addr (value, &s->ready);
+  else if (rw_str_eq_cstr (name, "RWF_STORE"))
+    return parse_addr (value, &s->store);
+  else if (rw_str_eq_cstr (name, "RWF_PEERS"))
+    return parse_addr (value, &s->peers);
+  else if (rw_str_eq_cstr (name, "RWF_SEEDS"))
+    return parse_seeds (value, s);
+  else if (rw_str_eq_cstr (name, "RWF_MAX_FILES"))
+    return parse_count (value, &s->max_files);
+  else if (rw_str_eq_cstr (name, "RWF_TARGET_DRAIN_MS"))
+    return parse_time (value, RW_MSEC, &s->drain_time);
+  else if (rw_str_eq_cstr (name, "RWF_STOP_S"))
+    return parse_time (value, RW_SEC, &s->stop_time);
+  else if (rw_str_eq_cstr (name, "RWF_EXTRA_RATIO"))
+    return parse_number (value, &s->extra_ratio);
+  else if (rw_str_eq_cstr (name, "RWF_EXTRA_SLACK"))
+    return parse_number (value, &s->extra_slack);
+  else if (rw_str_eq_cstr (name, "RWF_EXTRA_WINDOW_S"))
+    return parse_time (value, RW_SEC, &s->extra_window);
+  return 0; /* settings of a later version */
+}
+
+static void
+set_defaults (struct frn_settings *settings)
+{
+  memset (settings, 0, sizeof *settings);
+  settings->max_files = 1024;
+  settings->drain_time = 3 * RW_SEC;
+  settings->stop_time = 6 * RW_SEC;
+  settings->extra_ratio = 0.1;
+  settings->extra_slack = 10;
+  settings->extra_window = 10 * RW_SEC;
+}
+
+static int
+check (const struct frn_settings *s, struct rw_err *err)
+{
+  if (s->callers.sin_port == 0)
+    return bad (err, RW_LIT ("RWF_CALLERS"), "is required");
+  if (s->ready.sin_port == 0)
+    return bad (err, RW_LIT ("RWF_READY"), "is required");
+  if (s->store.sin_port == 0)
+    return bad (err, RW_LIT ("RWF_STORE"), "is required");
+  if (s->extra_window < RW_SEC)
+    return bad (err, RW_LIT ("RWF_EXTRA_WINDOW_S"), "is below 1 s");
+  return 0;
+}
+
+/* Reads lines NAME=VALUE; blank lines and lines that begin with # are
+   ignored.  On an error SETTINGS is not changed.  */
+int
+frn_settings_parse (struct rw_str text, struct frn_settings *settings,
+                    struct rw_err *err)
+{
+  struct frn_settings parsed;
+  set_defaults (&parsed);
+  while (text.len > 0)
+    {
+      struct rw_str line = rw_str_trim (rw_str_token (&text, "\n"));
+      if (line.len == 0 || line.ptr[0] == '#')
+        continue;
+      const char *equals = memchr (line.ptr, '=', line.len);
+      if (equals == NULL)
+        return bad (err, line, "expected NAME=VALUE");
+      struct rw_str name = { line.ptr, (size_t)(equals - line.ptr) };
+      struct rw_str value = { equals + 1, line.len - name.len - 1 };
+      if (value.len > 0 && parse_setting (name, value, &parsed) != 0)
+        return bad (err, name, "invalid value");
+    }
+  int r = check (&parsed, err);
+  if (r == 0)
+    *settings = parsed;
+  return r;
+}
+
+int
+frn_settings_read (const char *path, struct frn_settings *settings,
+                   struct rw_err *err)
+{
+  char *text = rw_xmalloc (MAX_FILE);
+  int fd = open (path, O_RDONLY | O_CLOEXEC);
+  ssize_t n = fd < 0 ? -1 : read (fd, text, MAX_FILE);
+  int r;
+  if (n < 0)
+    r = rw_err_set (err, -errno, "settings", rw_str_from (path), "%s",
+                    strerror (errno));
+  else
+    r = frn_settings_parse ((struct rw_str){ text, (size_t)n }, settings, err);
+  if (fd >= 0)
+    close (fd);
+  free (text);
+  return r;
+}
--- /dev/null
+++ b/lib/cat/config.c
@@ -0,0 +1,109 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "cat.h"
+
+#define ARENA_BLOCK 16384
+
+struct cat_config *
+cat_config_new (void)
+{
+  struct cat_config *config = rw_xcalloc (1, sizeof *config);
+  rw_arena_init (&config->arena, ARENA_BLOCK);
+  rw_map_init (&config->by_prefix);
+  rw_map_init (&config->by_name);
+  config->refs = 1;
+  return config;
+}
+
+struct cat_config *
+cat_config_ref (struct cat_config *config)
+{
+  config->refs++;
+  return config;
+}
+
+void
+cat_config_unref (struct cat_config *config)
+{
+  if (config == NULL || --config->refs > 0)
+    return;
+  rw_map_finish (&config->by_prefix);
+  rw_map_finish (&config->by_name);
+  rw_arena_finish (&config->arena);
+  free (config->services);
+  free (config);
+}
+
+uint32_t
+cat_config_service (struct cat_config *config, struct rw_str name)
+{
+  uint64_t key = rw_hash (name);
+  uintptr_t known = (uintptr_t)rw_map_get (&config->by_name, key);
+  if (known != 0)
+    return (uint32_t)known - 1;
+  config->services
+      = rw_xrealloc (config->services,
+                     (config->service_count + 1) * sizeof *config->services);
+  struct cat_service *service = &config->services[config->service_count++];
+  memset (service, 0, sizeof *service);
+  service->name = rw_arena_str (&config->arena, name);
+  service->health_path = RW_LIT ("/health");
+  rw_map_put (&config->by_name, key, (void *)(uintptr_t)config->service_count);
+  return (uint32_t)config->service_count - 1;
+}
+
+static char
+lower (char c)
+{
+  return c >= 'A' && c <= 'Z' ? (char)(c - 'A' + 'a') : c;
+}
+
+/* Hashes a host name without its port and without regard to case.  */
+static uint64_t
+host_hash (struct rw_str host)
+{
+  char buf[256];
+  size_t len = 0;
+  while (len < host.len && len < sizeof buf && host.ptr[len] != ':')
+    {
+      buf[len] = lower (host.ptr[len]);
+      len++;
+    }
+  return rw_hash ((struct rw_str){ buf, len });
+}
+
+static uint64_t
+prefix_key (uint64_t host, struct rw_str prefix)
+{
+  return rw_hash_u64 (host, rw_hash (prefix)) | 1;
+}
+
+void
+cat_config_seal (struct cat_config *config)
+{
+  for (size_t i = 0; i < config->route_count; i++)
+    {
+      struct cat_route *route = &config->routes[i];
+      rw_map_put (&config->by_prefix,
+                  prefix_key (host_hash (route->host), route->prefix), route);
+    }
+}
+
+struct cat_route *
+cat_config_find (const struct cat_config *config, struct rw_str host,
+                 struct rw_str path)
+{
+  uint64_t hash = host_hash (host);
+  for (size_t len = path.len; len > 0; len--)
+    {
+      if (path.ptr[len - 1] != '/')
+        continue;
+      struct cat_route *route
+          = rw_map_get (&config->by_prefix,
+                        prefix_key (hash, (struct rw_str){ path.ptr, len }));
+      if (route != NULL)
+        return route;
+    }
+  return NULL;
+}
--- /dev/null
+++ b/lib/h1/h1.h
@@ -0,0 +1,213 @@
+/* HTTP/1.1 connections on libuv: those of callers, and links to targets.  The
+   parser is http_parser.  One request at a time runs on a connection; messages
+   are handed over whole.  */
+
+#ifndef H1_H1_H
+#define H1_H1_H
+
+#include <http_parser.h>
+#include <uv.h>
+
+#include "base.h"
+
+#define H1_MAX_HEADERS 64
+
+struct h1_header
+{
+  struct rw_str name;
+  struct rw_str value;
+};
+
+/* A whole message.  The views are valid during the call that hands it over.  */
+struct h1_message
+{
+  unsigned int method; /* requests: enum http_method */
+  struct rw_str target; /* requests: path and query as received */
+  int status;          /* replies */
+  bool keep_alive;
+  struct h1_header headers[H1_MAX_HEADERS];
+  size_t header_count;
+  struct rw_str body;
+};
+
+struct rw_str h1_header_value (const struct h1_message *message,
+                               const char *name);
+/* Whether NAME concerns only one connection: a fixed list, and the names that
+   the message's Connection header lists.  */
+bool h1_is_hop_header (const struct h1_message *message, struct rw_str name);
+bool h1_name_eq (struct rw_str a, const char *b);
+
+/* What a caller may send, and how long it may take.  */
+struct h1_limits
+{
+  size_t header_bytes;
+  size_t body_bytes;
+  rw_time header_time; /* from the first byte of a request to its end */
+  rw_time idle_time;   /* between two requests */
+};
+
+/* A parser that collects one message.  */
+struct h1_span
+{
+  uint32_t start;
+  uint32_t len;
+};
+
+enum h1_fault
+{
+  H1_FAULT_NONE,
+  H1_FAULT_SYNTAX,
+  H1_FAULT_HEADER_SIZE,
+  H1_FAULT_BODY_SIZE
+};
+
+struct h1_reader
+{
+  http_parser parser;
+  struct rw_buf text; /* target and headers */
+  struct rw_buf body;
+  struct h1_span target;
+  struct h1_span names[H1_MAX_HEADERS];
+  struct h1_span values[H1_MAX_HEADERS];
+  size_t header_count;
+  bool in_value;
+  bool started;   /* a byte of the message was read */
+  bool in_body;   /* all headers were read */
+  bool complete;
+  bool skip_body; /* replies: no body follows, whatever the headers say */
+  bool expects_continue;
+  bool keep_alive; /* of the complete message */
+  size_t max_text;
+  size_t max_body;
+  enum h1_fault fault;
+};
+
+void h1_reader_init (struct h1_reader *reader, enum http_parser_type type);
+void h1_reader_finish (struct h1_reader *reader);
+/* Prepares for the next message.  */
+void h1_reader_reset (struct h1_reader *reader);
+/* Takes bytes until the message is complete; returns the number taken.  A
+   length of 0 says that the connection ended.  */
+size_t h1_reader_feed (struct h1_reader *reader, const char *data,
+                       size_t len);
+void h1_reader_message (const struct h1_reader *reader,
+                        struct h1_message *message);
+
+/* Writes DATA; what the socket does not take at once is copied.  Returns 0 or
+   a negative error number.  */
+int h1_write (uv_stream_t *stream, struct rw_str data);
+
+/* Server.  */
+
+struct h1_conn;
+
+struct h1_server_ops
+{
+  /* A whole request.  It is answered by h1_answer, now or later.  */
+  void (*on_request) (void *arg, struct h1_conn *conn,
+                      const struct h1_message *request);
+  /* The caller left before the answer.  */
+  void (*on_gone) (void *arg, struct h1_conn *conn);
+  /* A request that cannot be read, answered with STATUS.  */
+  void (*on_refused) (void *arg, struct h1_conn *conn, int status);
+};
+
+struct h1_server
+{
+  uv_loop_t *loop;
+  const struct h1_server_ops *ops;
+  void *arg;
+  const struct h1_limits *limits; /* read at each use */
+  uv_tcp_t listener;
+  uv_timer_t sweep;
+  struct h1_conn *conns;
+  size_t conn_count;
+  size_t max_conns;
+  size_t busy; /* connections with a request that waits for its answer */
+  bool closing; /* answers say Connection: close */
+  char *scratch;
+};
+
+/* An answer.  HEADERS are whole lines that each end in CR LF.  */
+struct h1_reply
+{
+  int status;
+  struct rw_str headers;
+  struct rw_str body;
+  bool close;
+};
+
+int h1_server_init (struct h1_server *server, uv_loop_t *loop,
+                    const struct sockaddr *addr, struct h1_limits *limits,
+                    size_t max_conns, const struct h1_server_ops *ops,
+                    void *arg);
+void h1_answer (struct h1_conn *conn, const struct h1_reply *reply);
+void *h1_conn_user (const struct h1_conn *conn);
+void h1_conn_set_user (struct h1_conn *conn, void *user);
+/* Answers from now on end their connection.  */
+void h1_server_drain (struct h1_server *server);
+/* Closes the connections on which no request is running or arriving.  */
+void h1_server_close_idle (struct h1_server *server);
+/* Closes everything.  */
+void h1_server_stop (struct h1_server *server);
+void h1_server_finish (struct h1_server *server);
+
+/* Links to targets.  */
+
+enum h1_link_state
+{
+  H1_LINK_CONNECTING,
+  H1_LINK_IDLE,
+  H1_LINK_BUSY,
+  H1_LINK_CLOSED
+};
+
+struct h1_link;
+
+enum h1_verdict
+{
+  H1_REPLY_TAKEN,  /* the reply belongs to the request */
+  H1_REPLY_SKIPPED /* another reply is awaited */
+};
+
+struct h1_link_ops
+{
+  /* The link can take a request.  */
+  void (*on_idle) (struct h1_link *link);
+  enum h1_verdict (*on_reply) (struct h1_link *link,
+                               const struct h1_message *reply);
+  /* The link ended by itself; CODE is a negative error number.  */
+  void (*on_lost) (struct h1_link *link, int code);
+  /* After h1_link_close or on_lost: the memory may be freed.  */
+  void (*on_finished) (struct h1_link *link);
+};
+
+struct h1_link
+{
+  uv_tcp_t tcp;
+  uv_connect_t connect;
+  const struct h1_link_ops *ops;
+  void *arg;
+  char *scratch; /* shared read buffer */
+  struct h1_reader reader;
+  enum h1_link_state state;
+  bool wrote;     /* a byte of the present request went to the transport */
+  bool reusable;  /* after the present reply */
+  rw_time usable_for; /* Keep-Alive timeout of the target; 0: not stated */
+};
+
+/* Starts to connect.  SCRATCH has H1_SCRATCH bytes and is shared by all
+   connections of the loop.  */
+#define H1_SCRATCH 65536
+int h1_link_init (struct h1_link *link, uv_loop_t *loop,
+                  const struct sockaddr *addr, char *scratch,
+                  const struct h1_link_ops *ops, void *arg);
+/* Sends one request on an idle link.  */
+int h1_link_send (struct h1_link *link, struct rw_str request,
+                  bool skip_body);
+void h1_link_close (struct h1_link *link);
+/* The link's age limit for reuse passed from a reply's Keep-Alive header,
+   or 0.  */
+rw_time h1_keep_alive_time (const struct h1_message *reply);
+
+#endif
--- /dev/null
+++ b/lib/h1/link.c
@@ -0,0 +1,174 @@
+#include <string.h>
+
+#include "h1.h"
+
+static void
+on_finished (uv_handle_t *handle)
+{
+  struct h1_link *link = handle->data;
+  h1_reader_finish (&link->reader);
+  link->ops->on_finished (link);
+}
+
+void
+h1_link_close (struct h1_link *link)
+{
+  if (link->state == H1_LINK_CLOSED)
+    return;
+  link->state = H1_LINK_CLOSED;
+  uv_close ((uv_handle_t *)&link->tcp, on_finished);
+}
+
+static void
+lose (struct h1_link *link, int code)
+{
+  if (link->state == H1_LINK_CLOSED)
+    return;
+  link->ops->on_lost (link, code);
+  h1_link_close (link);
+}
+
+/* Hands over a complete reply.  Bytes after it belong to no request, so the
+   link ends with them.  */
+static void
+take_reply (struct h1_link *link, bool bytes_left)
+{
+  struct h1_message reply;
+  h1_reader_message (&link->reader, &reply);
+  if (reply.status >= 100 && reply.status < 200)
+    {
+      h1_reader_reset (&link->reader);
+      return;
+    }
+  link->reusable = reply.keep_alive;
+  link->usable_for = h1_keep_alive_time (&reply);
+  link->state = H1_LINK_IDLE;
+  enum h1_verdict verdict = link->ops->on_reply (link, &reply);
+  if (link->state == H1_LINK_CLOSED)
+    return;
+  bool skip_body = link->reader.skip_body;
+  h1_reader_reset (&link->reader);
+  if (verdict == H1_REPLY_SKIPPED)
+    {
+      link->state = H1_LINK_BUSY;
+      link->reader.skip_body = skip_body;
+      if (!link->reusable)
+        lose (link, RW_E_MISMATCH);
+      return;
+    }
+  if (!link->reusable || bytes_left)
+    lose (link, RW_E_RESET);
+  else
+    link->ops->on_idle (link);
+}
+
+static void
+link_input (struct h1_link *link, const char *data, size_t len)
+{
+  while (len > 0)
+    {
+      if (link->state != H1_LINK_BUSY)
+        {
+          lose (link, RW_E_MISMATCH);
+          return;
+        }
+      size_t taken = h1_reader_feed (&link->reader, data, len);
+      if (link->reader.fault != H1_FAULT_NONE)
+        {
+          lose (link, RW_E_PARSE);
+          return;
+        }
+      data += taken;
+      len -= taken;
+      if (!link->reader.complete)
+        return;
+      take_reply (link, len > 0);
+      if (link->state == H1_LINK_CLOSED)
+        return;
+    }
+}
+
+/* The target ended the connection: a reply without a length ends here.  */
+static void
+link_eof (struct h1_link *link)
+{
+  if (link->state == H1_LINK_BUSY && link->reader.started)
+    {
+      h1_reader_feed (&link->reader, NULL, 0);
+      if (link->reader.complete)
+        {
+          link->reader.keep_alive = false;
+          take_reply (link, false);
+        }
+    }
+  lose (link, RW_E_RESET);
+}
+
+static void
+on_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+  struct h1_link *link = stream->data;
+  if (n > 0)
+    link_input (link, buf->base, (size_t)n);
+  else if (n == UV_EOF)
+    link_eof (link);
+  else if (n < 0)
+    lose (link, (int)n);
+}
+
+static void
+on_alloc (uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+  struct h1_link *link = handle->data;
+  (void)size;
+  *buf = uv_buf_init (link->scratch, H1_SCRATCH);
+}
+
+static void
+on_connect (uv_connect_t *req, int status)
+{
+  struct h1_link *link = req->data;
+  if (link->state == H1_LINK_CLOSED)
+    return;
+  if (status == 0)
+    status = uv_read_start ((uv_stream_t *)&link->tcp, on_alloc, on_read);
+  if (status != 0)
+    {
+      lose (link, status);
+      return;
+    }
+  uv_tcp_nodelay (&link->tcp, 1);
+  link->state = H1_LINK_IDLE;
+  link->ops->on_idle (link);
+}
+
+int
+h1_link_init (struct h1_link *link, uv_loop_t *loop,
+              const struct sockaddr *addr, char *scratch,
+              const struct h1_link_ops *ops, void *arg)
+{
+  memset (link, 0, sizeof *link);
+  uv_tcp_init (loop, &link->tcp);
+  link->tcp.data = link;
+  link->connect.data = link;
+  link->ops = ops;
+  link->arg = arg;
+  link->scratch = scratch;
+  link->state = H1_LINK_CONNECTING;
+  h1_reader_init (&link->reader, HTTP_RESPONSE);
+  int r = uv_tcp_connect (&link->connect, &link->tcp, addr, on_connect);
+  if (r != 0)
+    h1_link_close (link);
+  return r;
+}
+
+int
+h1_link_send (struct h1_link *link, struct rw_str request, bool skip_body)
+{
+  if (link->state != H1_LINK_IDLE)
+    return RW_E_RANGE;
+  link->state = H1_LINK_BUSY;
+  link->wrote = true;
+  link->reader.skip_body = skip_body;
+  return h1_write ((uv_stream_t *)&link->tcp, request);
+}
--- /dev/null
+++ b/lib/h1/message.c
@@ -0,0 +1,291 @@
+#include <limits.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "h1.h"
+
+/* Compares a header name with B, without regard to case.  */
+bool
+h1_name_eq (struct rw_str a, const char *b)
+{
+  return strlen (b) == a.len && strncasecmp (a.ptr, b, a.len) == 0;
+}
+
+/* Returns the value of the first header NAME, or an empty string.  */
+struct rw_str
+h1_header_value (const struct h1_message *message, const char *name)
+{
+  for (size_t i = 0; i < message->header_count; i++)
+    if (h1_name_eq (message->headers[i].name, name))
+      return message->headers[i].value;
+  return (struct rw_str){ NULL, 0 };
+}
+
+/* Tells whether LIST, separated by commas, names NAME.  */
+static bool
+lists_name (struct rw_str list, struct rw_str name)
+{
+  while (list.len > 0)
+    {
+      struct rw_str word = rw_str_trim (rw_str_token (&list, ","));
+      if (word.len == name.len
+          && strncasecmp (word.ptr, name.ptr, name.len) == 0)
+        return true;
+    }
+  return false;
+}
+
+bool
+h1_is_hop_header (const struct h1_message *message, struct rw_str name)
+{
+  static const char *const fixed[]
+      = { "Connection", "Keep-Alive",        "Proxy-Connection",
+          "TE",         "Trailer",           "Transfer-Encoding",
+          "Upgrade",    "Proxy-Authenticate", "Proxy-Authorization",
+          "Expect" };
+  for (size_t i = 0; i < RW_ARRAY_LEN (fixed); i++)
+    if (h1_name_eq (name, fixed[i]))
+      return true;
+  for (size_t i = 0; i < message->header_count; i++)
+    if (h1_name_eq (message->headers[i].name, "Connection")
+        && lists_name (message->headers[i].value, name))
+      return true;
+  return false;
+}
+
+static struct h1_reader *
+reader_of (http_parser *parser)
+{
+  return parser->data;
+}
+
+static int
+fail (struct h1_reader *reader, enum h1_fault fault)
+{
+  reader->fault = fault;
+  return 1;
+}
+
+static int
+add_text (struct h1_reader *reader, const char *at, size_t len)
+{
+  if (reader->text.len + len > reader->max_text)
+    return fail (reader, H1_FAULT_HEADER_SIZE);
+  rw_buf_append (&reader->text, at, len);
+  return 0;
+}
+
+static int
+on_begin (http_parser *parser)
+{
+  reader_of (parser)->started = true;
+  return 0;
+}
+
+static int
+on_url (http_parser *parser, const char *at, size_t len)
+{
+  struct h1_reader *reader = reader_of (parser);
+  if (reader->target.len == 0)
+    reader->target.start = (uint32_t)reader->text.len;
+  reader->target.len += (uint32_t)len;
+  return add_text (reader, at, len);
+}
+
+static int
+on_field (http_parser *parser, const char *at, size_t len)
+{
+  struct h1_reader *reader = reader_of (parser);
+  if (reader->in_body)
+    return 0; /* a trailer */
+  if (reader->header_count == 0 || reader->in_value)
+    {
+      if (reader->header_count == H1_MAX_HEADERS)
+        return fail (reader, H1_FAULT_HEADER_SIZE);
+      size_t i = reader->header_count++;
+      reader->names[i] = (struct h1_span){ (uint32_t)reader->text.len, 0 };
+      reader->values[i] = (struct h1_span){ 0, 0 };
+      reader->in_value = false;
+    }
+  reader->names[reader->header_count - 1].len += (uint32_t)len;
+  return add_text (reader, at, len);
+}
+
+static int
+on_value (http_parser *parser, const char *at, size_t len)
+{
+  struct h1_reader *reader = reader_of (parser);
+  if (reader->in_body || reader->header_count == 0)
+    return 0;
+  struct h1_span *value = &reader->values[reader->header_count - 1];
+  if (!reader->in_value)
+    {
+      *value = (struct h1_span){ (uint32_t)reader->text.len, 0 };
+      reader->in_value = true;
+    }
+  value->len += (uint32_t)len;
+  return add_text (reader, at, len);
+}
+
+static int
+on_headers (http_parser *parser)
+{
+  struct h1_reader *reader = reader_of (parser);
+  reader->in_body = true;
+  if (parser->type == HTTP_RESPONSE)
+    return reader->skip_body ? 1 : 0;
+  if (parser->content_length != ULLONG_MAX
+      && parser->content_length > reader->max_body)
+    {
+      fail (reader, H1_FAULT_BODY_SIZE);
+      return -1;
+    }
+  for (size_t i = 0; i < reader->header_count; i++)
+    {
+      struct rw_str name = { reader->text.ptr + reader->names[i].start,
+                             reader->names[i].len };
+      if (h1_name_eq (name, "Expect"))
+        reader->expects_continue = true;
+    }
+  return 0;
+}
+
+static int
+on_body (http_parser *parser, const char *at, size_t len)
+{
+  struct h1_reader *reader = reader_of (parser);
+  if (reader->body.len + len > reader->max_body)
+    return fail (reader, H1_FAULT_BODY_SIZE);
+  rw_buf_append (&reader->body, at, len);
+  return 0;
+}
+
+static int
+on_complete (http_parser *parser)
+{
+  struct h1_reader *reader = reader_of (parser);
+  reader->complete = true;
+  reader->keep_alive = http_should_keep_alive (parser) != 0;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings parser_settings = {
+  .on_message_begin = on_begin,
+  .on_url = on_url,
+  .on_header_field = on_field,
+  .on_header_value = on_value,
+  .on_headers_complete = on_headers,
+  .on_body = on_body,
+  .on_message_complete = on_complete,
+};
+
+void
+h1_reader_init (struct h1_reader *reader, enum http_parser_type type)
+{
+  memset (reader, 0, sizeof *reader);
+  http_parser_init (&reader->parser, type);
+  reader->parser.data = reader;
+  rw_buf_init (&reader->text);
+  rw_buf_init (&reader->body);
+  reader->max_text = 65536;
+  reader->max_body = (size_t)16 << 20;
+}
+
+void
+h1_reader_finish (struct h1_reader *reader)
+{
+  rw_buf_finish (&reader->text);
+  rw_buf_finish (&reader->body);
+}
+
+/* Bytes that an idle connection keeps for its next message.  */
+#define KEPT_BYTES 4096
+
+static void
+empty (struct rw_buf *buf)
+{
+  buf->len = 0;
+  if (buf->cap <= KEPT_BYTES)
+    return;
+  rw_buf_finish (buf);
+  rw_buf_init (buf);
+}
+
+void
+h1_reader_reset (struct h1_reader *reader)
+{
+  http_parser_init (&reader->parser, reader->parser.type);
+  empty (&reader->text);
+  empty (&reader->body);
+  reader->target = (struct h1_span){ 0, 0 };
+  reader->header_count = 0;
+  reader->in_value = false;
+  reader->started = false;
+  reader->in_body = false;
+  reader->complete = false;
+  reader->skip_body = false;
+  reader->expects_continue = false;
+  reader->fault = H1_FAULT_NONE;
+}
+
+size_t
+h1_reader_feed (struct h1_reader *reader, const char *data, size_t len)
+{
+  size_t taken
+      = http_parser_execute (&reader->parser, &parser_settings, data, len);
+  enum http_errno code = HTTP_PARSER_ERRNO (&reader->parser);
+  if (reader->complete)
+    {
+      http_parser_pause (&reader->parser, 0);
+      return taken;
+    }
+  if (reader->parser.upgrade != 0 && reader->fault == H1_FAULT_NONE)
+    reader->fault = H1_FAULT_SYNTAX;
+  if (code != HPE_OK && reader->fault == H1_FAULT_NONE)
+    reader->fault = code == HPE_HEADER_OVERFLOW ? H1_FAULT_HEADER_SIZE
+                                                : H1_FAULT_SYNTAX;
+  return taken;
+}
+
+static struct rw_str
+view (const struct h1_reader *reader, struct h1_span span)
+{
+  if (span.len == 0)
+    return (struct rw_str){ NULL, 0 };
+  return (struct rw_str){ reader->text.ptr + span.start, span.len };
+}
+
+void
+h1_reader_message (const struct h1_reader *reader, struct h1_message *message)
+{
+  message->method = reader->parser.method;
+  message->status = (int)reader->parser.status_code;
+  message->keep_alive = reader->keep_alive;
+  message->target = view (reader, reader->target);
+  message->header_count = reader->header_count;
+  for (size_t i = 0; i < reader->header_count; i++)
+    message->headers[i] = (struct h1_header){ view (reader, reader->names[i]),
+                                              view (reader,
+                                                    reader->values[i]) };
+  message->body = rw_buf_str (&reader->body);
+}
+
+rw_time
+h1_keep_alive_time (const struct h1_message *reply)
+{
+  struct rw_str value = h1_header_value (reply, "Keep-Alive");
+  while (value.len > 0)
+    {
+      struct rw_str word = rw_str_trim (rw_str_token (&value, ","));
+      int64_t seconds = 0;
+      if (!rw_str_starts (word, RW_LIT ("timeout=")))
+        continue;
+      word.ptr += 8;
+      word.len -= 8;
+      if (rw_str_to_int (word, 0, 86400, &seconds) == 0)
+        return seconds * RW_SEC;
+    }
+  return 0;
+}
--- /dev/null
+++ b/lib/h1/server.c
@@ -0,0 +1,403 @@
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "h1.h"
+
+/* Interval at which connections that are idle or slow to send are looked
+   for.  */
+#define SWEEP_MS 500
+/* Bytes of further requests that a caller may send before its answer.  */
+#define MAX_AHEAD (64 * 1024)
+/* A refused caller that still sends gets this long before a reset, so that it
+   can read the refusal.  */
+#define LINGER (500 * RW_MSEC)
+
+enum conn_state
+{
+  CONN_READING,
+  CONN_RUNNING, /* a request waits for its answer */
+  CONN_LINGER,  /* the last answer is written; input is dropped */
+  CONN_CLOSED
+};
+
+struct h1_conn
+{
+  uv_tcp_t tcp;
+  struct h1_server *server;
+  struct h1_conn *prev;
+  struct h1_conn *next;
+  struct h1_reader reader;
+  struct rw_buf ahead; /* bytes after the running request */
+  enum conn_state state;
+  bool keep_alive; /* of the running request */
+  bool continued;  /* "100 Continue" was sent */
+  rw_time since;   /* of the idle time, or of the first byte */
+  void *user;
+};
+
+static rw_time
+now_usec (void)
+{
+  struct timespec ts;
+  clock_gettime (CLOCK_MONOTONIC, &ts);
+  return ts.tv_sec * RW_SEC + ts.tv_nsec / 1000;
+}
+
+void *
+h1_conn_user (const struct h1_conn *conn)
+{
+  return conn->user;
+}
+
+void
+h1_conn_set_user (struct h1_conn *conn, void *user)
+{
+  conn->user = user;
+}
+
+static void
+on_conn_closed (uv_handle_t *handle)
+{
+  struct h1_conn *conn = handle->data;
+  h1_reader_finish (&conn->reader);
+  rw_buf_finish (&conn->ahead);
+  free (conn);
+}
+
+static void
+conn_close (struct h1_conn *conn)
+{
+  struct h1_server *server = conn->server;
+  if (conn->state == CONN_CLOSED)
+    return;
+  if (conn->state == CONN_RUNNING)
+    {
+      server->busy--;
+      server->ops->on_gone (server->arg, conn);
+    }
+  conn->state = CONN_CLOSED;
+  if (conn->prev != NULL)
+    conn->prev->next = conn->next;
+  else
+    server->conns = conn->next;
+  if (conn->next != NULL)
+    conn->next->prev = conn->prev;
+  server->conn_count--;
+  uv_close ((uv_handle_t *)&conn->tcp, on_conn_closed);
+}
+
+static void
+on_shutdown (uv_shutdown_t *req, int status)
+{
+  (void)status; /* the sweep closes the connection in any case */
+  free (req);
+}
+
+/* Ends the connection after its last answer: closing a socket with unread
+   input would reset it and lose the answer.  */
+static void
+conn_linger (struct h1_conn *conn)
+{
+  uv_shutdown_t *req = rw_xmalloc (sizeof *req);
+  conn->state = CONN_LINGER;
+  conn->since = now_usec ();
+  if (uv_shutdown (req, (uv_stream_t *)&conn->tcp, on_shutdown) != 0)
+    {
+      free (req);
+      conn_close (conn);
+    }
+}
+
+static const char *
+reason_phrase (int status)
+{
+  switch (status)
+    {
+#define PHRASE(num, name, string)                                             \
+  case num:                                                                   \
+    return #string;
+      HTTP_STATUS_MAP (PHRASE)
+#undef PHRASE
+    default:
+      return "Unknown";
+    }
+}
+
+static void
+write_reply (struct h1_conn *conn, const struct h1_reply *reply, bool close)
+{
+  struct rw_buf out;
+  bool bare = reply->status == 204 || reply->status == 304;
+  bool head = conn->reader.parser.method == HTTP_HEAD;
+  rw_buf_init (&out);
+  rw_buf_printf (&out, "HTTP/1.1 %d %s\r\n", reply->status,
+                 reason_phrase (reply->status));
+  rw_buf_append_str (&out, reply->headers);
+  if (!bare)
+    rw_buf_printf (&out, "Content-Length: %zu\r\n", reply->body.len);
+  rw_buf_printf (&out, "%s\r\n", close ? "Connection: close\r\n" : "");
+  if (!bare && !head)
+    rw_buf_append_str (&out, reply->body);
+  if (h1_write ((uv_stream_t *)&conn->tcp, rw_buf_str (&out)) != 0)
+    conn->keep_alive = false;
+  rw_buf_finish (&out);
+}
+
+/* Answers a request that cannot be read and ends the connection.  */
+static void
+refuse (struct h1_conn *conn, int status)
+{
+  struct h1_server *server = conn->server;
+  struct h1_reply reply = { .status = status, .close = true };
+  server->ops->on_refused (server->arg, conn, status);
+  write_reply (conn, &reply, true);
+  conn_linger (conn);
+}
+
+static int
+fault_status (enum h1_fault fault)
+{
+  switch (fault)
+    {
+    case H1_FAULT_HEADER_SIZE:
+      return 431;
+    case H1_FAULT_BODY_SIZE:
+      return 413;
+    case H1_FAULT_NONE:
+    case H1_FAULT_SYNTAX:
+      break;
+    }
+  return 400;
+}
+
+/* Takes input of the caller; bytes after a whole request wait for its
+   answer.  */
+static void
+conn_input (struct h1_conn *conn, const char *data, size_t len)
+{
+  struct h1_server *server = conn->server;
+  struct h1_message message;
+
+  if (!conn->reader.started)
+    {
+      conn->since = now_usec ();
+      conn->reader.max_text = server->limits->header_bytes;
+      conn->reader.max_body = server->limits->body_bytes;
+    }
+  size_t taken = h1_reader_feed (&conn->reader, data, len);
+  if (conn->reader.fault != H1_FAULT_NONE)
+    {
+      refuse (conn, fault_status (conn->reader.fault));
+      return;
+    }
+  if (!conn->reader.complete)
+    {
+      if (conn->reader.in_body && conn->reader.expects_continue
+          && !conn->continued)
+        {
+          conn->continued = true;
+          h1_write ((uv_stream_t *)&conn->tcp,
+                    RW_LIT ("HTTP/1.1 100 Continue\r\n\r\n"));
+        }
+      return;
+    }
+  if (taken < len)
+    rw_buf_append (&conn->ahead, data + taken, len - taken);
+  conn->state = CONN_RUNNING;
+  conn->keep_alive = conn->reader.keep_alive;
+  server->busy++;
+  h1_reader_message (&conn->reader, &message);
+  server->ops->on_request (server->arg, conn, &message);
+}
+
+static void
+on_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+  struct h1_conn *conn = stream->data;
+  if (n == 0)
+    return;
+  if (n < 0)
+    {
+      conn_close (conn);
+      return;
+    }
+  switch (conn->state)
+    {
+    case CONN_READING:
+      conn_input (conn, buf->base, (size_t)n);
+      break;
+    case CONN_RUNNING:
+      rw_buf_append (&conn->ahead, buf->base, (size_t)n);
+      if (conn->ahead.len > MAX_AHEAD)
+        conn_close (conn);
+      break;
+    case CONN_LINGER:
+    case CONN_CLOSED:
+      break;
+    }
+}
+
+static void
+on_alloc (uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+  struct h1_conn *conn = handle->data;
+  (void)size;
+  *buf = uv_buf_init (conn->server->scratch, H1_SCRATCH);
+}
+
+/* Writes the answer of the running request.  */
+void
+h1_answer (struct h1_conn *conn, const struct h1_reply *reply)
+{
+  struct h1_server *server = conn->server;
+  bool close = reply->close || !conn->keep_alive || server->closing;
+
+  if (conn->state != CONN_RUNNING)
+    return;
+  write_reply (conn, reply, close);
+  server->busy--;
+  conn->state = CONN_READING;
+  if (close || !conn->keep_alive)
+    {
+      conn_linger (conn);
+      return;
+    }
+  h1_reader_reset (&conn->reader);
+  conn->continued = false;
+  conn->since = now_usec ();
+  if (conn->ahead.len > 0)
+    {
+      struct rw_buf ahead = conn->ahead;
+      rw_buf_init (&conn->ahead);
+      conn_input (conn, ahead.ptr, ahead.len);
+      rw_buf_finish (&ahead);
+    }
+}
+
+static void
+on_connection (uv_stream_t *listener, int status)
+{
+  struct h1_server *server = listener->data;
+  if (status != 0)
+    return;
+  struct h1_conn *conn = rw_xcalloc (1, sizeof *conn);
+  uv_tcp_init (server->loop, &conn->tcp);
+  conn->tcp.data = conn;
+  conn->server = server;
+  conn->since = now_usec ();
+  h1_reader_init (&conn->reader, HTTP_REQUEST);
+  rw_buf_init (&conn->ahead);
+  conn->next = server->conns;
+  if (conn->next != NULL)
+    conn->next->prev = conn;
+  server->conns = conn;
+  server->conn_count++;
+  if (uv_accept (listener, (uv_stream_t *)&conn->tcp) != 0
+      || server->conn_count > server->max_conns)
+    {
+      conn_close (conn);
+      return;
+    }
+  uv_tcp_nodelay (&conn->tcp, 1);
+  uv_read_start ((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+}
+
+static void
+sweep_conn (struct h1_conn *conn, rw_time now)
+{
+  const struct h1_limits *limits = conn->server->limits;
+  switch (conn->state)
+    {
+    case CONN_READING:
+      if (!conn->reader.started)
+        {
+          if (now - conn->since > limits->idle_time)
+            conn_close (conn);
+        }
+      else if (now - conn->since > limits->header_time)
+        refuse (conn, 408);
+      break;
+    case CONN_LINGER:
+      if (now - conn->since > LINGER)
+        conn_close (conn);
+      break;
+    case CONN_RUNNING:
+    case CONN_CLOSED:
+      break;
+    }
+}
+
+static void
+on_sweep (uv_timer_t *timer)
+{
+  struct h1_server *server = timer->data;
+  rw_time now = now_usec ();
+  struct h1_conn *next;
+  for (struct h1_conn *conn = server->conns; conn != NULL; conn = next)
+    {
+      next = conn->next;
+      sweep_conn (conn, now);
+    }
+}
+
+int
+h1_server_init (struct h1_server *server, uv_loop_t *loop,
+                const struct sockaddr *addr, struct h1_limits *limits,
+                size_t max_conns, const struct h1_server_ops *ops, void *arg)
+{
+  int r;
+  memset (server, 0, sizeof *server);
+  server->loop = loop;
+  server->ops = ops;
+  server->arg = arg;
+  server->limits = limits;
+  server->max_conns = max_conns;
+  server->scratch = rw_xmalloc (H1_SCRATCH);
+  uv_tcp_init (loop, &server->listener);
+  server->listener.data = server;
+  uv_timer_init (loop, &server->sweep);
+  server->sweep.data = server;
+  if ((r = uv_tcp_bind (&server->listener, addr, 0)) != 0
+      || (r = uv_listen ((uv_stream_t *)&server->listener, 1024,
+                         on_connection))
+             != 0)
+    return r;
+  return uv_timer_start (&server->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
+}
+
+void
+h1_server_drain (struct h1_server *server)
+{
+  server->closing = true;
+}
+
+void
+h1_server_close_idle (struct h1_server *server)
+{
+  struct h1_conn *next;
+  for (struct h1_conn *conn = server->conns; conn != NULL; conn = next)
+    {
+      next = conn->next;
+      if (conn->state == CONN_READING && !conn->reader.started)
+        conn_close (conn);
+    }
+}
+
+void
+h1_server_stop (struct h1_server *server)
+{
+  while (server->conns != NULL)
+    conn_close (server->conns);
+  if (!uv_is_closing ((uv_handle_t *)&server->listener))
+    uv_close ((uv_handle_t *)&server->listener, NULL);
+  if (!uv_is_closing ((uv_handle_t *)&server->sweep))
+    uv_close ((uv_handle_t *)&server->sweep, NULL);
+}
+
+/* Frees what is left once the loop has run after h1_server_stop.  */
+void
+h1_server_finish (struct h1_server *server)
+{
+  free (server->scratch);
+}
--- /dev/null
+++ b/lib/steer/fleet.c
@@ -0,0 +1,172 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "steer.h"
+
+void
+ste_init (struct ste_fleet *fleet, const struct ste_settings *settings,
+          uint64_t seed)
+{
+  memset (fleet, 0, sizeof *fleet);
+  fleet->settings = *settings;
+  rw_rng_init (&fleet->rng, seed);
+  rw_map_init (&fleet->services);
+  rw_map_init (&fleet->targets);
+}
+
+void
+ste_finish (struct ste_fleet *fleet)
+{
+  while (fleet->first != NULL)
+    {
+      struct ste_service *service = fleet->first;
+      fleet->first = service->next;
+      while (service->targets != NULL)
+        {
+          struct ste_target *target = service->targets;
+          service->targets = target->next;
+          free (target);
+        }
+      free (service);
+    }
+  rw_map_finish (&fleet->services);
+  rw_map_finish (&fleet->targets);
+}
+
+struct ste_service *
+ste_service (struct ste_fleet *fleet, struct rw_str name)
+{
+  uint64_t key = rw_hash (name);
+  struct ste_service *service = rw_map_get (&fleet->services, key);
+  if (service != NULL)
+    return service;
+  service = rw_xcalloc (1, sizeof *service);
+  service->key = key;
+  rw_str_copy (service->name, sizeof service->name, name);
+  ext_init (&service->budget);
+  service->next = fleet->first;
+  fleet->first = service;
+  rw_map_put (&fleet->services, key, service);
+  return service;
+}
+
+static void
+leave (struct ste_fleet *fleet, struct ste_target *target, rw_time now)
+{
+  rw_time until = now + fleet->settings.leave_time;
+  if (!target->draining && !target->gone)
+    target->usable_until = until;
+}
+
+static void
+go (struct ste_fleet *fleet, struct ste_target *target, rw_time now)
+{
+  leave (fleet, target, now);
+  target->gone = true;
+  if (rw_map_get (&fleet->targets, target->key) == target)
+    rw_map_remove (&fleet->targets, target->key);
+}
+
+static struct ste_target *
+add (struct ste_fleet *fleet, struct ste_service *service,
+     const struct cat_target *entry, uint64_t key)
+{
+  struct ste_target *target = rw_xcalloc (1, sizeof *target);
+  target->service = service;
+  target->key = key;
+  rw_str_copy (target->id, sizeof target->id, entry->id);
+  rw_str_copy (target->host, sizeof target->host, entry->host);
+  target->port = entry->port;
+  target->born = entry->born;
+  target->slow = 1;
+  target->next = service->targets;
+  service->targets = target;
+  service->target_count++;
+  rw_map_put (&fleet->targets, key, target);
+  return target;
+}
+
+static bool
+same (const struct ste_target *target, const struct cat_target *entry)
+{
+  return rw_str_eq_cstr (entry->host, target->host)
+         && target->port == entry->port && target->born == entry->born
+         && rw_str_eq_cstr (entry->service, target->service->name);
+}
+
+struct ste_target *
+ste_put (struct ste_fleet *fleet, const struct cat_target *entry,
+         int64_t revision, rw_time now)
+{
+  uint64_t key = rw_hash (entry->id);
+  struct ste_target *target = rw_map_get (&fleet->targets, key);
+  if (target != NULL && target->revision >= revision)
+    return NULL;
+  if (target != NULL && !same (target, entry))
+    {
+      go (fleet, target, now);
+      target = NULL;
+    }
+  if (target == NULL)
+    target = add (fleet, ste_service (fleet, entry->service), entry, key);
+  target->revision = revision;
+  target->dc = rw_hash (entry->dc);
+  target->slots = entry->slots > 0 ? entry->slots : 1;
+  target->cold_until = entry->cold_for > 0 ? now + entry->cold_for : 0;
+  if (entry->draining)
+    leave (fleet, target, now);
+  target->draining = entry->draining;
+  return target;
+}
+
+void
+ste_remove (struct ste_fleet *fleet, struct rw_str id, int64_t revision,
+            rw_time now)
+{
+  struct ste_target *target = rw_map_get (&fleet->targets, rw_hash (id));
+  if (target != NULL && target->revision < revision)
+    go (fleet, target, now);
+}
+
+void
+ste_retain (struct ste_fleet *fleet, int64_t revision,
+            bool (*listed) (void *arg, uint64_t key), void *arg, rw_time now)
+{
+  for (struct ste_service *s = fleet->first; s != NULL; s = s->next)
+    for (struct ste_target *t = s->targets; t != NULL; t = t->next)
+      if (!t->gone && t->revision <= revision && !listed (arg, t->key))
+        go (fleet, t, now);
+}
+
+void
+ste_sweep (struct ste_fleet *fleet,
+           bool (*release) (void *arg, struct ste_target *target), void *arg,
+           rw_time now)
+{
+  for (struct ste_service *s = fleet->first; s != NULL; s = s->next)
+    {
+      struct ste_target **at = &s->targets;
+      while (*at != NULL)
+        {
+          struct ste_target *t = *at;
+          if (!t->gone || t->usable_until > now || t->running > 0
+              || !release (arg, t))
+            {
+              at = &t->next;
+              continue;
+            }
+          *at = t->next;
+          s->target_count--;
+          free (t);
+        }
+    }
+}
+
+void
+ste_dcs_out (struct ste_fleet *fleet, const uint64_t *dcs, size_t count)
+{
+  if (count > STE_MAX_DCS_OUT)
+    count = STE_MAX_DCS_OUT;
+  memcpy (fleet->out, dcs, count * sizeof *dcs);
+  fleet->out_count = count;
+}
--- /dev/null
+++ b/lib/steer/score.c
@@ -0,0 +1,296 @@
+#include <math.h>
+#include <string.h>
+
+#include "steer.h"
+
+/* Weight of one observation in the averages of a target.  */
+#define SLOW_WEIGHT 0.2
+#define FAIL_WEIGHT 0.2
+/* An average that gets no observations returns to normal with this time
+   constant: short against a slow spell of seconds, so that its end is
+   noticed.  */
+#define FORGET_TIME (2 * RW_SEC)
+/* A reported queue counts less with age: at two slots and 20 ms of work it
+   changes within about 50 ms.  */
+#define REPORT_TIME (50 * RW_MSEC)
+/* Added to the expected time of a target in another data centre: two ways of
+   about 1.5 ms, and the price of the bytes.  */
+#define OTHER_DC_COST (4 * RW_MSEC)
+#define COLD_COST (25 * RW_MSEC)
+/* A target that stopped answering is expected back after a pause of about
+   this length.  */
+#define STALL_COST (150 * RW_MSEC)
+#define FAIL_COST (300 * RW_MSEC)
+/* Leaving targets are taken only where no other is usable.  */
+#define LEAVING_COST (10 * RW_SEC)
+#define AVOID_COST (2 * RW_SEC)
+/* Random part of the choice, so that daemons with the same view do not all
+   take the same target.  */
+#define NOISE (2 * RW_MSEC)
+#define AVOID_FIRST (100 * RW_MSEC)
+#define AVOID_MAX (2 * RW_SEC)
+/* Added to what a part is expected to take before its target counts as
+   stalled.  */
+#define STALL_MARGIN (12 * RW_MSEC)
+/* Part of the cold limit of a target that this daemon's share may use.  */
+#define COLD_USED 0.7
+
+/* Starts with the assumption that a part takes an eighth of the aim.  */
+void
+ste_latency_init (struct ste_latency *latency, rw_time aim)
+{
+  latency->mean = (double)aim / 8;
+  latency->high = (double)aim / 5;
+  latency->count = 0;
+}
+
+static void
+latency_add (struct ste_latency *latency, double usec)
+{
+  double weight = latency->count < 50 ? 0.1 : 0.01;
+  double clipped = fmin (usec, latency->mean * 4);
+  latency->count++;
+  latency->mean += weight * (clipped - latency->mean);
+  /* Moves to the 0.9 quantile: up and down steps balance there.  */
+  double step = latency->high * (latency->count < 50 ? 0.1 : 0.02);
+  latency->high += usec > latency->high ? step * 0.9 : -step * 0.1;
+  if (latency->high < latency->mean)
+    latency->high = latency->mean;
+}
+
+static double
+faded (double value, double normal, rw_time since, rw_time now, rw_time time)
+{
+  if (now <= since)
+    return value;
+  return normal + (value - normal) * exp (-(double)(now - since) / time);
+}
+
+static bool
+dc_is_out (const struct ste_fleet *fleet, uint64_t dc)
+{
+  for (size_t i = 0; i < fleet->out_count; i++)
+    if (fleet->out[i] == dc)
+      return true;
+  return false;
+}
+
+bool
+ste_usable (const struct ste_fleet *fleet, const struct ste_target *target,
+            rw_time now)
+{
+  if ((target->draining || target->gone) && now >= target->usable_until)
+    return false;
+  return !dc_is_out (fleet, target->dc);
+}
+
+/* A target is stalled if a send is overdue and nothing at all arrived from the
+   target since that send.  */
+bool
+ste_stalled (const struct ste_target *target, rw_time now)
+{
+  for (const struct ste_send *s = target->first; s != NULL; s = s->next)
+    if (s->at >= target->heard)
+      return now > s->overdue;
+  return false;
+}
+
+static bool
+is_cold (const struct ste_target *target, rw_time now)
+{
+  return now < target->cold_until;
+}
+
+double
+ste_expected (const struct ste_fleet *fleet, const struct ste_target *target,
+              const struct ste_latency *latency, rw_time now)
+{
+  double slow
+      = faded (target->slow, 1, target->slow_at, now, FORGET_TIME);
+  double failing
+      = faded (target->failing, 0, target->failing_at, now, FORGET_TIME);
+  double queued
+      = faded (target->queued, 0, target->queued_at, now, REPORT_TIME);
+  if (queued < target->running)
+    queued = target->running;
+  double work = latency->mean * slow;
+  double cost = work;
+  cost += work * 0.5 * queued / target->slots;
+  if (target->dc != fleet->settings.dc)
+    cost += OTHER_DC_COST;
+  if (is_cold (target, now))
+    cost += COLD_COST;
+  if (ste_stalled (target, now))
+    cost += STALL_COST;
+  cost += failing * FAIL_COST;
+  if (now < target->avoid_until)
+    cost += AVOID_COST;
+  if (target->draining || target->gone)
+    cost += LEAVING_COST;
+  return cost;
+}
+
+/* Refills the tokens for requests to a cold target: the share of this daemon
+   in what the target bears.  The first token is drawn at random, so that
+   daemons do not send at once when a target appears.  */
+static bool
+cold_token (struct ste_fleet *fleet, struct ste_target *target, rw_time now)
+{
+  double limit = target->service->cold_per_s;
+  if (limit <= 0 || !is_cold (target, now))
+    return true;
+  double rate = limit * COLD_USED / (double)fleet->settings.daemons;
+  if (target->cold_refill == 0)
+    target->cold_tokens = rw_rng_unit (&fleet->rng);
+  else
+    target->cold_tokens += rate * (double)(now - target->cold_refill) / RW_SEC;
+  target->cold_refill = now;
+  if (target->cold_tokens > 1)
+    target->cold_tokens = 1;
+  return target->cold_tokens >= 1;
+}
+
+static bool
+is_tried (const struct ste_target *target, struct ste_target *const *tried,
+          size_t tried_n)
+{
+  for (size_t i = 0; i < tried_n; i++)
+    if (tried[i] == target)
+      return true;
+  return false;
+}
+
+struct ste_target *
+ste_pick (struct ste_fleet *fleet, struct ste_service *service,
+          const struct ste_latency *latency, struct ste_target *const *tried,
+          size_t tried_n, rw_time now)
+{
+  struct ste_target *best = NULL;
+  double best_cost = 0;
+  for (struct ste_target *t = service->targets; t != NULL; t = t->next)
+    {
+      if (is_tried (t, tried, tried_n) || !ste_usable (fleet, t, now)
+          || !cold_token (fleet, t, now))
+        continue;
+      double cost = ste_expected (fleet, t, latency, now)
+                    + rw_rng_unit (&fleet->rng) * NOISE;
+      if (best == NULL || cost < best_cost)
+        {
+          best = t;
+          best_cost = cost;
+        }
+    }
+  if (best != NULL && is_cold (best, now) && service->cold_per_s > 0)
+    best->cold_tokens -= 1;
+  return best;
+}
+
+void
+ste_on_sent (struct ste_send *send, struct ste_target *target,
+             struct ste_latency *latency, rw_time now)
+{
+  double slow = faded (target->slow, 1, target->slow_at, now, FORGET_TIME);
+  double work = latency->high * fmax (slow, 1);
+  double queue = (double)target->running / target->slots;
+  memset (send, 0, sizeof *send);
+  send->target = target;
+  send->latency = latency;
+  send->at = now;
+  send->overdue = now + (rw_time)(work * (1.2 + queue)) + STALL_MARGIN;
+  send->prev = target->last;
+  if (target->last != NULL)
+    target->last->next = send;
+  else
+    target->first = send;
+  target->last = send;
+  target->running++;
+}
+
+static void
+unlink_send (struct ste_send *send)
+{
+  struct ste_target *target = send->target;
+  if (send->prev != NULL)
+    send->prev->next = send->next;
+  else
+    target->first = send->next;
+  if (send->next != NULL)
+    send->next->prev = send->prev;
+  else
+    target->last = send->prev;
+  target->running--;
+}
+
+static void
+add_failure (struct ste_target *target, double failed, rw_time now)
+{
+  double old
+      = faded (target->failing, 0, target->failing_at, now, FORGET_TIME);
+  target->failing = old + FAIL_WEIGHT * (failed - old);
+  target->failing_at = now;
+}
+
+static void
+add_latency (struct ste_target *target, const struct ste_send *send,
+             rw_time now)
+{
+  double took = (double)(now - send->at);
+  double ratio = fmin (took / send->latency->mean, 20);
+  double old = faded (target->slow, 1, target->slow_at, now, FORGET_TIME);
+  target->slow = fmax (0.3, old + SLOW_WEIGHT * (ratio - old));
+  target->slow_at = now;
+}
+
+void
+ste_on_result (struct ste_send *send, enum ste_outcome outcome, rw_time now)
+{
+  struct ste_target *target = send->target;
+  bool was_stalled = ste_stalled (target, now);
+  unlink_send (send);
+  switch (outcome)
+    {
+    case STE_OK:
+      /* The end of a pause says nothing about the speed.  */
+      if (!was_stalled)
+        add_latency (target, send, now);
+      latency_add (send->latency, (double)(now - send->at));
+      add_failure (target, 0, now);
+      target->avoided = 0;
+      target->avoid_until = 0;
+      target->heard = now;
+      break;
+    case STE_SHED:
+      target->heard = now;
+      target->queued = fmax (target->queued, target->slots * 4.0);
+      target->queued_at = now;
+      break;
+    case STE_FAILED:
+      target->heard = now;
+      add_failure (target, 1, now);
+      break;
+    case STE_ABANDONED:
+      if (was_stalled)
+        ste_avoid (target, now);
+      break;
+    }
+}
+
+void
+ste_avoid (struct ste_target *target, rw_time now)
+{
+  rw_time span = AVOID_FIRST << (target->avoided < 5 ? target->avoided : 5);
+  if (now < target->avoid_until)
+    return;
+  target->avoided++;
+  target->avoid_until = now + (span < AVOID_MAX ? span : AVOID_MAX);
+}
+
+void
+ste_report (struct ste_target *target, unsigned int running,
+            unsigned int waiting, unsigned int slots, rw_time now)
+{
+  target->queued = running + waiting;
+  target->queued_at = now;
+  if (slots > 0)
+    target->slots = slots;
+}
--- /dev/null
+++ b/lib/steer/steer.h
@@ -0,0 +1,161 @@
+/* Targets of each service as this daemon sees them, and the choice of the
+   target for a send.  What is known of a target comes from the platform's list
+   (leaving, cold, gone) and from this daemon's own sends: how slow it is, how
+   often it fails, whether it has stopped answering, how long its queue is.  */
+
+#ifndef STE_STEER_H
+#define STE_STEER_H
+
+#include "cat.h"
+#include "extra.h"
+
+#define STE_HOST_MAX 45
+
+/* Latency of the parts of one route, the same for all its targets.  */
+struct ste_latency
+{
+  double mean; /* us */
+  double high; /* us: about 9 of 10 parts are faster */
+  uint64_t count;
+};
+
+struct ste_service;
+
+struct ste_target
+{
+  struct ste_service *service;
+  struct ste_target *next; /* of the service */
+  uint64_t key;            /* hash of the id */
+  char id[128];
+  char host[STE_HOST_MAX + 1];
+  uint16_t port;
+  uint64_t dc; /* hash of its data centre */
+  unsigned int slots;
+  int64_t born;
+  int64_t revision; /* of the list entry */
+  bool draining;
+  bool gone;           /* not on the list any more */
+  rw_time usable_until; /* draining or gone: last time to send */
+  rw_time cold_until;
+  double cold_tokens;
+  rw_time cold_refill;
+
+  struct ste_send *first; /* oldest send without a result */
+  struct ste_send *last;
+  unsigned int running;
+  rw_time heard;        /* last reply */
+  double slow;          /* latency over that of the route, moving average */
+  rw_time slow_at;
+  double failing;       /* part of the sends that fail, moving average */
+  rw_time failing_at;
+  rw_time avoid_until;  /* after a failure that concerns all sends */
+  unsigned int avoided; /* times in a row */
+  double queued;        /* requests it reported running or waiting */
+  rw_time queued_at;
+  void *user; /* of the connections; freed by their owner */
+};
+
+/* One send that waits for its result.  Owned by the caller.  */
+struct ste_send
+{
+  struct ste_target *target;
+  struct ste_latency *latency;
+  struct ste_send *prev;
+  struct ste_send *next;
+  rw_time at;
+  rw_time overdue; /* without any sign of life until then, it is stalled */
+};
+
+struct ste_service
+{
+  struct ste_service *next;
+  uint64_t key;
+  char name[128];
+  struct ste_target *targets;
+  size_t target_count;
+  struct ext_budget budget;
+  unsigned int connections; /* a target's limit; 0: not stated */
+  double cold_per_s;
+};
+
+struct ste_settings
+{
+  uint64_t dc;           /* of this daemon */
+  size_t daemons;        /* estimate, at least 1 */
+  rw_time leave_time;    /* a leaving target may still be used this long */
+};
+
+#define STE_MAX_DCS_OUT 64
+
+struct ste_fleet
+{
+  struct ste_settings settings;
+  struct rw_rng rng;
+  struct rw_map services; /* by key */
+  struct ste_service *first;
+  struct rw_map targets; /* by key */
+  uint64_t out[STE_MAX_DCS_OUT]; /* data centres taken out of service */
+  size_t out_count;
+};
+
+void ste_init (struct ste_fleet *fleet, const struct ste_settings *settings,
+               uint64_t seed);
+void ste_finish (struct ste_fleet *fleet);
+/* Services stay until ste_finish.  */
+struct ste_service *ste_service (struct ste_fleet *fleet, struct rw_str name);
+
+/* An entry of the list at REVISION, or null if it is older than what is known.
+   An id with another address or another start is a new target: the old one is
+   gone.  */
+struct ste_target *ste_put (struct ste_fleet *fleet,
+                            const struct cat_target *entry, int64_t revision,
+                            rw_time now);
+/* The entry of the target left the list at REVISION.  */
+void ste_remove (struct ste_fleet *fleet, struct rw_str id, int64_t revision,
+                 rw_time now);
+/* After a complete reading of the list at REVISION: targets whose entry was
+   not seen since REVISION FIRST leave.  */
+void ste_retain (struct ste_fleet *fleet, int64_t revision,
+                 bool (*listed) (void *arg, uint64_t key), void *arg,
+                 rw_time now);
+/* Frees the targets that are gone and that nobody uses.  RELEASE frees their
+   user data, or returns false to keep the target.  */
+void ste_sweep (struct ste_fleet *fleet,
+                bool (*release) (void *arg, struct ste_target *target),
+                void *arg, rw_time now);
+void ste_dcs_out (struct ste_fleet *fleet, const uint64_t *dcs, size_t count);
+
+/* Whether a request may be sent to the target at all.  */
+bool ste_usable (const struct ste_fleet *fleet,
+                 const struct ste_target *target, rw_time now);
+bool ste_stalled (const struct ste_target *target, rw_time now);
+/* Expected time in us until the target answers a request of the route.  */
+double ste_expected (const struct ste_fleet *fleet,
+                     const struct ste_target *target,
+                     const struct ste_latency *latency, rw_time now);
+/* The best target that is not among TRIED, or null.  A cold target is taken
+   only with a token, which the choice spends.  */
+struct ste_target *ste_pick (struct ste_fleet *fleet,
+                             struct ste_service *service,
+                             const struct ste_latency *latency,
+                             struct ste_target *const *tried, size_t tried_n,
+                             rw_time now);
+
+void ste_on_sent (struct ste_send *send, struct ste_target *target,
+                  struct ste_latency *latency, rw_time now);
+enum ste_outcome
+{
+  STE_OK,
+  STE_SHED,     /* refused because it is full */
+  STE_FAILED,   /* answered with a failure, or garbage, or broke off */
+  STE_ABANDONED /* nobody waits for it any more */
+};
+void ste_on_result (struct ste_send *send, enum ste_outcome outcome,
+                    rw_time now);
+/* The target cannot be reached, or another one has its address.  */
+void ste_avoid (struct ste_target *target, rw_time now);
+void ste_report (struct ste_target *target, unsigned int running,
+                 unsigned int waiting, unsigned int slots, rw_time now);
+void ste_latency_init (struct ste_latency *latency, rw_time aim);
+
+#endif
--- a/mk/deps.sh
+++ b/mk/deps.sh
@@ -3,7 +3,7 @@
 set -eu
 
 PACKAGES="gcc make pkg-config libuv1-dev libh2o-dev libtirpc-dev rpcsvc-proto
-libjansson-dev libxxhash-dev liblog4c-dev libcmocka-dev libssl-dev zlib1g-dev
+libjansson-dev libxxhash-dev liblog4c-dev libhttp-parser-dev libcmocka-dev libssl-dev zlib1g-dev
 clang clang-format clang-tidy libclang-rt-14-dev cppcheck spin gnuplot-nox
 curl procps"
 
--- a/mk/lib.mk
+++ b/mk/lib.mk
@@ -21,7 +21,7 @@
 # Tests may use every library.
 $(BUILD)/test/%: %.c $(BUILT_LIBS)
 	@mkdir -p $(@D)
-	$(Q)$(CC) $(CFLAGS) $(addprefix -I$(ROOT)/lib/,$(LIBDIRS)) \
+	$(Q)$(CC) $(CFLAGS) $(foreach l,$(LIBDIRS),-I$(ROOT)/$(call libdir,$(l))) \
 		-I$(ROOT)/tests/unit \
 		$(EXTRA_CFLAGS) -o $@ $< $(LINK_LIBS) -lcmocka
 
