Detect resets at the end of answers without length; wait briefly after store errors

Ruled out: the merge and the request ids: every wrong answer named a part whose run ended as broken off; the three late daemons had a call open from 8.25 s to 13.25 s.

Requests that arrive before the first configuration now wait up to 150 ms for it.

--- a/cmd/rwfront/daemon.c
+++ b/cmd/rwfront/daemon.c
@@ -143,6 +143,7 @@
   daemon->ticked = now;
   frn_pool_sweep (daemon, now);
   ste_sweep (&daemon->fleet, frn_pool_release, daemon, now);
+  frn_parked_run (daemon, now);
   evt_tick (&daemon->log, now);
   if (++ticks % SETTINGS_TICKS == 0
       && file_time (daemon->settings_path) != daemon->settings_mtime)
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -119,6 +119,15 @@
   size_t dc_count;
 };
 
+/* A request that arrived before the first configuration.  */
+struct frn_parked
+{
+  struct h1_conn *conn;
+  rw_time since;
+};
+/* More than the connections that a few callers open in a daemon's start.  */
+#define FRN_MAX_PARKED 128
+
 struct frn_daemon
 {
   uv_loop_t *loop;
@@ -141,6 +150,8 @@
   uv_signal_t sighup;
   rw_time ticked;
   size_t requests; /* not yet freed */
+  struct frn_parked parked[FRN_MAX_PARKED];
+  size_t parked_count;
   bool stopping;
   rw_time stop_began;
   int64_t settings_mtime;
@@ -194,6 +205,9 @@
 };
 
 extern const struct h1_server_ops frn_caller_ops;
+/* Starts the requests that waited for a configuration, or refuses those that
+   have waited for long enough.  */
+void frn_parked_run (struct frn_daemon *daemon, rw_time now);
 /* A send ended.  MESSAGE and REPLY are null if there was no answer.  */
 void frn_request_reply (struct frn_send *send, const struct h1_message *message,
                         const struct plt_reply *reply);
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -23,6 +23,9 @@
 #define HEDGE_WORTH 1.0
 /* Answers with Retry-After: another daemon may be able to serve at once.  */
 #define RETRY_NO_CONFIG (100 * RW_MSEC)
+/* A daemon that has just started knows the configuration within some 20 ms;
+   until then requests wait for it.  */
+#define PARK_TIME (150 * RW_MSEC)
 #define RETRY_NO_TARGET (200 * RW_MSEC)
 
 static void request_run (struct frn_request *request);
@@ -465,7 +468,7 @@
 static void
 request_begin (struct frn_daemon *daemon, struct h1_conn *conn,
                const struct h1_message *message, struct cat_route *route,
-               const struct plt_request *head)
+               const struct plt_request *head, rw_time start)
 {
   rw_time now = frn_now ();
   struct frn_request *request = rw_xcalloc (1, sizeof *request);
@@ -478,9 +481,9 @@
   request->config = cat_config_ref (daemon->config);
   request->route = route;
   request->stats = route_stats (daemon, route);
-  request->start = now;
-  request->caller_deadline = now + limit;
-  request->deadline = now + limit - ANSWER_MARGIN;
+  request->start = start;
+  request->caller_deadline = start + limit;
+  request->deadline = start + limit - ANSWER_MARGIN;
   rw_arena_init (&request->arena, ARENA_BLOCK);
   copy_message (request, message, head->id);
   struct gat_plan plan = make_plan (request, head->time_left_ms);
@@ -506,20 +509,13 @@
   request_run (request);
 }
 
+/* Serves a request that arrived at START.  */
 static void
-on_request (void *arg, struct h1_conn *conn, const struct h1_message *message)
+serve (struct frn_daemon *daemon, struct h1_conn *conn,
+       const struct h1_message *message, rw_time start)
 {
-  struct frn_daemon *daemon = arg;
   struct plt_request head;
   struct rw_str path = message->target;
-
-  h1_conn_set_user (conn, NULL);
-  if (daemon->config == NULL)
-    {
-      sta_inc (daemon->metrics.outcome[FRN_REFUSED]);
-      frn_answer_refusal (daemon, conn, 503, RETRY_NO_CONFIG);
-      return;
-    }
   const char *query = memchr (path.ptr, '?', path.len);
   if (query != NULL)
     path.len = (size_t)(query - path.ptr);
@@ -542,14 +538,72 @@
       frn_answer_refusal (daemon, conn, 400, -1);
       return;
     }
-  request_begin (daemon, conn, message, route, &head);
+  request_begin (daemon, conn, message, route, &head, start);
+}
+
+static void
+refuse_unconfigured (struct frn_daemon *daemon, struct h1_conn *conn)
+{
+  sta_inc (daemon->metrics.outcome[FRN_REFUSED]);
+  evt_line (&daemon->log, EVT_NORMAL, "request", frn_now (),
+            "refused: no configuration is known");
+  frn_answer_refusal (daemon, conn, 503, RETRY_NO_CONFIG);
+}
+
+void
+frn_parked_run (struct frn_daemon *daemon, rw_time now)
+{
+  size_t i = 0;
+  while (i < daemon->parked_count)
+    {
+      struct frn_parked parked = daemon->parked[i];
+      struct h1_message message;
+      if (daemon->config == NULL && now - parked.since < PARK_TIME)
+        {
+          i++;
+          continue;
+        }
+      daemon->parked[i] = daemon->parked[--daemon->parked_count];
+      h1_conn_message (parked.conn, &message);
+      if (daemon->config == NULL)
+        refuse_unconfigured (daemon, parked.conn);
+      else
+        serve (daemon, parked.conn, &message, parked.since);
+    }
+}
+
+static void
+on_request (void *arg, struct h1_conn *conn, const struct h1_message *message)
+{
+  struct frn_daemon *daemon = arg;
+  rw_time now = frn_now ();
+
+  h1_conn_set_user (conn, NULL);
+  if (daemon->config != NULL)
+    serve (daemon, conn, message, now);
+  else if (daemon->parked_count < FRN_MAX_PARKED)
+    daemon->parked[daemon->parked_count++] = (struct frn_parked){ conn, now };
+  else
+    refuse_unconfigured (daemon, conn);
+}
+
+static void
+unpark (struct frn_daemon *daemon, const struct h1_conn *conn)
+{
+  for (size_t i = 0; i < daemon->parked_count; i++)
+    if (daemon->parked[i].conn == conn)
+      {
+        daemon->parked[i] = daemon->parked[--daemon->parked_count];
+        return;
+      }
 }
 
 static void
 on_gone (void *arg, struct h1_conn *conn)
 {
   struct frn_request *request = h1_conn_user (conn);
-  (void)arg;
+  if (request == NULL)
+    unpark (arg, conn);
   if (request == NULL || request->ended)
     return;
   frn_log_outcome (request, FRN_GONE, 0);
--- a/cmd/rwfront/store.c
+++ b/cmd/rwfront/store.c
@@ -94,6 +94,7 @@
   cat_config_unref (daemon->config);
   daemon->config = config;
   daemon->config_since = now;
+  frn_parked_run (daemon, now);
 }
 
 static void
--- a/lib/follow/follow.c
+++ b/lib/follow/follow.c
@@ -8,6 +8,10 @@
    before the time in which a configuration must be in force.  */
 #define WATCH_WAIT (5 * RW_SEC)
 #define WATCH_SLACK (1 * RW_SEC)
+/* A store that comes back, or that drops its history, may hold a call and
+   answer nothing: for a while after an error the waits are short.  */
+#define UNSURE_TIME (5 * RW_SEC)
+#define UNSURE_WAIT (500 * RW_MSEC)
 /* Shortest time between two waiting calls: changes in quick succession are
    read together.  */
 #define WATCH_PAUSE (250 * RW_MSEC)
@@ -45,8 +49,8 @@
     }
   call->kind = FOL_CALL_WATCH;
   call->revision = reader->revision;
-  call->wait = WATCH_WAIT;
-  call->timeout = WATCH_WAIT + WATCH_SLACK;
+  call->wait = now < reader->unsure ? UNSURE_WAIT : WATCH_WAIT;
+  call->timeout = call->wait + WATCH_SLACK;
   return true;
 }
 
@@ -92,6 +96,7 @@
   if (delay > RETRY_MAX)
     delay = RETRY_MAX;
   reader->in_call = false;
+  reader->unsure = now + UNSURE_TIME;
   if (reader->listing)
     reader->first_page = true;
   if (error == FOL_ERROR_COMPACTED)
--- a/lib/follow/follow.h
+++ b/lib/follow/follow.h
@@ -42,6 +42,7 @@
   unsigned int errors; /* in a row */
   rw_time lost_at;     /* of the first error, 0: none */
   rw_time heard;       /* of the last answer */
+  rw_time unsure;      /* until then changes may be missed: short waits */
   struct rw_rng rng;
 };
 
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -142,6 +142,8 @@
                     size_t max_conns, const struct h1_server_ops *ops,
                     void *arg);
 void h1_answer (struct h1_conn *conn, const struct h1_reply *reply);
+/* The running request again; valid until its answer.  */
+void h1_conn_message (const struct h1_conn *conn, struct h1_message *message);
 void *h1_conn_user (const struct h1_conn *conn);
 void h1_conn_set_user (struct h1_conn *conn, void *user);
 /* Answers from now on end their connection.  */
--- a/lib/h1/link.c
+++ b/lib/h1/link.c
@@ -1,4 +1,5 @@
 #include <string.h>
+#include <sys/socket.h>
 
 #include "h1.h"
 
@@ -88,11 +89,25 @@
     }
 }
 
-/* The target ended the connection: a reply without a length ends here.  */
+/* Whether the connection was closed in order.  libuv reports the end of the
+   stream for a connection that was reset after its last bytes as well.  */
+static bool
+closed_in_order (struct h1_link *link)
+{
+  uv_os_fd_t fd;
+  char byte;
+  if (uv_fileno ((uv_handle_t *)&link->tcp, &fd) != 0)
+    return false;
+  return recv (fd, &byte, 1, MSG_DONTWAIT | MSG_PEEK) == 0;
+}
+
+/* The target ended the connection: a reply without a length ends here, unless
+   the connection was reset.  */
 static void
 link_eof (struct h1_link *link)
 {
-  if (link->state == H1_LINK_BUSY && link->reader.started)
+  if (link->state == H1_LINK_BUSY && link->reader.started
+      && closed_in_order (link))
     {
       h1_reader_feed (&link->reader, NULL, 0);
       if (link->reader.complete)
--- a/lib/h1/server.c
+++ b/lib/h1/server.c
@@ -44,6 +44,12 @@
   return ts.tv_sec * RW_SEC + ts.tv_nsec / 1000;
 }
 
+void
+h1_conn_message (const struct h1_conn *conn, struct h1_message *message)
+{
+  h1_reader_message (&conn->reader, message);
+}
+
 void *
 h1_conn_user (const struct h1_conn *conn)
 {
