Read the store from two daemons a data centre; the others learn from peers

Ruled out: one watch on every daemon with longer waits: the calls follow the number of changes, not the length of the wait.

--- a/cmd/rwfront/admin.c
+++ b/cmd/rwfront/admin.c
@@ -39,6 +39,10 @@
                                 "answers of the store", none);
   m->store_errors = sta_counter (&m->set, "rwf_store_errors_total",
                                  "failed calls to the store", none);
+  m->transfers = sta_counter (&m->set, "rwf_transfers_total",
+                              "changes taken over from peers", none);
+  m->daemons = sta_gauge (&m->set, "rwf_daemons",
+                          "daemons that share the sums", none);
   m->store_age = sta_gauge (&m->set, "rwf_store_lost_seconds",
                             "time since the store was lost, 0: in touch",
                             none);
@@ -62,6 +66,7 @@
       = { .status = 200, .headers = RW_LIT ("Content-Type: text/plain\r\n") };
   sta_set_value (m->store_age,
                  (double)fol_age (&daemon->store.reader, now) / RW_SEC);
+  sta_set_value (m->daemons, (double)daemon->fleet.settings.daemons);
   sta_set_value (m->config_version,
                  daemon->config ? (double)daemon->config->version : 0);
   sta_set_value (m->config_age,
--- a/cmd/rwfront/daemon.c
+++ b/cmd/rwfront/daemon.c
@@ -76,6 +76,7 @@
   daemon->stopping = true;
   daemon->stop_began = frn_now ();
   h1_server_drain (&daemon->callers);
+  frn_peers_leave (daemon);
   evt_line (&daemon->log, EVT_STATE, "daemon", daemon->stop_began,
             "stopping: connections=%zu running=%zu",
             daemon->callers.conn_count, daemon->callers.busy);
@@ -141,6 +142,7 @@
   sta_set_value (daemon->metrics.loop_lag,
                  lag > 0 ? (double)lag / RW_SEC : 0);
   daemon->ticked = now;
+  frn_peers_tick (daemon, now);
   frn_pool_sweep (daemon, now);
   ste_sweep (&daemon->fleet, frn_pool_release, daemon, now);
   frn_parked_run (daemon, now);
@@ -212,6 +214,10 @@
   r = start_timers (daemon);
   if (r != 0)
     return failed (err, "timers", r);
+  rep_init (&daemon->view.replica);
+  r = frn_peers_init (daemon);
+  if (r != 0)
+    return failed (err, "listen-peers", r);
   r = frn_store_init (daemon);
   evt_line (&daemon->log, EVT_STATE, "daemon", frn_now (),
             "started: name=%s dc=%s pid=%d", daemon->settings.name,
@@ -224,6 +230,8 @@
 frn_daemon_finish (struct frn_daemon *daemon)
 {
   frn_store_finish (daemon);
+  frn_peers_finish (daemon);
+  rep_finish (&daemon->view.replica);
   h1_server_stop (&daemon->callers);
   h1_server_stop (&daemon->admin);
   uv_close ((uv_handle_t *)&daemon->tick, on_timer_closed);
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -13,8 +13,10 @@
 #include "event.h"
 #include "follow.h"
 #include "gather.h"
+#include "gossip.h"
 #include "h1.h"
 #include "platform.h"
+#include "replica.h"
 #include "stat.h"
 #include "steer.h"
 
@@ -32,6 +34,7 @@
   struct sockaddr_in seeds[FRN_MAX_SEEDS];
   size_t seed_count;
   unsigned int max_files;
+  bool first_start;     /* the whole system starts for the first time */
   rw_time drain_time;   /* a leaving target serves this long */
   rw_time stop_time;    /* from SIGTERM to SIGKILL */
   double extra_ratio;   /* extra sends for each request */
@@ -79,6 +82,8 @@
   struct sta_series *links;
   struct sta_series *store_calls;
   struct sta_series *store_errors;
+  struct sta_series *transfers;
+  struct sta_series *daemons;
   struct sta_series *store_age;
   struct sta_series *config_version;
   struct sta_series *config_age;
@@ -94,13 +99,35 @@
   struct rw_rng rng;          /* draws the service of a split */
 };
 
-/* A data centre that was taken out of service, or back.  */
-struct frn_dc
+/* What this daemon knows of the store, and what follows from it.  */
+struct frn_view
 {
-  uint64_t key;
-  int64_t revision;
-  bool out;
-  bool listed;
+  struct rep_replica replica;
+  bool config_changed; /* in the present batch of changes */
+  char config_key[64];
+  bool dcs_changed;
+};
+
+/* Other daemons: membership, and copies of the store from daemons that are
+   ahead.  */
+struct frn_peers
+{
+  struct gos_gossip gossip;
+  uv_udp_t udp;
+  char *datagram;
+  struct h1_limits limits;
+  struct h1_server views;
+  struct h1_link link; /* for one transfer */
+  bool link_used;
+  uint32_t fetch_from;
+  rw_time fetch_deadline;
+  rw_time fetch_next;
+  int64_t wanted;  /* the newest revision that a peer said it has */
+  rw_time fresh;   /* when the copy was known to be current; 0: never */
+  rw_time told;    /* of the last notice of a change */
+  bool tell;       /* a notice is due */
+  rw_time read_from; /* before it, the store is left alone */
+  size_t reader_rank;
 };
 
 struct frn_store
@@ -114,9 +141,7 @@
   uv_timer_t timer;
   rw_time call_deadline;
   char after[256]; /* key after which the next page begins */
-  struct rw_map listed;
-  struct frn_dc dcs[STE_MAX_DCS_OUT];
-  size_t dc_count;
+  struct rw_map listed; /* keys on the pages of this reading */
 };
 
 /* A request that arrived before the first configuration.  */
@@ -143,7 +168,9 @@
   struct h1_server callers;
   struct h1_limits admin_limits;
   struct h1_server admin;
+  struct frn_view view;
   struct frn_store store;
+  struct frn_peers peers;
   char *scratch;
   uv_timer_t tick;
   uv_signal_t sigterm;
@@ -170,6 +197,26 @@
 int frn_store_init (struct frn_daemon *daemon);
 void frn_store_finish (struct frn_daemon *daemon);
 
+/* The view.  Changes are put one by one; frn_view_commit ends a batch.  */
+void frn_view_put (struct frn_daemon *daemon, struct rw_arena *arena,
+                   const struct rep_item *item);
+/* What is not among LISTED (hashes of keys) and not newer than REVISION is
+   gone.  */
+void frn_view_retain (struct frn_daemon *daemon, struct rw_arena *arena,
+                      int64_t revision, const struct rw_map *listed);
+bool frn_view_commit (struct frn_daemon *daemon, int64_t revision);
+
+/* Peers.  */
+int frn_peers_init (struct frn_daemon *daemon);
+void frn_peers_finish (struct frn_daemon *daemon);
+void frn_peers_tick (struct frn_daemon *daemon, rw_time now);
+/* The store has just answered: this copy is current.  */
+void frn_peers_on_current (struct frn_daemon *daemon, rw_time now);
+/* Whether this daemon is to read the store itself.  */
+bool frn_peers_reads_store (struct frn_daemon *daemon, rw_time now);
+/* Tells peers that this daemon leaves.  */
+void frn_peers_leave (struct frn_daemon *daemon);
+
 /* Requests.  */
 
 struct frn_send;
--- a/cmd/rwfront/settings.c
+++ b/cmd/rwfront/settings.c
@@ -98,6 +98,8 @@
     return parse_addr (value, &s->store);
   else if (rw_str_eq_cstr (name, "RWF_PEERS"))
     return parse_addr (value, &s->peers);
+  else if (rw_str_eq_cstr (name, "RWF_FIRST_START"))
+    s->first_start = rw_str_eq_cstr (value, "true");
   else if (rw_str_eq_cstr (name, "RWF_SEEDS"))
     return parse_seeds (value, s);
   else if (rw_str_eq_cstr (name, "RWF_MAX_FILES"))
@@ -136,6 +138,8 @@
     return bad (err, RW_LIT ("RWF_READY"), "is required");
   if (s->store.sin_port == 0)
     return bad (err, RW_LIT ("RWF_STORE"), "is required");
+  if (s->peers.sin_port == 0)
+    return bad (err, RW_LIT ("RWF_PEERS"), "is required");
   if (s->extra_window < RW_SEC)
     return bad (err, RW_LIT ("RWF_EXTRA_WINDOW_S"), "is below 1 s");
   return 0;
--- a/cmd/rwfront/store.c
+++ b/cmd/rwfront/store.c
@@ -10,6 +10,10 @@
 #define PROBE_INTERVAL_S 1
 #define PROBE_COUNT 2
 
+/* A daemon that leaves the reading to others looks that often whether it is
+   needed.  */
+#define IDLE_CHECK (200 * RW_MSEC)
+
 static void store_run (struct frn_daemon *daemon);
 
 static void
@@ -46,171 +50,15 @@
   arm (daemon, fol_next_time (&store->reader));
 }
 
-/* Routes of the new version refer to the services of the fleet.  */
-static void
-bind_config (struct frn_daemon *daemon, struct cat_config *config)
-{
-  for (size_t i = 0; i < config->service_count; i++)
-    {
-      struct cat_service *from = &config->services[i];
-      struct ste_service *service = ste_service (&daemon->fleet, from->name);
-      service->connections = from->connections;
-      service->cold_per_s = from->cold_per_s;
-      from->user = service;
-    }
-  daemon->limits.header_bytes = config->limits.header_bytes;
-  daemon->limits.body_bytes = config->limits.body_bytes;
-  daemon->limits.header_time = config->limits.header_time;
-  daemon->limits.idle_time = config->limits.idle_time;
-}
-
-static void
-apply_config (struct frn_daemon *daemon, const struct plt_change *change)
-{
-  struct rw_err err;
-  rw_time now = frn_now ();
-  struct cat_config *config;
-  if (change->removed || change->value.len == 0)
-    return;
-  config = cat_config_new ();
-  if (plt_decode_config (change->value, config, &err) != 0)
-    {
-      evt_line (&daemon->log, EVT_STATE, "config", now,
-                "refused: revision=%lld reason=\"%s\"",
-                (long long)change->revision, err.detail);
-      cat_config_unref (config);
-      return;
-    }
-  if (daemon->config != NULL && config->version <= daemon->config->version)
-    {
-      cat_config_unref (config);
-      return;
-    }
-  bind_config (daemon, config);
-  evt_line (&daemon->log, EVT_STATE, "config",
-            now, "in force: version=%llu routes=%zu services=%zu",
-            (unsigned long long)config->version, config->route_count,
-            config->service_count);
-  cat_config_unref (daemon->config);
-  daemon->config = config;
-  daemon->config_since = now;
-  frn_parked_run (daemon, now);
-}
-
-static void
-apply_target (struct frn_daemon *daemon, struct rw_arena *arena,
-              const struct plt_change *change)
-{
-  struct rw_err err;
-  struct cat_target entry;
-  rw_time now = frn_now ();
-  if (change->removed)
-    {
-      ste_remove (&daemon->fleet, change->name, change->revision, now);
-      evt_line (&daemon->log, EVT_STATE, "target", now,
-                "gone: id=%.*s revision=%lld", RW_STR_ARG (change->name),
-                (long long)change->revision);
-      return;
-    }
-  if (plt_decode_target (arena, change->name, change->value, &entry, &err)
-      != 0)
-    {
-      evt_line (&daemon->log, EVT_NORMAL, "target", now,
-                "entry ignored: id=%.*s reason=\"%s\"",
-                RW_STR_ARG (change->name), err.detail);
-      return;
-    }
-  if (ste_put (&daemon->fleet, &entry, change->revision, now) != NULL)
-    evt_line (&daemon->log, entry.draining ? EVT_STATE : EVT_SAMPLE, "target",
-              now, "%s: id=%.*s service=%.*s dc=%.*s cold_ms=%lld "
-              "revision=%lld",
-              entry.draining ? "leaving" : "listed", RW_STR_ARG (entry.id),
-              RW_STR_ARG (entry.service), RW_STR_ARG (entry.dc),
-              (long long)(entry.cold_for / RW_MSEC),
-              (long long)change->revision);
-}
-
-static void
-set_dcs_out (struct frn_daemon *daemon)
-{
-  uint64_t out[STE_MAX_DCS_OUT];
-  size_t count = 0;
-  for (size_t i = 0; i < daemon->store.dc_count; i++)
-    if (daemon->store.dcs[i].out)
-      out[count++] = daemon->store.dcs[i].key;
-  ste_dcs_out (&daemon->fleet, out, count);
-}
-
-static void
-apply_dc (struct frn_daemon *daemon, const struct plt_change *change)
-{
-  struct frn_store *store = &daemon->store;
-  uint64_t key = rw_hash (change->name);
-  struct frn_dc *dc = NULL;
-  for (size_t i = 0; i < store->dc_count; i++)
-    if (store->dcs[i].key == key)
-      dc = &store->dcs[i];
-  if (dc == NULL)
-    {
-      if (store->dc_count == STE_MAX_DCS_OUT)
-        return;
-      dc = &store->dcs[store->dc_count++];
-      *dc = (struct frn_dc){ .key = key };
-    }
-  dc->listed = true;
-  if (change->revision <= dc->revision)
-    return;
-  dc->revision = change->revision;
-  dc->out = !change->removed;
-  set_dcs_out (daemon);
-  evt_line (&daemon->log, EVT_STATE, "dc", frn_now (),
-            "%s of service: dc=%.*s revision=%lld",
-            dc->out ? "out" : "back, no longer out",
-            RW_STR_ARG (change->name), (long long)change->revision);
-}
-
-static void
-apply_change (struct frn_daemon *daemon, struct rw_arena *arena,
-              const struct plt_change *change)
-{
-  switch (change->kind)
-    {
-    case PLT_CONFIG:
-      apply_config (daemon, change);
-      break;
-    case PLT_TARGET:
-      apply_target (daemon, arena, change);
-      break;
-    case PLT_DC_OUT:
-      apply_dc (daemon, change);
-      break;
-    case PLT_OTHER:
-      break;
-    }
-}
-
-static bool
-is_listed (void *arg, uint64_t key)
-{
-  return rw_map_get (arg, key) != NULL;
-}
-
 /* The content was read to its end: what was not on its pages is gone.  */
 static void
-finish_reading (struct frn_daemon *daemon)
+finish_reading (struct frn_daemon *daemon, struct rw_arena *arena)
 {
   struct frn_store *store = &daemon->store;
   int64_t revision = store->reader.first_at;
-  rw_time now = frn_now ();
-  ste_retain (&daemon->fleet, revision, is_listed, &store->listed, now);
-  for (size_t i = 0; i < store->dc_count; i++)
-    {
-      struct frn_dc *dc = &store->dcs[i];
-      if (dc->out && !dc->listed && dc->revision <= revision)
-        dc->out = false;
-    }
-  set_dcs_out (daemon);
-  evt_line (&daemon->log, EVT_STATE, "store", now,
+  frn_view_retain (daemon, arena, revision, &store->listed);
+  frn_view_commit (daemon, revision);
+  evt_line (&daemon->log, EVT_STATE, "store", frn_now (),
             "read: revision=%lld targets=%zu", (long long)revision,
             daemon->fleet.targets.len);
 }
@@ -221,30 +69,22 @@
   store->after[0] = '\0';
   rw_map_finish (&store->listed);
   rw_map_init (&store->listed);
-  for (size_t i = 0; i < store->dc_count; i++)
-    store->dcs[i].listed = false;
 }
 
-/* Of several versions of the configuration on one page only the newest is
-   decoded.  */
 static void
-apply_page (struct frn_daemon *daemon, struct rw_arena *arena,
-            const struct plt_page *page)
+put_page (struct frn_daemon *daemon, struct rw_arena *arena,
+          const struct plt_page *page)
 {
-  const struct plt_change *config = NULL;
   for (size_t i = 0; i < page->count; i++)
     {
       const struct plt_change *change = &page->changes[i];
-      if (change->kind == PLT_CONFIG)
-        config = change;
-      else
-        apply_change (daemon, arena, change);
-      if (change->kind == PLT_TARGET && !change->removed)
-        rw_map_put (&daemon->store.listed, rw_hash (change->name),
+      struct rep_item item
+          = { change->key, change->revision, change->removed, change->value };
+      frn_view_put (daemon, arena, &item);
+      if (!change->removed)
+        rw_map_put (&daemon->store.listed, rw_hash (change->key),
                     &daemon->store);
     }
-  if (config != NULL)
-    apply_config (daemon, config);
 }
 
 static void
@@ -266,19 +106,22 @@
               (long long)(fol_age (&store->reader, now) / RW_MSEC));
   if (store->call.kind == FOL_CALL_WATCH)
     {
-      apply_page (daemon, arena, &page);
+      put_page (daemon, arena, &page);
+      frn_view_commit (daemon, page.at);
       fol_on_changes (&store->reader, page.at, now);
     }
   else
     {
       if (store->call.first)
         begin_reading (store);
-      apply_page (daemon, arena, &page);
+      put_page (daemon, arena, &page);
       rw_str_copy (store->after, sizeof store->after, page.last_key);
       if (fol_on_page (&store->reader, page.at, page.more && page.count > 0,
                        now))
-        finish_reading (daemon);
+        finish_reading (daemon, arena);
     }
+  if (!store->reader.listing)
+    frn_peers_on_current (daemon, now);
   arm (daemon, fol_next_time (&store->reader));
 }
 
@@ -411,6 +254,15 @@
       if (store->link_used)
         h1_link_close (&store->link);
     }
+  if (!store->reader.in_call && !frn_peers_reads_store (daemon, now))
+    {
+      rw_time next = now + IDLE_CHECK;
+      if (daemon->peers.read_from > now && daemon->peers.read_from < next)
+        next = daemon->peers.read_from;
+      arm (daemon, next);
+      return;
+    }
+  fol_resume (&store->reader, daemon->view.replica.revision);
   if (fol_next_call (&store->reader, now, &store->call))
     start_call (daemon);
   else if (store->reader.in_call)
--- /dev/null
+++ b/cmd/rwfront/view.c
@@ -0,0 +1,181 @@
+#include <string.h>
+
+#include "front.h"
+
+/* Routes of the new version refer to the services of the fleet.  */
+static void
+bind_config (struct frn_daemon *daemon, struct cat_config *config)
+{
+  for (size_t i = 0; i < config->service_count; i++)
+    {
+      struct cat_service *from = &config->services[i];
+      struct ste_service *service = ste_service (&daemon->fleet, from->name);
+      service->connections = from->connections;
+      service->cold_per_s = from->cold_per_s;
+      from->user = service;
+    }
+  daemon->limits.header_bytes = config->limits.header_bytes;
+  daemon->limits.body_bytes = config->limits.body_bytes;
+  daemon->limits.header_time = config->limits.header_time;
+  daemon->limits.idle_time = config->limits.idle_time;
+}
+
+static void
+apply_config (struct frn_daemon *daemon, const struct rep_item *item)
+{
+  struct rw_err err;
+  rw_time now = frn_now ();
+  struct cat_config *config;
+  config = cat_config_new ();
+  if (plt_decode_config (item->value, config, &err) != 0)
+    {
+      evt_line (&daemon->log, EVT_STATE, "config", now,
+                "refused: revision=%lld reason=\"%s\"",
+                (long long)item->revision, err.detail);
+      cat_config_unref (config);
+      return;
+    }
+  if (daemon->config != NULL && config->version <= daemon->config->version)
+    {
+      cat_config_unref (config);
+      return;
+    }
+  bind_config (daemon, config);
+  evt_line (&daemon->log, EVT_STATE, "config",
+            now, "in force: version=%llu routes=%zu services=%zu",
+            (unsigned long long)config->version, config->route_count,
+            config->service_count);
+  cat_config_unref (daemon->config);
+  daemon->config = config;
+  daemon->config_since = now;
+  frn_parked_run (daemon, now);
+}
+
+static void
+apply_target (struct frn_daemon *daemon, struct rw_arena *arena,
+              struct rw_str id, const struct rep_item *item)
+{
+  struct rw_err err;
+  struct cat_target entry;
+  rw_time now = frn_now ();
+  if (item->removed)
+    {
+      ste_remove (&daemon->fleet, id, item->revision, now);
+      evt_line (&daemon->log, EVT_STATE, "target", now,
+                "gone: id=%.*s revision=%lld", RW_STR_ARG (id),
+                (long long)item->revision);
+      return;
+    }
+  if (plt_decode_target (arena, id, item->value, &entry, &err)
+      != 0)
+    {
+      evt_line (&daemon->log, EVT_NORMAL, "target", now,
+                "entry ignored: id=%.*s reason=\"%s\"",
+                RW_STR_ARG (id), err.detail);
+      return;
+    }
+  if (ste_put (&daemon->fleet, &entry, item->revision, now) != NULL)
+    evt_line (&daemon->log, entry.draining ? EVT_STATE : EVT_SAMPLE, "target",
+              now, "%s: id=%.*s service=%.*s dc=%.*s cold_ms=%lld "
+              "revision=%lld",
+              entry.draining ? "leaving" : "listed", RW_STR_ARG (entry.id),
+              RW_STR_ARG (entry.service), RW_STR_ARG (entry.dc),
+              (long long)(entry.cold_for / RW_MSEC),
+              (long long)item->revision);
+}
+
+/* Which data centres are out of service, from all items.  */
+static void
+apply_dcs (struct frn_daemon *daemon)
+{
+  uint64_t out[STE_MAX_DCS_OUT];
+  size_t count = 0;
+  size_t position = 0;
+  const struct rep_item *item;
+  struct rw_str name;
+  while ((item = rep_next (&daemon->view.replica, &position)) != NULL)
+    if (plt_classify (item->key, &name) == PLT_DC_OUT
+        && count < STE_MAX_DCS_OUT)
+      out[count++] = rw_hash (name);
+  ste_dcs_out (&daemon->fleet, out, count);
+}
+
+static void
+apply_item (struct frn_daemon *daemon, struct rw_arena *arena,
+            const struct rep_item *item)
+{
+  struct frn_view *view = &daemon->view;
+  struct rw_str name;
+  switch (plt_classify (item->key, &name))
+    {
+    case PLT_CONFIG:
+      view->config_changed = !item->removed;
+      if (!item->removed)
+        rw_str_copy (view->config_key, sizeof view->config_key, item->key);
+      break;
+    case PLT_TARGET:
+      apply_target (daemon, arena, name, item);
+      break;
+    case PLT_DC_OUT:
+      view->dcs_changed = true;
+      evt_line (&daemon->log, EVT_STATE, "dc", frn_now (),
+                "%s of service: name=%.*s revision=%lld",
+                item->removed ? "no longer out" : "out", RW_STR_ARG (name),
+                (long long)item->revision);
+      break;
+    case PLT_OTHER:
+      break;
+    }
+}
+
+void
+frn_view_put (struct frn_daemon *daemon, struct rw_arena *arena,
+              const struct rep_item *item)
+{
+  if (item->key.len > 0 && rep_put (&daemon->view.replica, item))
+    apply_item (daemon, arena, item);
+}
+
+struct retaining
+{
+  struct frn_daemon *daemon;
+  struct rw_arena *arena;
+};
+
+static void
+on_retained_gone (void *arg, const struct rep_item *item)
+{
+  struct retaining *retaining = arg;
+  apply_item (retaining->daemon, retaining->arena, item);
+}
+
+void
+frn_view_retain (struct frn_daemon *daemon, struct rw_arena *arena,
+                 int64_t revision, const struct rw_map *listed)
+{
+  struct retaining retaining = { daemon, arena };
+  rep_retain (&daemon->view.replica, revision, listed,
+              on_retained_gone, &retaining);
+}
+
+/* Ends a batch of changes.  Of several configurations in it only the newest is
+   decoded.  Returns whether the view has changed.  */
+bool
+frn_view_commit (struct frn_daemon *daemon, int64_t revision)
+{
+  struct frn_view *view = &daemon->view;
+  bool newer = revision > view->replica.revision;
+  rep_advance (&view->replica, revision);
+  if (view->dcs_changed)
+    apply_dcs (daemon);
+  view->dcs_changed = false;
+  if (view->config_changed)
+    {
+      const struct rep_item *item
+          = rep_find (&view->replica, rw_str_from (view->config_key));
+      view->config_changed = false;
+      if (item != NULL)
+        apply_config (daemon, item);
+    }
+  return newer;
+}
--- a/lib/follow/follow.c
+++ b/lib/follow/follow.c
@@ -33,6 +33,16 @@
   return reader->in_call ? RW_TIME_NEVER : reader->next;
 }
 
+void
+fol_resume (struct fol_reader *reader, int64_t revision)
+{
+  if (reader->in_call || revision <= reader->revision)
+    return;
+  reader->revision = revision;
+  reader->listing = false;
+  reader->complete = true;
+}
+
 bool
 fol_next_call (struct fol_reader *reader, rw_time now, struct fol_call *call)
 {
--- a/lib/follow/follow.h
+++ b/lib/follow/follow.h
@@ -50,6 +50,9 @@
 /* The call to make at NOW; false if none is due.  */
 bool fol_next_call (struct fol_reader *reader, rw_time now,
                     struct fol_call *call);
+/* The content up to REVISION was learned from elsewhere: the next call goes on
+   from there.  */
+void fol_resume (struct fol_reader *reader, int64_t revision);
 rw_time fol_next_time (const struct fol_reader *reader);
 /* Returns true if this page ends the reading: entries that were not on its
    pages and are not newer than reader->first_at are gone.  */
--- /dev/null
+++ b/lib/gossip/codec.c
@@ -0,0 +1,70 @@
+#include <rpc/rpc.h>
+#include <string.h>
+
+#include "gossip.h"
+
+/* The first word of a message: its kind and version.  */
+#define MAGIC 0x52574701U
+#define FLAG_LEAVING 1U
+#define FLAG_WANTS_REPLY 2U
+/* Ages above a day are of no use.  */
+#define MAX_AGE_MS 86400000U
+
+static bool_t
+code_entry (XDR *xdr, struct gos_entry *entry)
+{
+  return xdr_u_int (xdr, &entry->ip) && xdr_u_int (xdr, &entry->dc)
+         && xdr_u_int (xdr, &entry->age_ms) && entry->age_ms <= MAX_AGE_MS;
+}
+
+static bool_t
+code_message (XDR *xdr, struct gos_message *m)
+{
+  unsigned int magic = MAGIC;
+  unsigned int count = (unsigned int)m->count;
+  unsigned int flags = (m->leaving ? FLAG_LEAVING : 0)
+                       | (m->wants_reply ? FLAG_WANTS_REPLY : 0);
+  if (!xdr_u_int (xdr, &magic) || magic != MAGIC || !xdr_u_int (xdr, &flags)
+      || !xdr_u_int (xdr, &m->dc) || !xdr_int64_t (xdr, &m->revision)
+      || !xdr_u_int (xdr, &m->fresh_age_ms)
+      || m->fresh_age_ms > MAX_AGE_MS || m->revision < 0
+      || !xdr_u_int (xdr, &count) || count > GOS_MAX_ENTRIES)
+    return FALSE;
+  m->leaving = (flags & FLAG_LEAVING) != 0;
+  m->wants_reply = (flags & FLAG_WANTS_REPLY) != 0;
+  m->count = count;
+  for (unsigned int i = 0; i < count; i++)
+    if (!code_entry (xdr, &m->entries[i]))
+      return FALSE;
+  return TRUE;
+}
+
+/* Returns the length, or 0 if SIZE is too small.  */
+size_t
+gos_encode (const struct gos_message *message, char *data, size_t size)
+{
+  XDR xdr;
+  struct gos_message copy = *message;
+  if (copy.fresh_age_ms > MAX_AGE_MS)
+    copy.fresh_age_ms = MAX_AGE_MS;
+  xdrmem_create (&xdr, data, (unsigned int)size, XDR_ENCODE);
+  return code_message (&xdr, &copy) ? xdr_getpos (&xdr) : 0;
+}
+
+int
+gos_decode (struct rw_str data, struct gos_message *message,
+            struct rw_err *err)
+{
+  XDR xdr;
+  char aligned[GOS_MAX_DATAGRAM];
+  if (data.len > sizeof aligned)
+    return rw_err_set (err, RW_E_PARSE, "gossip", RW_LIT ("peer"),
+                       "message too long");
+  memcpy (aligned, data.ptr, data.len);
+  memset (message, 0, sizeof *message);
+  xdrmem_create (&xdr, aligned, (unsigned int)data.len, XDR_DECODE);
+  if (!code_message (&xdr, message))
+    return rw_err_set (err, RW_E_PARSE, "gossip", RW_LIT ("peer"),
+                       "malformed message");
+  return 0;
+}
--- /dev/null
+++ b/lib/gossip/gossip.c
@@ -0,0 +1,256 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "gossip.h"
+
+/* After a start the members are not known yet.  */
+#define START_TIME (8 * RW_SEC)
+/* Of the periodic messages, one in so many goes to another data centre.  */
+#define OTHER_DC_ONE_IN 5
+/* One message in so many goes to a seed, so that parts of the fleet that do
+   not know each other meet.  */
+#define SEED_ONE_IN 10
+/* A daemon counts for the choice of readers if it was heard of lately.  */
+#define RANK_AGE (8 * RW_SEC)
+
+void
+gos_init (struct gos_gossip *gossip, const struct gos_settings *settings,
+          rw_time now)
+{
+  memset (gossip, 0, sizeof *gossip);
+  gossip->settings = *settings;
+  gossip->started = now;
+  gossip->next = now;
+  rw_rng_init (&gossip->rng, settings->seed);
+}
+
+void
+gos_finish (struct gos_gossip *gossip)
+{
+  free (gossip->members);
+}
+
+static bool
+is_alive (const struct gos_member *member, rw_time now)
+{
+  return now - member->heard < GOS_DEAD;
+}
+
+static struct gos_member *
+find (const struct gos_gossip *gossip, uint32_t ip)
+{
+  for (size_t i = 0; i < gossip->count; i++)
+    if (gossip->members[i].ip == ip)
+      return &gossip->members[i];
+  return NULL;
+}
+
+/* Takes the place of a member that is dead, or adds one.  */
+static struct gos_member *
+add (struct gos_gossip *gossip, uint32_t ip, rw_time now)
+{
+  struct gos_member *member = NULL;
+  for (size_t i = 0; i < gossip->count && member == NULL; i++)
+    if (!is_alive (&gossip->members[i], now))
+      member = &gossip->members[i];
+  if (member == NULL && gossip->count == GOS_MAX_MEMBERS)
+    return NULL;
+  if (member == NULL)
+    {
+      if (gossip->count == gossip->cap)
+        {
+          gossip->cap = gossip->cap > 0 ? gossip->cap * 2 : 16;
+          gossip->members = rw_xrealloc (
+              gossip->members, gossip->cap * sizeof *gossip->members);
+        }
+      member = &gossip->members[gossip->count++];
+    }
+  memset (member, 0, sizeof *member);
+  member->ip = ip;
+  return member;
+}
+
+static void
+hear (struct gos_gossip *gossip, uint32_t ip, uint32_t dc, rw_time heard,
+      rw_time now)
+{
+  if (ip == gossip->settings.ip || ip == 0 || now - heard >= GOS_DEAD)
+    return;
+  struct gos_member *member = find (gossip, ip);
+  if (member == NULL)
+    member = add (gossip, ip, now);
+  if (member == NULL || member->heard >= heard)
+    return;
+  member->heard = heard;
+  member->dc = dc;
+}
+
+static void
+forget (struct gos_gossip *gossip, uint32_t ip)
+{
+  struct gos_member *member = find (gossip, ip);
+  if (member != NULL)
+    *member = gossip->members[--gossip->count];
+}
+
+void
+gos_on_message (struct gos_gossip *gossip, uint32_t from,
+                const struct gos_message *message, rw_time now)
+{
+  for (size_t i = 0; i < message->count; i++)
+    {
+      const struct gos_entry *entry = &message->entries[i];
+      hear (gossip, entry->ip, entry->dc, now - entry->age_ms * RW_MSEC, now);
+    }
+  if (message->leaving)
+    {
+      forget (gossip, from);
+      return;
+    }
+  hear (gossip, from, message->dc, now, now);
+  struct gos_member *member = find (gossip, from);
+  if (member == NULL)
+    return;
+  member->revision = message->revision;
+  member->fresh = now - message->fresh_age_ms * RW_MSEC;
+}
+
+/* A random living member, of the own data centre or of another one; null if
+   there is none.  */
+static struct gos_member *
+pick_one (struct gos_gossip *gossip, bool own_dc, rw_time now)
+{
+  size_t seen = 0;
+  struct gos_member *picked = NULL;
+  for (size_t i = 0; i < gossip->count; i++)
+    {
+      struct gos_member *member = &gossip->members[i];
+      if (!is_alive (member, now)
+          || (member->dc == gossip->settings.dc) != own_dc)
+        continue;
+      if (rw_rng_below (&gossip->rng, ++seen) == 0)
+        picked = member;
+    }
+  return picked;
+}
+
+size_t
+gos_pick (struct gos_gossip *gossip, rw_time now, uint32_t *to, size_t max)
+{
+  size_t count = 0;
+  for (size_t i = 0; i < max; i++)
+    {
+      bool own = rw_rng_below (&gossip->rng, OTHER_DC_ONE_IN) != 0;
+      struct gos_member *member = pick_one (gossip, own, now);
+      if (member == NULL)
+        member = pick_one (gossip, !own, now);
+      if (member != NULL)
+        to[count++] = member->ip;
+    }
+  return count;
+}
+
+size_t
+gos_tick (struct gos_gossip *gossip, rw_time now, uint32_t *to, size_t max)
+{
+  const struct gos_settings *s = &gossip->settings;
+  size_t count = 0;
+  if (now < gossip->next)
+    return 0;
+  gossip->next
+      = now + GOS_PERIOD * 3 / 4
+        + (rw_time)rw_rng_below (&gossip->rng, GOS_PERIOD / 2);
+  bool young = now - gossip->started < START_TIME;
+  if (max > 0 && s->seed_count > 0
+      && (gossip->count < 3 || young
+          || rw_rng_below (&gossip->rng, SEED_ONE_IN) == 0))
+    {
+      size_t i = (size_t)rw_rng_below (&gossip->rng, s->seed_count);
+      if (s->seeds[i] != s->ip)
+        to[count++] = s->seeds[i];
+    }
+  return count + gos_pick (gossip, now, to + count, max > count ? 1 : 0);
+}
+
+void
+gos_fill (struct gos_gossip *gossip, rw_time now, struct gos_message *message)
+{
+  size_t start = 0;
+  message->dc = gossip->settings.dc;
+  message->count = 0;
+  if (gossip->count > 0)
+    start = (size_t)rw_rng_below (&gossip->rng, gossip->count);
+  for (size_t i = 0;
+       i < gossip->count && message->count < GOS_MAX_ENTRIES; i++)
+    {
+      const struct gos_member *member
+          = &gossip->members[(start + i) % gossip->count];
+      if (!is_alive (member, now))
+        continue;
+      message->entries[message->count++] = (struct gos_entry){
+        member->ip, member->dc, (uint32_t)((now - member->heard) / RW_MSEC)
+      };
+    }
+}
+
+size_t
+gos_alive (const struct gos_gossip *gossip, rw_time now)
+{
+  size_t count = 0;
+  for (size_t i = 0; i < gossip->count; i++)
+    if (is_alive (&gossip->members[i], now))
+      count++;
+  return count;
+}
+
+size_t
+gos_daemons (struct gos_gossip *gossip, rw_time now)
+{
+  size_t count = gos_alive (gossip, now) + 1;
+  if (now - gossip->started < START_TIME && count < gossip->settings.least)
+    count = gossip->settings.least;
+  if (count >= gossip->held_count || now - gossip->held_at > GOS_COUNT_HELD)
+    {
+      gossip->held_count = count;
+      gossip->held_at = now;
+    }
+  return gossip->held_count;
+}
+
+size_t
+gos_rank (const struct gos_gossip *gossip, rw_time now)
+{
+  const struct gos_settings *s = &gossip->settings;
+  uint64_t own = rw_hash_u64 (s->ip, s->dc);
+  size_t rank = 0;
+  for (size_t i = 0; i < gossip->count; i++)
+    {
+      const struct gos_member *member = &gossip->members[i];
+      if (member->dc == s->dc && now - member->heard < RANK_AGE
+          && rw_hash_u64 (member->ip, member->dc) > own)
+        rank++;
+    }
+  return rank;
+}
+
+uint32_t
+gos_ahead (struct gos_gossip *gossip, int64_t revision, rw_time now)
+{
+  uint32_t best = 0;
+  bool best_own = false;
+  size_t seen = 0;
+  for (size_t i = 0; i < gossip->count; i++)
+    {
+      const struct gos_member *member = &gossip->members[i];
+      bool own = member->dc == gossip->settings.dc;
+      if (!is_alive (member, now) || member->revision < revision
+          || (best_own && !own))
+        continue;
+      if (own && !best_own)
+        seen = 0;
+      if (rw_rng_below (&gossip->rng, ++seen) == 0)
+        best = member->ip;
+      best_own = best_own || own;
+    }
+  return best;
+}
--- /dev/null
+++ b/lib/gossip/gossip.h
@@ -0,0 +1,106 @@
+/* Which other daemons there are, learned from a few seeds and from messages
+   that each daemon sends to random others.  A message also says how new the
+   sender's copy of the store is, so that who is behind knows whom to ask.  The
+   view is a hint: it shares out sums and chooses readers of the store.  */
+
+#ifndef GOS_GOSSIP_H
+#define GOS_GOSSIP_H
+
+#include "base.h"
+
+/* Interval of a daemon's messages.  */
+#define GOS_PERIOD (500 * RW_MSEC)
+/* A member that nobody heard of for this time does not count: news of 140
+   members reaches all within about 6 s.  */
+#define GOS_DEAD (12 * RW_SEC)
+/* How long the highest count of members stands: a daemon that is cut off must
+   not take the shares of the others.  */
+#define GOS_COUNT_HELD (60 * RW_SEC)
+#define GOS_MAX_MEMBERS 4096
+#define GOS_MAX_SEEDS 8
+/* Entries of one message: about 16 bytes each.  */
+#define GOS_MAX_ENTRIES 40
+#define GOS_MAX_DATAGRAM 1400
+
+/* A daemon is named by its IPv4 address in host order; all use the same
+   port.  */
+struct gos_member
+{
+  uint32_t ip;
+  uint32_t dc; /* hash */
+  rw_time heard;
+  int64_t revision;      /* of its copy, as far as known */
+  rw_time fresh;         /* when its copy was known to be current */
+};
+
+struct gos_entry
+{
+  uint32_t ip;
+  uint32_t dc;
+  uint32_t age_ms;
+};
+
+struct gos_message
+{
+  uint32_t dc;
+  bool leaving;
+  bool wants_reply;
+  int64_t revision;      /* of the sender's copy; 0: it has none */
+  uint32_t fresh_age_ms; /* since its copy was known to be current */
+  size_t count;
+  struct gos_entry entries[GOS_MAX_ENTRIES];
+};
+
+struct gos_settings
+{
+  uint32_t ip;
+  uint32_t dc;
+  uint32_t seeds[GOS_MAX_SEEDS];
+  size_t seed_count;
+  size_t least; /* members assumed in the first seconds */
+  uint64_t seed;
+};
+
+struct gos_gossip
+{
+  struct gos_settings settings;
+  struct rw_rng rng;
+  struct gos_member *members; /* without this daemon */
+  size_t count;
+  size_t cap;
+  rw_time started;
+  rw_time next;
+  size_t held_count; /* highest count of the last GOS_COUNT_HELD */
+  rw_time held_at;
+};
+
+void gos_init (struct gos_gossip *gossip, const struct gos_settings *settings,
+               rw_time now);
+void gos_finish (struct gos_gossip *gossip);
+/* The daemons to send a message to at NOW: at most MAX addresses.  */
+size_t gos_tick (struct gos_gossip *gossip, rw_time now, uint32_t *to,
+                 size_t max);
+/* Random members to tell of a change: most of them in the own data centre.  */
+size_t gos_pick (struct gos_gossip *gossip, rw_time now, uint32_t *to,
+                 size_t max);
+/* Fills in the entries of a message.  */
+void gos_fill (struct gos_gossip *gossip, rw_time now,
+               struct gos_message *message);
+void gos_on_message (struct gos_gossip *gossip, uint32_t from,
+                     const struct gos_message *message, rw_time now);
+/* Daemons that share a sum, this one included.  */
+size_t gos_daemons (struct gos_gossip *gossip, rw_time now);
+/* This daemon's place among the living of its data centre, 0 is the first.
+   Two daemons with the same view agree.  */
+size_t gos_rank (const struct gos_gossip *gossip, rw_time now);
+size_t gos_alive (const struct gos_gossip *gossip, rw_time now);
+/* A member whose copy has REVISION or more, in the own data centre if there
+   is one; 0 if there is none.  */
+uint32_t gos_ahead (struct gos_gossip *gossip, int64_t revision, rw_time now);
+
+size_t gos_encode (const struct gos_message *message, char *data,
+                   size_t size);
+int gos_decode (struct rw_str data, struct gos_message *message,
+                struct rw_err *err);
+
+#endif
--- /dev/null
+++ b/lib/replica/replica.c
@@ -0,0 +1,127 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "replica.h"
+
+void
+rep_init (struct rep_replica *replica)
+{
+  memset (replica, 0, sizeof *replica);
+  rw_map_init (&replica->items);
+}
+
+void
+rep_finish (struct rep_replica *replica)
+{
+  size_t position = 0;
+  void *item;
+  while ((item = rw_map_next (&replica->items, &position)) != NULL)
+    free (item);
+  rw_map_finish (&replica->items);
+}
+
+/* One allocation: the item, its key and its value.  */
+static struct rep_item *
+copy_item (const struct rep_item *from)
+{
+  size_t value = from->removed ? 0 : from->value.len;
+  struct rep_item *item = rw_xmalloc (sizeof *item + from->key.len + value);
+  char *bytes = (char *)(item + 1);
+  if (from->key.len > 0)
+    memcpy (bytes, from->key.ptr, from->key.len);
+  if (value > 0)
+    memcpy (bytes + from->key.len, from->value.ptr, value);
+  item->key = (struct rw_str){ bytes, from->key.len };
+  item->value = (struct rw_str){ bytes + from->key.len, value };
+  item->revision = from->revision;
+  item->removed = from->removed;
+  return item;
+}
+
+/* Forgets all removed items: a copy that is further behind is sent
+   everything.  */
+static void
+forget_removed (struct rep_replica *replica)
+{
+  struct rw_map kept;
+  size_t position = 0;
+  struct rep_item *item;
+  rw_map_init (&kept);
+  while ((item = rw_map_next (&replica->items, &position)) != NULL)
+    {
+      if (!item->removed)
+        {
+          rw_map_put (&kept, rw_hash (item->key), item);
+          continue;
+        }
+      if (item->revision > replica->forgotten)
+        replica->forgotten = item->revision;
+      free (item);
+    }
+  rw_map_finish (&replica->items);
+  replica->items = kept;
+  replica->removed_count = 0;
+}
+
+bool
+rep_put (struct rep_replica *replica, const struct rep_item *item)
+{
+  uint64_t key = rw_hash (item->key);
+  struct rep_item *known = rw_map_get (&replica->items, key);
+  if (known != NULL && known->revision >= item->revision)
+    return false;
+  if (known == NULL && item->removed && item->revision <= replica->forgotten)
+    return false;
+  if (known != NULL && known->removed)
+    replica->removed_count--;
+  rw_map_put (&replica->items, key, copy_item (item));
+  free (known);
+  if (item->removed && ++replica->removed_count > REP_MAX_REMOVED)
+    forget_removed (replica);
+  return true;
+}
+
+void
+rep_advance (struct rep_replica *replica, int64_t revision)
+{
+  if (revision > replica->revision)
+    replica->revision = revision;
+}
+
+const struct rep_item *
+rep_find (const struct rep_replica *replica, struct rw_str key)
+{
+  const struct rep_item *item
+      = rw_map_get (&replica->items, rw_hash (key));
+  return item != NULL && !item->removed ? item : NULL;
+}
+
+const struct rep_item *
+rep_next (const struct rep_replica *replica, size_t *position)
+{
+  const struct rep_item *item;
+  while ((item = rw_map_next (&replica->items, position)) != NULL)
+    if (!item->removed)
+      return item;
+  return NULL;
+}
+
+void
+rep_retain (struct rep_replica *replica, int64_t revision,
+            const struct rw_map *listed,
+            void (*gone) (void *arg, const struct rep_item *item), void *arg)
+{
+  size_t position = 0;
+  struct rep_item *item;
+  while ((item = rw_map_next (&replica->items, &position)) != NULL)
+    {
+      if (item->removed || item->revision > revision
+          || rw_map_get (listed, rw_hash (item->key)) != NULL)
+        continue;
+      item->removed = true;
+      item->revision = revision;
+      item->value.len = 0;
+      replica->removed_count++;
+      gone (arg, item);
+    }
+}
--- a/lib/steer/fleet.c
+++ b/lib/steer/fleet.c
@@ -128,16 +128,6 @@
     go (fleet, target, now);
 }
 
-void
-ste_retain (struct ste_fleet *fleet, int64_t revision,
-            bool (*listed) (void *arg, uint64_t key), void *arg, rw_time now)
-{
-  for (struct ste_service *s = fleet->first; s != NULL; s = s->next)
-    for (struct ste_target *t = s->targets; t != NULL; t = t->next)
-      if (!t->gone && t->revision <= revision && !listed (arg, t->key))
-        go (fleet, t, now);
-}
-
 void
 ste_sweep (struct ste_fleet *fleet,
            bool (*release) (void *arg, struct ste_target *target), void *arg,
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -113,11 +113,6 @@
 /* The entry of the target left the list at REVISION.  */
 void ste_remove (struct ste_fleet *fleet, struct rw_str id, int64_t revision,
                  rw_time now);
-/* After a complete reading of the list at REVISION: targets whose entry was
-   not seen since REVISION FIRST leave.  */
-void ste_retain (struct ste_fleet *fleet, int64_t revision,
-                 bool (*listed) (void *arg, uint64_t key), void *arg,
-                 rw_time now);
 /* Frees the targets that are gone and that nobody uses.  RELEASE frees their
    user data, or returns false to keep the target.  */
 void ste_sweep (struct ste_fleet *fleet,
