--- /dev/null
+++ b/cmd/rwfront/test_settings.c
@@ -0,0 +1,43 @@
+#include "front.h"
+#include "unit.h"
+
+#define REQUIRED                                                              \
+  "RWF_CALLERS=10.0.0.1:1\nRWF_READY=10.0.0.1:2\nRWF_STORE=10.0.0.2:3\n"      \
+  "RWF_PEERS=10.0.0.1:4\n"
+
+static int
+parse (const char *text, struct frn_settings *settings)
+{
+  struct rw_err err;
+  return frn_settings_parse (rw_str_from (text), settings, &err);
+}
+
+/* Guards against settings that are read in another unit or not at all.  */
+TEST (settings_are_parsed)
+{
+  struct frn_settings s;
+  assert_int_equal (
+      parse ("# comment\n\n" REQUIRED
+             "RWF_SEEDS=10.0.0.1:9,10.0.0.2:9\nRWF_EXTRA_RATIO=0.2\n"
+             "RWF_TARGET_DRAIN_MS=3000\nRWF_STOP_S=6\nRWF_LATER=x\n",
+             &s),
+      0);
+  assert_int_equal (s.seed_count, 2);
+  assert_true (s.extra_ratio > 0.19 && s.extra_ratio < 0.21);
+  assert_int_equal (s.drain_time, 3 * RW_SEC);
+  assert_int_equal (s.stop_time, 6 * RW_SEC);
+  assert_int_equal (ntohs (s.store.sin_port), 3);
+}
+
+/* Guards against a bad file that replaces good settings.  */
+TEST (bad_settings_leave_the_old_ones)
+{
+  static const char *const bad[]
+      = { "", "RWF_CALLERS=10.0.0.1:1\n", REQUIRED "RWF_STOP_S=soon\n",
+          REQUIRED "nonsense\n", REQUIRED "RWF_STORE=store:80\n",
+          REQUIRED "RWF_EXTRA_WINDOW_S=0.1\n" };
+  struct frn_settings s = { .name = "kept" };
+  for (size_t i = 0; i < RW_ARRAY_LEN (bad); i++)
+    assert_int_not_equal (parse (bad[i], &s), 0);
+  assert_string_equal (s.name, "kept");
+}
--- /dev/null
+++ b/lib/event/test_event.c
@@ -0,0 +1,74 @@
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "event.h"
+#include "unit.h"
+
+static size_t
+read_all (int fd, char *buf, size_t size)
+{
+  ssize_t n = read (fd, buf, size - 1);
+  buf[n > 0 ? n : 0] = '\0';
+  return n > 0 ? (size_t)n : 0;
+}
+
+/* Guards against a log that holds up the daemon when nobody reads it, and
+   against losses that are not reported.  */
+TEST (a_reader_that_stands_still_costs_lines_only)
+{
+  struct evt_log log;
+  int fds[2];
+  static char buf[1 << 20];
+  assert_int_equal (pipe (fds), 0);
+  evt_init (&log, fds[1], 0);
+  for (int i = 0; i < 20000; i++)
+    evt_line (&log, EVT_NORMAL, "request", i * 100 * RW_MSEC,
+              "failed: id=%d text=%0200d", i, 7);
+  assert_true (log.left_out > 0);
+  assert_true (log.queue.len <= EVT_MAX_QUEUE + 512);
+  while (read_all (fds[0], buf, sizeof buf) == sizeof buf - 1)
+    ;
+  evt_tick (&log, 2000 * RW_SEC);
+  while (log.queue.len > 0)
+    {
+      read_all (fds[0], buf, sizeof buf);
+      evt_tick (&log, 2000 * RW_SEC);
+    }
+  evt_tick (&log, 2000 * RW_SEC);
+  assert_int_equal (log.reported, log.left_out);
+  evt_finish (&log);
+  close (fds[0]);
+  close (fds[1]);
+}
+
+/* Guards against ordinary requests that crowd out failures.  */
+TEST (samples_leave_room_for_failures)
+{
+  struct evt_log log;
+  int fd = open ("/dev/null", O_WRONLY);
+  evt_init (&log, fd, 0);
+  for (int i = 0; i < 1000; i++)
+    evt_line (&log, EVT_SAMPLE, "request", 0, "whole: id=%d", i);
+  assert_int_equal (log.written, EVT_BURST / 2 + 1);
+  uint64_t before = log.written;
+  evt_line (&log, EVT_NORMAL, "request", 0, "failed: id=1");
+  assert_int_equal (log.written, before + 1);
+  evt_finish (&log);
+  close (fd);
+}
+
+/* Guards against a header of a caller that forges a line.  */
+TEST (control_characters_are_replaced)
+{
+  struct evt_log log;
+  int fds[2];
+  char buf[256];
+  assert_int_equal (pipe (fds), 0);
+  evt_init (&log, fds[1], 0);
+  evt_line (&log, EVT_NORMAL, "request", 1500000, "id=%s", "a\nb\r\x1b");
+  read_all (fds[0], buf, sizeof buf);
+  assert_string_equal (buf, "1.500000 request: id=a?b??\n");
+  evt_finish (&log);
+  close (fds[0]);
+  close (fds[1]);
+}
--- /dev/null
+++ b/lib/extra/test_extra.c
@@ -0,0 +1,54 @@
+#include "extra.h"
+#include "unit.h"
+
+static const struct ext_limits limits = { 0.2, 100, 10 * RW_SEC, 10 };
+
+/* Guards against a window that forgets sends too early: in any span of the
+   window the extra sends stay below the limit.  */
+TEST (extra_sends_stay_below_the_limit_in_every_window)
+{
+  struct ext_budget budget;
+  static rw_time taken[20000];
+  size_t count = 0;
+  ext_init (&budget);
+  for (rw_time now = 0; now < 60 * RW_SEC; now += 5 * RW_MSEC)
+    {
+      if (now % (50 * RW_MSEC) == 0)
+        ext_count_first (&budget, &limits, now);
+      if (ext_take (&budget, &limits, now))
+        taken[count++] = now;
+    }
+  /* 20 requests a second, 200 in a window: 0.2 x 200 + 100 / 10 = 50.  */
+  for (size_t i = 0; i + 50 < count; i++)
+    assert_true (taken[i + 50] - taken[i] >= 10 * RW_SEC - 250 * RW_MSEC);
+  assert_true (count > 100);
+}
+
+/* Guards against daemons that together exceed the allowance they share.  */
+TEST (the_allowance_is_shared_by_all_daemons)
+{
+  size_t sum = 0;
+  for (size_t i = 0; i < limits.daemons; i++)
+    {
+      struct ext_budget budget;
+      ext_init (&budget);
+      while (ext_take (&budget, &limits, RW_SEC))
+        sum++;
+    }
+  assert_true (sum <= 100);
+  assert_true (sum >= 50);
+}
+
+/* Guards against a budget that stays used up after a quiet time, or that
+   fails when the clock stands still or steps back.  */
+TEST (the_budget_returns_after_a_window)
+{
+  struct ext_budget budget;
+  ext_init (&budget);
+  while (ext_take (&budget, &limits, 20 * RW_SEC))
+    ;
+  assert_false (ext_take (&budget, &limits, 25 * RW_SEC));
+  assert_true (ext_left (&budget, &limits, 25 * RW_SEC) < 0.3);
+  assert_true (ext_take (&budget, &limits, 31 * RW_SEC));
+  assert_true (ext_take (&budget, &limits, 5 * RW_SEC));
+}
--- /dev/null
+++ b/lib/gossip/test_gossip.c
@@ -0,0 +1,197 @@
+#include "gossip.h"
+#include "unit.h"
+
+#define MAX_DAEMONS 160
+#define STEP (20 * RW_MSEC)
+
+/* Daemons that exchange messages in virtual time.  */
+struct world
+{
+  struct gos_gossip daemons[MAX_DAEMONS];
+  bool up[MAX_DAEMONS];
+  size_t count;
+  uint64_t messages;
+  bool (*cut) (size_t from, size_t to, rw_time now);
+};
+
+static struct world world;
+
+static void
+start (size_t i, rw_time now, size_t dcs)
+{
+  struct gos_settings settings = { .ip = (uint32_t)i + 1,
+                                   .dc = (uint32_t)(i % dcs) + 100,
+                                   .seeds = { 1, 2, 3 },
+                                   .seed_count = 3,
+                                   .least = 20,
+                                   .seed = i + 77 };
+  gos_init (&world.daemons[i], &settings, now);
+  world.up[i] = true;
+}
+
+static void
+start_all (size_t count, size_t dcs)
+{
+  memset (&world, 0, sizeof world);
+  world.count = count;
+  for (size_t i = 0; i < count; i++)
+    start (i, 0, dcs);
+}
+
+static void
+stop_all (void)
+{
+  for (size_t i = 0; i < world.count; i++)
+    gos_finish (&world.daemons[i]);
+}
+
+/* Sends a message through the codec.  */
+static void
+deliver (size_t from, size_t to, rw_time now)
+{
+  struct gos_message message = { .revision = (int64_t)from };
+  struct gos_message received;
+  struct rw_err err;
+  char data[GOS_MAX_DATAGRAM];
+  world.messages++;
+  gos_fill (&world.daemons[from], now, &message);
+  size_t len = gos_encode (&message, data, sizeof data);
+  assert_in_range (len, 1, GOS_MAX_DATAGRAM);
+  if (to >= world.count || !world.up[to]
+      || (world.cut != NULL && world.cut (from, to, now)))
+    return;
+  assert_int_equal (
+      gos_decode ((struct rw_str){ data, len }, &received, &err), 0);
+  gos_on_message (&world.daemons[to], (uint32_t)from + 1, &received, now);
+}
+
+static void
+run (rw_time from, rw_time to)
+{
+  uint32_t ips[4];
+  for (rw_time now = from; now < to; now += STEP)
+    for (size_t i = 0; i < world.count; i++)
+      {
+        if (!world.up[i])
+          continue;
+        size_t n = gos_tick (&world.daemons[i], now, ips, RW_ARRAY_LEN (ips));
+        (void)gos_daemons (&world.daemons[i], now);
+        for (size_t j = 0; j < n; j++)
+          deliver (i, ips[j] - 1, now);
+      }
+}
+
+/* Guards against sums that are shared by too few daemons: with 139 daemons and
+   three seeds, of which one is down, all know of eight in ten before the first
+   request, 14 s after the start.  The extra sends use eight tenths of their
+   limit.  */
+TEST (members_are_known_before_the_first_request)
+{
+  start_all (139, 4);
+  world.up[1] = false;
+  run (0, 14 * RW_SEC);
+  for (size_t i = 0; i < world.count; i++)
+    if (world.up[i])
+      assert_in_range (gos_daemons (&world.daemons[i], 14 * RW_SEC), 111,
+                       139);
+  stop_all ();
+}
+
+/* Guards against a count that never falls after daemons are gone, and one that
+   falls at once, so that a daemon that is cut off takes the shares of all.  */
+TEST (the_count_is_held_for_a_while)
+{
+  start_all (30, 3);
+  run (0, 20 * RW_SEC);
+  for (size_t i = 1; i < 30; i++)
+    world.up[i] = false;
+  run (20 * RW_SEC, 50 * RW_SEC);
+  assert_int_equal (gos_alive (&world.daemons[0], 50 * RW_SEC), 0);
+  assert_in_range (gos_daemons (&world.daemons[0], 50 * RW_SEC), 28, 30);
+  assert_int_equal (gos_daemons (&world.daemons[0], 120 * RW_SEC), 1);
+  stop_all ();
+}
+
+/* Guards against data centres without a reader of the store, and against too
+   many readers.  */
+TEST (daemons_agree_on_the_readers)
+{
+  start_all (40, 4);
+  run (0, 20 * RW_SEC);
+  for (uint32_t dc = 0; dc < 4; dc++)
+    {
+      size_t readers = 0;
+      for (size_t i = dc; i < world.count; i += 4)
+        readers += gos_rank (&world.daemons[i], 20 * RW_SEC) < 2;
+      assert_int_equal (readers, 2);
+    }
+  stop_all ();
+}
+
+static bool
+split_in_two (size_t from, size_t to, rw_time now)
+{
+  return now < 40 * RW_SEC && (from < 10) != (to < 10);
+}
+
+/* A partition from the start, with all seeds on one side: guards against
+   halves that never meet again.  */
+TEST (halves_meet_after_a_partition)
+{
+  start_all (20, 2);
+  world.cut = split_in_two;
+  run (0, 40 * RW_SEC);
+  assert_in_range (gos_alive (&world.daemons[15], 40 * RW_SEC), 0, 9);
+  run (40 * RW_SEC, 60 * RW_SEC);
+  assert_in_range (gos_alive (&world.daemons[15], 60 * RW_SEC), 17, 19);
+  stop_all ();
+}
+
+/* Guards against control traffic that grows with the number of daemons: each
+   sends about two messages a second, below 7 KB.  */
+TEST (messages_do_not_grow_with_the_fleet)
+{
+  start_all (140, 4);
+  run (0, 30 * RW_SEC);
+  assert_true (world.messages < 140 * 30 * 5);
+  stop_all ();
+}
+
+/* Guards against a daemon that stays behind although a peer is ahead.  */
+TEST (a_peer_that_is_ahead_is_found)
+{
+  start_all (10, 2);
+  run (0, 20 * RW_SEC);
+  uint32_t ip = gos_ahead (&world.daemons[0], 9, 20 * RW_SEC);
+  assert_true (ip == 0 || ip == 10);
+  assert_int_equal (gos_ahead (&world.daemons[0], 10, 20 * RW_SEC), 0);
+  stop_all ();
+}
+
+/* Guards against a leaving daemon that counts until it is forgotten.  */
+TEST (a_leaving_daemon_is_dropped_at_once)
+{
+  start_all (2, 1);
+  run (0, 10 * RW_SEC);
+  assert_int_equal (gos_alive (&world.daemons[0], 10 * RW_SEC), 1);
+  struct gos_message message = { .leaving = true };
+  gos_on_message (&world.daemons[0], 2, &message, 10 * RW_SEC);
+  assert_int_equal (gos_alive (&world.daemons[0], 10 * RW_SEC), 0);
+  stop_all ();
+}
+
+/* Guards against datagrams from outside that crash the daemon.  */
+TEST (broken_messages_are_refused)
+{
+  struct gos_message message = { .count = 3, .revision = 5 };
+  struct gos_message received;
+  struct rw_err err;
+  char data[GOS_MAX_DATAGRAM];
+  size_t len = gos_encode (&message, data, sizeof data);
+  for (size_t i = 0; i < len; i++)
+    assert_int_not_equal (
+        gos_decode ((struct rw_str){ data, i }, &received, &err), 0);
+  data[0] ^= 1;
+  assert_int_not_equal (
+      gos_decode ((struct rw_str){ data, len }, &received, &err), 0);
+}
--- a/lib/steer/fleet.c
+++ b/lib/steer/fleet.c
@@ -157,6 +157,7 @@
 {
   if (count > STE_MAX_DCS_OUT)
     count = STE_MAX_DCS_OUT;
-  memcpy (fleet->out, dcs, count * sizeof *dcs);
+  if (count > 0)
+    memcpy (fleet->out, dcs, count * sizeof *dcs);
   fleet->out_count = count;
 }
--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -6,6 +6,12 @@
 /* Weight of one observation in the averages of a target.  */
 #define SLOW_WEIGHT 0.2
 #define FAIL_WEIGHT 0.2
+/* One observation counts as at most so many times the usual latency.  */
+#define MOST_SLOW 20.0
+/* The end of a stall says nothing about the speed if the last stall ended that
+   long ago: targets pause every few seconds, and slow ones stall again at
+   once.  */
+#define PAUSE_APART RW_SEC
 /* An average that gets no observations returns to normal with this time
    constant: short against a slow spell of seconds, so that its end is
    noticed.  */
@@ -235,12 +241,20 @@
              rw_time now)
 {
   double took = (double)(now - send->at);
-  double ratio = fmin (took / send->latency->mean, 20);
+  double ratio = fmin (took / send->latency->mean, MOST_SLOW);
   double old = faded (target->slow, 1, target->slow_at, now, FORGET_TIME);
   target->slow = fmax (0.3, old + SLOW_WEIGHT * (ratio - old));
   target->slow_at = now;
 }
 
+static void
+end_stall (struct ste_target *target, rw_time now)
+{
+  if (target->stall_end == 0 || now - target->stall_end > PAUSE_APART)
+    target->pause_end = now;
+  target->stall_end = now;
+}
+
 void
 ste_on_result (struct ste_send *send, enum ste_outcome outcome, rw_time now)
 {
@@ -250,8 +264,9 @@
   switch (outcome)
     {
     case STE_OK:
-      /* The end of a pause says nothing about the speed.  */
-      if (!was_stalled)
+      if (was_stalled)
+        end_stall (target, now);
+      if (send->at >= target->pause_end)
         add_latency (target, send, now);
       latency_add (send->latency, (double)(now - send->at));
       add_failure (target, 0, now);
