Leave queries over many shards to larger peers

Change: a daemon that knows a living peer of twice its size passes the query on; the peer gathers and answers, the daemon passes the answer through. Both must have the same version of the configuration. What the peer refuses or does not answer within two aims is gathered locally.

Ruled out: one link to each searcher (93 connections for 117 daemons) and more hedges (the budget was not used up).

--- a/cmd/rwfront/admin.c
+++ b/cmd/rwfront/admin.c
@@ -33,6 +33,8 @@
   m->budget_empty
       = sta_counter (&m->set, "rwf_extra_budget_empty_total",
                      "extra sends put off because of the budget", none);
+  m->relays = sta_counter (&m->set, "rwf_relays_total",
+                           "requests left to a larger peer", none);
   m->links = sta_counter (&m->set, "rwf_links_opened_total",
                           "connections opened to targets", none);
   m->store_calls = sta_counter (&m->set, "rwf_store_calls_total",
--- a/cmd/rwfront/answer.c
+++ b/cmd/rwfront/answer.c
@@ -151,7 +151,8 @@
   request->ended = true;
   if (!success)
     answer_failure (request);
-  else if (request->route->kind == CAT_ROUTE_GATHER)
+  else if (request->route->kind == CAT_ROUTE_GATHER
+           && request->mode == FRN_MODE_LOCAL)
     answer_parts (request);
   else
     {
--- a/cmd/rwfront/daemon.c
+++ b/cmd/rwfront/daemon.c
@@ -35,7 +35,7 @@
 frn_is_ready (const struct frn_daemon *daemon)
 {
   return !daemon->stopping && daemon->config != NULL
-         && daemon->fleet.targets.len > 0;
+         && daemon->view.replica.items.len > 1;
 }
 
 static void
@@ -141,6 +141,7 @@
   rw_time lag = now - daemon->ticked - TICK_MS * RW_MSEC;
   sta_set_value (daemon->metrics.loop_lag,
                  lag > 0 ? (double)lag / RW_SEC : 0);
+  daemon->lag = lag;
   daemon->ticked = now;
   frn_peers_tick (daemon, now);
   frn_pool_sweep (daemon, now);
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -34,6 +34,7 @@
   struct sockaddr_in seeds[FRN_MAX_SEEDS];
   size_t seed_count;
   unsigned int max_files;
+  double cores; /* of the VM's processor, for this daemon */
   bool first_start;     /* the whole system starts for the first time */
   rw_time drain_time;   /* a leaving target serves this long */
   rw_time stop_time;    /* from SIGTERM to SIGKILL */
@@ -79,6 +80,7 @@
   struct sta_series *retries;
   struct sta_series *hedges;
   struct sta_series *budget_empty;
+  struct sta_series *relays;
   struct sta_series *links;
   struct sta_series *store_calls;
   struct sta_series *store_errors;
@@ -95,6 +97,7 @@
 struct frn_route_stats
 {
   struct ste_latency latency; /* of its parts */
+  struct ste_latency relay;   /* of whole requests at a larger peer */
   int64_t budget_ms;          /* the longest time that callers have waited */
   struct rw_rng rng;          /* draws the service of a split */
 };
@@ -127,7 +130,9 @@
   rw_time told;    /* of the last notice of a change */
   bool tell;       /* a notice is due */
   rw_time read_from; /* before it, the store is left alone */
-  size_t reader_rank;
+  struct ste_service *large; /* peers that gather for smaller ones */
+  rw_time large_next;
+  int64_t large_revision;
 };
 
 struct frn_store
@@ -176,6 +181,7 @@
   uv_signal_t sigterm;
   uv_signal_t sighup;
   rw_time ticked;
+  rw_time lag; /* of the last tick */
   size_t requests; /* not yet freed */
   struct frn_parked parked[FRN_MAX_PARKED];
   size_t parked_count;
@@ -184,6 +190,9 @@
   int64_t settings_mtime;
 };
 
+struct frn_send;
+struct frn_request;
+
 rw_time frn_now (void);
 
 int frn_daemon_init (struct frn_daemon *daemon, uv_loop_t *loop,
@@ -217,13 +226,40 @@
 /* Tells peers that this daemon leaves.  */
 void frn_peers_leave (struct frn_daemon *daemon);
 
+/* Relays.  A small VM has too little processor time for queries over many
+   shards, and too many small VMs would share a target's connections: a larger
+   peer gathers for it.  */
+bool frn_relay_wanted (struct frn_daemon *daemon,
+                       const struct frn_request *request, rw_time now);
+bool frn_relay_available (const struct frn_daemon *daemon, rw_time now);
+/* Keeps the list of larger peers up to date.  */
+void frn_relay_tick (struct frn_daemon *daemon, rw_time now);
+bool frn_is_relay_header (struct rw_str name);
+void frn_relay_write (const struct frn_send *send, struct rw_buf *out);
+/* Whether the answer says that the peer does not serve the request.  */
+bool frn_relay_refused (const struct h1_message *message);
+/* A request on the port of the peers: returns false if it is not relayed.  */
+bool frn_relay_serve (struct frn_daemon *daemon, struct h1_conn *conn,
+                      const struct h1_message *message);
+/* Serves a request that arrived at START.  */
+void frn_request_serve (struct frn_daemon *daemon, struct h1_conn *conn,
+                        const struct h1_message *message, rw_time start,
+                        bool relayed);
+
 /* Requests.  */
 
-struct frn_send;
+enum frn_mode
+{
+  FRN_MODE_LOCAL, /* this daemon sends the parts */
+  FRN_MODE_RELAY  /* a larger peer does */
+};
 
 struct frn_request
 {
   struct frn_daemon *daemon;
+  enum frn_mode mode;
+  bool relayed; /* by a smaller peer, to this daemon */
+  int64_t time_left_ms; /* as the caller stated it; -1: not stated */
   struct rw_arena arena;
   struct h1_conn *conn; /* null: answered, or the caller left */
   struct cat_config *config;
@@ -252,6 +288,8 @@
 };
 
 extern const struct h1_server_ops frn_caller_ops;
+/* The caller of CONN left.  */
+void frn_request_gone (void *arg, struct h1_conn *conn);
 /* Starts the requests that waited for a configuration, or refuses those that
    have waited for long enough.  */
 void frn_parked_run (struct frn_daemon *daemon, rw_time now);
--- a/cmd/rwfront/peers.c
+++ b/cmd/rwfront/peers.c
@@ -213,6 +213,9 @@
   struct rw_str prefix = RW_LIT (VIEW_PATH);
   struct rw_buf body;
   int64_t after = 0;
+  h1_conn_set_user (conn, NULL);
+  if (frn_relay_serve (daemon, conn, message))
+    return;
   rw_buf_init (&body);
   if (rw_str_starts (message->target, prefix))
     {
@@ -230,13 +233,6 @@
   rw_buf_finish (&body);
 }
 
-static void
-on_view_gone (void *arg, struct h1_conn *conn)
-{
-  (void)arg;
-  (void)conn;
-}
-
 static void
 on_view_refused (void *arg, struct h1_conn *conn, int status)
 {
@@ -247,7 +243,7 @@
 
 static const struct h1_server_ops view_ops = {
   .on_request = on_view_request,
-  .on_gone = on_view_gone,
+  .on_gone = frn_request_gone,
   .on_refused = on_view_refused,
 };
 
@@ -292,6 +288,7 @@
   if (peers->tell && now - peers->told > TELL_PAUSE)
     tell (daemon, now);
   fetch (daemon, now);
+  frn_relay_tick (daemon, now);
   daemon->fleet.settings.daemons = gos_daemons (&peers->gossip, now);
 }
 
@@ -304,6 +301,7 @@
   struct gos_settings gossip = {
     .ip = ntohl (settings->peers.sin_addr.s_addr),
     .dc = (uint32_t)rw_hash (rw_str_from (settings->dc)),
+    .capacity = (uint32_t)(settings->cores * 1000),
     .least = LEAST_DAEMONS,
     .seed = rw_rng_next (&daemon->fleet.rng),
   };
@@ -311,11 +309,12 @@
     gossip.seeds[gossip.seed_count++]
         = ntohl (settings->seeds[i].sin_addr.s_addr);
   memset (peers, 0, sizeof *peers);
+  peers->large = ste_service (&daemon->fleet, RW_LIT ("peers"));
   gos_init (&peers->gossip, &gossip, now);
   peers->read_from
       = now + (settings->first_start ? ASK_PEERS_FIRST : ASK_PEERS);
   peers->datagram = rw_xmalloc (GOS_MAX_DATAGRAM);
-  peers->limits = (struct h1_limits){ 8192, 8192, 2 * RW_SEC, 10 * RW_SEC };
+  peers->limits = (struct h1_limits){ 16384, 16384, 2 * RW_SEC, 30 * RW_SEC };
   uv_udp_init (daemon->loop, &peers->udp);
   peers->udp.data = daemon;
   int r = uv_udp_bind (&peers->udp, (const struct sockaddr *)&settings->peers,
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -145,10 +145,11 @@
   link->send = NULL;
   send->link = NULL;
   send->state = FRN_SEND_ENDED;
-  bool valid = reply.request_id.len > 0 && reply.stamp.len > 0;
-  if (reply.not_run)
+  bool relay = send->request->mode == FRN_MODE_RELAY;
+  bool valid = relay || (reply.request_id.len > 0 && reply.stamp.len > 0);
+  if (reply.not_run || (relay && frn_relay_refused (message)))
     ste_on_result (&send->steer, STE_SHED, now);
-  else if (valid && message->status < 500)
+  else if (valid && (relay || message->status < 500))
     ste_on_result (&send->steer, STE_OK, now);
   else
     ste_on_result (&send->steer, STE_FAILED, now);
@@ -346,10 +347,10 @@
 /* Opens links in advance, so that a first send or a hedge finds one.  */
 static bool
 wants_link (const struct frn_daemon *daemon, const struct ste_target *target,
-            rw_time now)
+            bool relays, rw_time now)
 {
   const struct frn_pool *pool = target->user;
-  if (target->draining || target->gone || now < target->avoid_until
+  if ((relays && target->service->sharded) || target->draining || target->gone || now < target->avoid_until
       || !ste_usable (&daemon->fleet, target, now))
     return false;
   if (pool == NULL || !pool->opened)
@@ -361,12 +362,13 @@
 frn_pool_sweep (struct frn_daemon *daemon, rw_time now)
 {
   size_t opened = 0;
+  bool relays = frn_relay_available (daemon, now);
   for (struct ste_service *s = daemon->fleet.first; s != NULL; s = s->next)
     for (struct ste_target *t = s->targets; t != NULL; t = t->next)
       {
         if (t->user != NULL)
           sweep_pool (t->user, now);
-        if (opened < OPEN_AT_ONCE && wants_link (daemon, t, now))
+        if (opened < OPEN_AT_ONCE && wants_link (daemon, t, relays, now))
           {
             link_open (pool_of (daemon, t));
             opened++;
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -11,6 +11,8 @@
    a part of the aim.  */
 #define AIM_MARGIN (6 * RW_MSEC)
 #define AIM_MARGIN_PART 20
+/* And for the way back through a smaller peer, which is slow to pass it on.  */
+#define RELAY_MARGIN (6 * RW_MSEC)
 /* After the answer, sends that have no result may still end by themselves:
    longer than a pause of a target, shorter than the half second after which a
    target should not work for a caller that left.  */
@@ -21,6 +23,8 @@
 /* A hedge is not sent to a target that is expected to take longer than this
    part of the aim.  */
 #define HEDGE_WORTH 1.0
+/* A peer that has not answered after so many aims is not waited for.  */
+#define RELAY_AIMS 2
 /* Answers with Retry-After: another daemon may be able to serve at once.  */
 #define RETRY_NO_CONFIG (100 * RW_MSEC)
 /* A daemon that has just started knows the configuration within some 20 ms;
@@ -29,6 +33,7 @@
 #define RETRY_NO_TARGET (200 * RW_MSEC)
 
 static void request_run (struct frn_request *request);
+static void start_local (struct frn_request *request);
 
 static struct frn_route_stats *
 route_stats (struct frn_daemon *daemon, struct cat_route *route)
@@ -41,6 +46,7 @@
     {
       stats = rw_xcalloc (1, sizeof *stats);
       ste_latency_init (&stats->latency, route->aim);
+      ste_latency_init (&stats->relay, route->aim * 2);
       rw_rng_init (&stats->rng, rw_rng_next (&daemon->fleet.rng));
       rw_map_put (&daemon->routes, key, stats);
     }
@@ -101,11 +107,12 @@
 /* The parts, times and limits of a request.  A caller that states less time
    than others on its route has spent the difference on earlier attempts.  */
 static struct gat_plan
-make_plan (const struct frn_request *request, int64_t time_left_ms)
+make_plan (const struct frn_request *request)
 {
   const struct cat_route *route = request->route;
   struct frn_route_stats *stats = request->stats;
   struct gat_plan plan = { .parts = 1, .need = 1 };
+  int64_t time_left_ms = request->time_left_ms;
   rw_time spent = 0;
   rw_time longest = route->aim * 6 / 10;
 
@@ -129,7 +136,8 @@
   plan.hedge_after
       = clamp ((rw_time)(stats->latency.high * 1.3), route->aim / 10, longest);
   plan.cut = request->start + route->aim - spent - AIM_MARGIN
-             - route->aim / AIM_MARGIN_PART;
+             - route->aim / AIM_MARGIN_PART
+             - (request->relayed ? RELAY_MARGIN : 0);
   plan.deadline = request->deadline;
   return plan;
 }
@@ -159,7 +167,8 @@
     {
       struct rw_str name = message->headers[i].name;
       if (!h1_is_hop_header (message, name) && !plt_sets_header (name)
-          && !h1_name_eq (name, "Content-Length"))
+          && !h1_name_eq (name, "Content-Length")
+          && !frn_is_relay_header (name))
         append_line (&lines, &message->headers[i]);
     }
   request->headers = rw_arena_str (&request->arena, rw_buf_str (&lines));
@@ -181,7 +190,11 @@
   rw_buf_printf (out, "%.*s %.*s HTTP/1.1\r\n", RW_STR_ARG (request->method),
                  RW_STR_ARG (request->target));
   rw_buf_append_str (out, request->headers);
-  plt_write_send (out, left > 0 ? left / RW_MSEC : 0, send->target->id);
+  plt_write_time_left (out, left > 0 ? left / RW_MSEC : 0);
+  if (request->mode == FRN_MODE_RELAY)
+    frn_relay_write (send, out);
+  else
+    plt_write_target (out, send->target->id);
   if (has_body (request))
     rw_buf_printf (out, "Content-Length: %zu\r\n", request->body.len);
   rw_buf_append (out, "\r\n", 2);
@@ -259,6 +272,13 @@
   uv_timer_start (&request->timer, on_timer, ms, 0);
 }
 
+static struct ste_latency *
+latency_of (const struct frn_request *request)
+{
+  return request->mode == FRN_MODE_RELAY ? &request->stats->relay
+                                         : &request->stats->latency;
+}
+
 static struct ste_target **
 tried_of (struct frn_request *request, size_t part)
 {
@@ -279,7 +299,7 @@
   send->next = request->sends;
   request->sends = send;
   gat_on_sent (&request->query, part, now);
-  ste_on_sent (&send->steer, target, &request->stats->latency, now);
+  ste_on_sent (&send->steer, target, latency_of (request), now);
   frn_pool_send (request->daemon, send);
 }
 
@@ -290,7 +310,7 @@
 {
   struct frn_daemon *daemon = request->daemon;
   struct ste_service *service = request->services[part];
-  struct ste_latency *latency = &request->stats->latency;
+  struct ste_latency *latency = latency_of (request);
   struct ext_limits limits = { daemon->settings.extra_ratio,
                                daemon->settings.extra_slack,
                                daemon->settings.extra_window,
@@ -314,7 +334,9 @@
       gat_postpone (&request->query, part, now, HEDGE_DELAY);
       return;
     }
-  if (kind == GAT_SEND_FIRST)
+  if (request->mode == FRN_MODE_RELAY)
+    sta_inc (daemon->metrics.relays);
+  else if (kind == GAT_SEND_FIRST)
     {
       ext_count_first (&service->budget, &limits, now);
       sta_inc (daemon->metrics.first);
@@ -354,6 +376,12 @@
       arm_timer (request, now);
       return;
     }
+  if (decision == GAT_GIVE_UP && request->mode == FRN_MODE_RELAY)
+    {
+      abandon_sends (request, false);
+      start_local (request);
+      return;
+    }
   frn_answer_query (request, decision == GAT_ANSWER);
   request_end (request);
 }
@@ -407,6 +435,29 @@
   after_failure (request, send->part, failure);
 }
 
+/* The answer of a larger peer is final, unless the peer refused.  */
+static void
+take_relayed (struct frn_send *send, const struct h1_message *message)
+{
+  struct frn_request *request = send->request;
+  note_error (request, send, "");
+  if (request->ended)
+    {
+      request_release (request);
+      return;
+    }
+  if (frn_relay_refused (message))
+    {
+      note_error (request, send, "peer refused");
+      after_failure (request, send->part, GAT_FAIL_UNKNOWN);
+      return;
+    }
+  keep_failure (request, message);
+  gat_on_part (&request->query, 0, (struct rw_str){ NULL, 0 },
+               (struct rw_str){ NULL, 0 });
+  request_run (request);
+}
+
 void
 frn_request_reply (struct frn_send *send, const struct h1_message *message,
                    const struct plt_reply *reply)
@@ -416,6 +467,11 @@
   bool gather = request->route->kind == CAT_ROUTE_GATHER;
   bool success = message->status >= 200 && message->status < 300;
 
+  if (request->mode == FRN_MODE_RELAY)
+    {
+      take_relayed (send, message);
+      return;
+    }
   if (reply->not_run)
     {
       sta_inc (metrics->send_outcome[FRN_SEND_REFUSED]);
@@ -465,12 +521,54 @@
   return served >= plan->need;
 }
 
+static void
+init_query (struct frn_request *request, const struct gat_plan *plan)
+{
+  gat_init (&request->query, &request->arena, plan, frn_now ());
+  request->tried = rw_arena_zalloc (
+      &request->arena, plan->parts * (plan->attempts + 4),
+      sizeof (struct ste_target *));
+}
+
+/* Sends the parts from here.  */
+static void
+start_local (struct frn_request *request)
+{
+  struct gat_plan plan = make_plan (request);
+  request->mode = FRN_MODE_LOCAL;
+  init_query (request, &plan);
+  bind_services (request);
+  if (is_servable (request, frn_now ()))
+    {
+      request_run (request);
+      return;
+    }
+  request->last_error = "no target";
+  frn_log_outcome (request, FRN_REFUSED, 503);
+  frn_answer_refusal (request->daemon, request->conn, 503, RETRY_NO_TARGET);
+  request_end (request);
+}
+
+/* Leaves the parts to a larger peer; what fails there is tried from here.  */
+static void
+start_relay (struct frn_request *request)
+{
+  struct gat_plan plan = { .parts = 1, .need = 1, .attempts = 1 };
+  plan.deadline = request->start + request->route->aim * RELAY_AIMS;
+  if (plan.deadline > request->deadline)
+    plan.deadline = request->deadline;
+  plan.cut = plan.deadline;
+  request->mode = FRN_MODE_RELAY;
+  init_query (request, &plan);
+  request->services = &request->daemon->peers.large;
+  request_run (request);
+}
+
 static void
 request_begin (struct frn_daemon *daemon, struct h1_conn *conn,
                const struct h1_message *message, struct cat_route *route,
-               const struct plt_request *head, rw_time start)
+               const struct plt_request *head, rw_time start, bool relayed)
 {
-  rw_time now = frn_now ();
   struct frn_request *request = rw_xcalloc (1, sizeof *request);
   rw_time limit = route->timeout;
 
@@ -478,6 +576,8 @@
     limit = head->time_left_ms * RW_MSEC;
   request->daemon = daemon;
   request->conn = conn;
+  request->relayed = relayed;
+  request->time_left_ms = head->time_left_ms;
   request->config = cat_config_ref (daemon->config);
   request->route = route;
   request->stats = route_stats (daemon, route);
@@ -486,33 +586,20 @@
   request->deadline = start + limit - ANSWER_MARGIN;
   rw_arena_init (&request->arena, ARENA_BLOCK);
   copy_message (request, message, head->id);
-  struct gat_plan plan = make_plan (request, head->time_left_ms);
-  gat_init (&request->query, &request->arena, &plan, now);
-  request->tried = rw_arena_zalloc (
-      &request->arena, plan.parts * (plan.attempts + 4),
-      sizeof (struct ste_target *));
-  bind_services (request);
   uv_timer_init (daemon->loop, &request->timer);
   request->timer.data = request;
   daemon->requests++;
   h1_conn_set_user (conn, request);
-  if (!is_servable (request, now))
-    {
-      note_error (request, &(struct frn_send){ .target = &(struct ste_target){
-                                                   .id = "-" } },
-                  "no target");
-      frn_log_outcome (request, FRN_REFUSED, 503);
-      frn_answer_refusal (daemon, conn, 503, RETRY_NO_TARGET);
-      request_end (request);
-      return;
-    }
-  request_run (request);
+  if (frn_relay_wanted (daemon, request, frn_now ()))
+    start_relay (request);
+  else
+    start_local (request);
 }
 
-/* Serves a request that arrived at START.  */
-static void
-serve (struct frn_daemon *daemon, struct h1_conn *conn,
-       const struct h1_message *message, rw_time start)
+void
+frn_request_serve (struct frn_daemon *daemon, struct h1_conn *conn,
+                   const struct h1_message *message, rw_time start,
+                   bool relayed)
 {
   struct plt_request head;
   struct rw_str path = message->target;
@@ -538,7 +625,7 @@
       frn_answer_refusal (daemon, conn, 400, -1);
       return;
     }
-  request_begin (daemon, conn, message, route, &head, start);
+  request_begin (daemon, conn, message, route, &head, start, relayed);
 }
 
 static void
@@ -568,7 +655,7 @@
       if (daemon->config == NULL)
         refuse_unconfigured (daemon, parked.conn);
       else
-        serve (daemon, parked.conn, &message, parked.since);
+        frn_request_serve (daemon, parked.conn, &message, parked.since, false);
     }
 }
 
@@ -580,7 +667,7 @@
 
   h1_conn_set_user (conn, NULL);
   if (daemon->config != NULL)
-    serve (daemon, conn, message, now);
+    frn_request_serve (daemon, conn, message, now, false);
   else if (daemon->parked_count < FRN_MAX_PARKED)
     daemon->parked[daemon->parked_count++] = (struct frn_parked){ conn, now };
   else
@@ -598,8 +685,8 @@
       }
 }
 
-static void
-on_gone (void *arg, struct h1_conn *conn)
+void
+frn_request_gone (void *arg, struct h1_conn *conn)
 {
   struct frn_request *request = h1_conn_user (conn);
   if (request == NULL)
@@ -622,6 +709,6 @@
 
 const struct h1_server_ops frn_caller_ops = {
   .on_request = on_request,
-  .on_gone = on_gone,
+  .on_gone = frn_request_gone,
   .on_refused = on_refused,
 };
--- a/cmd/rwfront/settings.c
+++ b/cmd/rwfront/settings.c
@@ -102,6 +102,8 @@
     s->first_start = rw_str_eq_cstr (value, "true");
   else if (rw_str_eq_cstr (name, "RWF_SEEDS"))
     return parse_seeds (value, s);
+  else if (rw_str_eq_cstr (name, "RWF_CORES"))
+    return parse_number (value, &s->cores);
   else if (rw_str_eq_cstr (name, "RWF_MAX_FILES"))
     return parse_count (value, &s->max_files);
   else if (rw_str_eq_cstr (name, "RWF_TARGET_DRAIN_MS"))
@@ -122,6 +124,7 @@
 {
   memset (settings, 0, sizeof *settings);
   settings->max_files = 1024;
+  settings->cores = 1;
   settings->drain_time = 3 * RW_SEC;
   settings->stop_time = 6 * RW_SEC;
   settings->extra_ratio = 0.1;
--- a/cmd/rwfront/view.c
+++ b/cmd/rwfront/view.c
@@ -14,6 +14,18 @@
       service->cold_per_s = from->cold_per_s;
       from->user = service;
     }
+  for (size_t i = 0; i < config->route_count; i++)
+    {
+      const struct cat_route *route = &config->routes[i];
+      if (route->kind != CAT_ROUTE_GATHER)
+        continue;
+      for (size_t j = 0; j < route->u.gather.count; j++)
+        {
+          struct cat_service *from
+              = &config->services[route->u.gather.services[j]];
+          ((struct ste_service *)from->user)->sharded = true;
+        }
+    }
   daemon->limits.header_bytes = config->limits.header_bytes;
   daemon->limits.body_bytes = config->limits.body_bytes;
   daemon->limits.header_time = config->limits.header_time;
--- a/lib/gossip/gossip.c
+++ b/lib/gossip/gossip.c
@@ -71,8 +71,8 @@
 }
 
 static void
-hear (struct gos_gossip *gossip, uint32_t ip, uint32_t dc, rw_time heard,
-      rw_time now)
+hear (struct gos_gossip *gossip, uint32_t ip, uint32_t dc, uint32_t capacity,
+      rw_time heard, rw_time now)
 {
   if (ip == gossip->settings.ip || ip == 0 || now - heard >= GOS_DEAD)
     return;
@@ -83,6 +83,7 @@
     return;
   member->heard = heard;
   member->dc = dc;
+  member->capacity = capacity;
 }
 
 static void
@@ -100,14 +101,15 @@
   for (size_t i = 0; i < message->count; i++)
     {
       const struct gos_entry *entry = &message->entries[i];
-      hear (gossip, entry->ip, entry->dc, now - entry->age_ms * RW_MSEC, now);
+      hear (gossip, entry->ip, entry->dc, entry->capacity,
+            now - entry->age_ms * RW_MSEC, now);
     }
   if (message->leaving)
     {
       forget (gossip, from);
       return;
     }
-  hear (gossip, from, message->dc, now, now);
+  hear (gossip, from, message->dc, message->capacity, now, now);
   struct gos_member *member = find (gossip, from);
   if (member == NULL)
     return;
@@ -177,6 +179,7 @@
 {
   size_t start = 0;
   message->dc = gossip->settings.dc;
+  message->capacity = gossip->settings.capacity;
   message->count = 0;
   if (gossip->count > 0)
     start = (size_t)rw_rng_below (&gossip->rng, gossip->count);
@@ -188,11 +191,25 @@
       if (!is_alive (member, now))
         continue;
       message->entries[message->count++] = (struct gos_entry){
-        member->ip, member->dc, (uint32_t)((now - member->heard) / RW_MSEC)
+        member->ip, member->dc, member->capacity,
+        (uint32_t)((now - member->heard) / RW_MSEC)
       };
     }
 }
 
+const struct gos_member *
+gos_next_large (const struct gos_gossip *gossip, uint32_t capacity,
+                rw_time now, size_t *position)
+{
+  while (*position < gossip->count)
+    {
+      const struct gos_member *member = &gossip->members[(*position)++];
+      if (member->capacity >= capacity && is_alive (member, now))
+        return member;
+    }
+  return NULL;
+}
+
 size_t
 gos_alive (const struct gos_gossip *gossip, rw_time now)
 {
--- a/lib/gossip/gossip.h
+++ b/lib/gossip/gossip.h
@@ -27,7 +27,8 @@
 struct gos_member
 {
   uint32_t ip;
-  uint32_t dc; /* hash */
+  uint32_t dc;       /* hash */
+  uint32_t capacity; /* processor, in thousandths of a core */
   rw_time heard;
   int64_t revision;      /* of its copy, as far as known */
   rw_time fresh;         /* when its copy was known to be current */
@@ -37,12 +38,14 @@
 {
   uint32_t ip;
   uint32_t dc;
+  uint32_t capacity;
   uint32_t age_ms;
 };
 
 struct gos_message
 {
   uint32_t dc;
+  uint32_t capacity;
   bool leaving;
   bool wants_reply;
   int64_t revision;      /* of the sender's copy; 0: it has none */
@@ -55,6 +58,7 @@
 {
   uint32_t ip;
   uint32_t dc;
+  uint32_t capacity;
   uint32_t seeds[GOS_MAX_SEEDS];
   size_t seed_count;
   size_t least; /* members assumed in the first seconds */
@@ -93,6 +97,11 @@
 /* This daemon's place among the living of its data centre, 0 is the first.
    Two daemons with the same view agree.  */
 size_t gos_rank (const struct gos_gossip *gossip, rw_time now);
+/* The next living member of at least CAPACITY, or null; *POSITION starts at
+   0.  */
+const struct gos_member *gos_next_large (const struct gos_gossip *gossip,
+                                         uint32_t capacity, rw_time now,
+                                         size_t *position);
 size_t gos_alive (const struct gos_gossip *gossip, rw_time now);
 /* A member whose copy has REVISION or more, in the own data centre if there
    is one; 0 if there is none.  */
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -78,6 +78,7 @@
   struct ext_budget budget;
   unsigned int connections; /* a target's limit; 0: not stated */
   double cold_per_s;
+  bool sharded; /* a shard of a query over many */
 };
 
 struct ste_settings
