Never send a relayed query a second time; add stand-ins and a fault soak

Change: only what the peer refused or never got is gathered here. A peer that stopped answering is given up after three aims, others are waited for. tests/rwfsite stands in for the store and the searchers, tests/soak runs real daemons under random faults.

Ruled out: falling back with one attempt a shard: still three targets where the peer had hedged.

--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -23,8 +23,8 @@
 /* A hedge is not sent to a target that is expected to take longer than this
    part of the aim.  */
 #define HEDGE_WORTH 1.0
-/* A peer that has not answered after so many aims is not waited for.  */
-#define RELAY_AIMS 2
+/* A peer that stopped answering is not waited for after so many aims.  */
+#define RELAY_AIMS 3
 /* Answers with Retry-After: another daemon may be able to serve at once.  */
 #define RETRY_NO_CONFIG (100 * RW_MSEC)
 /* A daemon that has just started knows the configuration within some 20 ms;
@@ -353,6 +353,22 @@
   send_part (request, part, target, now);
 }
 
+/* A peer that still answers others is waited for until the end.  */
+static bool
+extend_relay (struct frn_request *request, rw_time now)
+{
+  if (request->mode != FRN_MODE_RELAY || request->query.running == 0
+      || now >= request->deadline)
+    return false;
+  for (const struct frn_send *s = request->sends; s != NULL; s = s->next)
+    if (s->state == FRN_SEND_SENT && !ste_stalled (s->target, now))
+      {
+        request->query.plan.deadline = request->deadline;
+        return true;
+      }
+  return false;
+}
+
 /* Sends what is due, then answers, gives up or waits.  */
 static void
 request_run (struct frn_request *request)
@@ -376,10 +392,9 @@
       arm_timer (request, now);
       return;
     }
-  if (decision == GAT_GIVE_UP && request->mode == FRN_MODE_RELAY)
+  if (decision == GAT_GIVE_UP && extend_relay (request, now))
     {
-      abandon_sends (request, false);
-      start_local (request);
+      arm_timer (request, now);
       return;
     }
   frn_answer_query (request, decision == GAT_ANSWER);
@@ -421,6 +436,8 @@
                   failure == GAT_FAIL_NOT_RUN ? RW_MSEC : 0);
   if (request->ended)
     request_release (request);
+  else if (request->mode == FRN_MODE_RELAY && failure == GAT_FAIL_NOT_RUN)
+    start_local (request);
   else
     request_run (request);
 }
@@ -449,7 +466,7 @@
   if (frn_relay_refused (message))
     {
       note_error (request, send, "peer refused");
-      after_failure (request, send->part, GAT_FAIL_UNKNOWN);
+      after_failure (request, send->part, GAT_FAIL_NOT_RUN);
       return;
     }
   keep_failure (request, message);
@@ -549,7 +566,8 @@
   request_end (request);
 }
 
-/* Leaves the parts to a larger peer; what fails there is tried from here.  */
+/* Leaves the parts to a larger peer.  What the peer certainly did not begin is
+   sent from here; anything else would exceed the attempts of the route.  */
 static void
 start_relay (struct frn_request *request)
 {
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -146,6 +146,8 @@
 void h1_conn_message (const struct h1_conn *conn, struct h1_message *message);
 void *h1_conn_user (const struct h1_conn *conn);
 void h1_conn_set_user (struct h1_conn *conn, void *user);
+/* Ends the connection at once, without an answer.  */
+void h1_conn_abort (struct h1_conn *conn);
 /* Answers from now on end their connection.  */
 void h1_server_drain (struct h1_server *server);
 /* Closes the connections on which no request is running or arriving.  */
--- a/lib/h1/server.c
+++ b/lib/h1/server.c
@@ -93,6 +93,12 @@
   uv_close ((uv_handle_t *)&conn->tcp, on_conn_closed);
 }
 
+void
+h1_conn_abort (struct h1_conn *conn)
+{
+  conn_close (conn);
+}
+
 static void
 on_shutdown (uv_shutdown_t *req, int status)
 {
--- /dev/null
+++ b/tests/rwfsite/control.c
@@ -0,0 +1,184 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "site.h"
+
+/* PUT /item/KEY (body: the value), DELETE /item/KEY
+   POST /store/up|busy|silent|reset|compact
+   POST /searcher/ID/none|hang|error|shed|reset|drain|stop|start
+   POST /searcher/ID/pause/MS, POST /searcher/ID/work/MS
+   GET /report, GET /ran/SERVICE/ID  */
+
+static void
+answer (struct h1_conn *conn, int status, struct rw_str body)
+{
+  struct h1_reply reply = { .status = status, .body = body };
+  h1_answer (conn, &reply);
+}
+
+static bool
+set_store (struct site *site, struct rw_str mode)
+{
+  if (rw_str_eq_cstr (mode, "up"))
+    site->mode = SITE_STORE_UP;
+  else if (rw_str_eq_cstr (mode, "busy"))
+    site->mode = SITE_STORE_BUSY;
+  else if (rw_str_eq_cstr (mode, "silent"))
+    site->mode = SITE_STORE_SILENT;
+  else if (rw_str_eq_cstr (mode, "reset"))
+    site->mode = SITE_STORE_RESET;
+  else if (rw_str_eq_cstr (mode, "compact"))
+    site->compacted = site->revision;
+  else
+    return false;
+  return true;
+}
+
+static bool
+set_fault (struct site_searcher *s, struct rw_str what)
+{
+  static const struct
+  {
+    const char *name;
+    enum site_fault fault;
+  } faults[] = { { "none", SITE_FAULT_NONE },   { "hang", SITE_FAULT_HANG },
+                 { "error", SITE_FAULT_ERROR }, { "shed", SITE_FAULT_SHED },
+                 { "reset", SITE_FAULT_RESET } };
+  for (size_t i = 0; i < RW_ARRAY_LEN (faults); i++)
+    if (rw_str_eq_cstr (what, faults[i].name))
+      {
+        s->fault = faults[i].fault;
+        return true;
+      }
+  return false;
+}
+
+static bool
+set_state (struct site_searcher *s, struct rw_str what)
+{
+  if (rw_str_eq_cstr (what, "drain"))
+    s->draining = true;
+  else if (rw_str_eq_cstr (what, "stop"))
+    s->stopped = true;
+  else if (rw_str_eq_cstr (what, "start"))
+    s->stopped = s->draining = false;
+  else
+    return false;
+  s->changed = s->stopped || s->draining ? site_now () : 0;
+  site_searcher_publish (s);
+  return true;
+}
+
+static bool
+set_searcher (struct site *site, struct rw_str path)
+{
+  struct rw_str id = rw_str_token (&path, "/");
+  struct rw_str what = rw_str_token (&path, "/");
+  struct rw_str value = rw_str_token (&path, "/");
+  int64_t ms = 0;
+  for (size_t i = 0; i < site->searcher_count; i++)
+    {
+      struct site_searcher *s = &site->searchers[i];
+      if (!rw_str_eq_cstr (id, s->id))
+        continue;
+      rw_str_to_int (value, 0, 600000, &ms);
+      if (rw_str_eq_cstr (what, "pause"))
+        s->paused_until = site_now () + ms * RW_MSEC;
+      else if (rw_str_eq_cstr (what, "work"))
+        s->work = ms * RW_MSEC;
+      else if (!set_fault (s, what) && !set_state (s, what))
+        return false;
+      return true;
+    }
+  return false;
+}
+
+static void
+report (struct site *site, struct h1_conn *conn)
+{
+  struct rw_buf out;
+  uint64_t late = 0;
+  for (size_t i = 0; i < site->searcher_count; i++)
+    late += site->searchers[i].late;
+  rw_buf_init (&out);
+  rw_buf_printf (&out, "calls=%llu ran=%llu twice=%llu late=%llu\n",
+                 (unsigned long long)site->calls,
+                 (unsigned long long)site->ran,
+                 (unsigned long long)site->twice, (unsigned long long)late);
+  answer (conn, 200, rw_buf_str (&out));
+  rw_buf_finish (&out);
+}
+
+/* How often the request ID ran at SERVICE.  */
+static void
+report_runs (struct site *site, struct h1_conn *conn, struct rw_str path)
+{
+  char text[32];
+  rw_str_token (&path, "/");
+  struct rw_str service = rw_str_token (&path, "/");
+  struct rw_str id = rw_str_token (&path, "/");
+  const struct site_run *run
+      = rw_map_get (&site->runs, rw_hash_pair (id, service));
+  int len = snprintf (text, sizeof text, "%u", run != NULL ? run->count : 0);
+  answer (conn, 200, (struct rw_str){ text, (size_t)len });
+}
+
+static bool
+change (struct site *site, const struct h1_message *message)
+{
+  struct rw_str path = message->target;
+  char key[200];
+  if (rw_str_starts (path, RW_LIT ("/item/")))
+    {
+      path.ptr += 6;
+      path.len -= 6;
+      rw_str_copy (key, sizeof key, path);
+      site_put (site, key,
+                message->method == HTTP_DELETE ? NULL : message->body.ptr,
+                message->body.len);
+      return true;
+    }
+  struct rw_str kind = rw_str_token (&path, "/");
+  if (rw_str_eq_cstr (kind, "store"))
+    return set_store (site, rw_str_token (&path, "/"));
+  if (rw_str_eq_cstr (kind, "searcher"))
+    return set_searcher (site, path);
+  return false;
+}
+
+static void
+on_request (void *arg, struct h1_conn *conn, const struct h1_message *message)
+{
+  struct site *site = arg;
+  if (rw_str_eq_cstr (message->target, "/report"))
+    report (site, conn);
+  else if (rw_str_starts (message->target, RW_LIT ("/ran/")))
+    report_runs (site, conn, message->target);
+  else
+    answer (conn, change (site, message) ? 200 : 404, RW_LIT (""));
+}
+
+static void
+on_gone (void *arg, struct h1_conn *conn)
+{
+  (void)arg;
+  (void)conn;
+}
+
+static void
+on_refused (void *arg, struct h1_conn *conn, int status)
+{
+  (void)arg;
+  (void)conn;
+  (void)status;
+}
+
+static const struct h1_server_ops control_ops
+    = { on_request, on_gone, on_refused };
+
+int
+site_control_init (struct site *site, uint16_t port)
+{
+  return site_listen (site, &site->control, port, &control_ops, site);
+}
--- /dev/null
+++ b/tests/rwfsite/searcher.c
@@ -0,0 +1,203 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "record.h"
+#include "site.h"
+
+/* A request that reaches a searcher later than its drain time plus this is
+   late.  */
+#define LATE_SLACK (200 * RW_MSEC)
+
+struct job
+{
+  uv_timer_t timer;
+  struct site_searcher *searcher;
+  struct h1_conn *conn; /* null: the caller left */
+  char id[80];
+};
+
+static void
+on_job_closed (uv_handle_t *handle)
+{
+  free (handle->data);
+}
+
+static void
+count_run (struct site_searcher *searcher, const char *id, bool repeatable)
+{
+  struct site *site = searcher->site;
+  uint64_t key = rw_hash_pair (rw_str_from (id),
+                               rw_str_from (searcher->service));
+  struct site_run *run = rw_map_get (&site->runs, key);
+  site->ran++;
+  if (run == NULL && site->runs.len < SITE_MAX_RUNS)
+    {
+      run = rw_xcalloc (1, sizeof *run);
+      rw_map_put (&site->runs, key, run);
+    }
+  if (run != NULL && ++run->count > 1 && !repeatable)
+    site->twice++;
+}
+
+static void
+write_body (struct rw_buf *body, const struct job *job)
+{
+  for (uint64_t i = 0; i < SITE_RECORDS; i++)
+    site_record (body, rw_str_from (job->searcher->id), rw_str_from (job->id),
+                 i);
+}
+
+static void
+finish (struct job *job)
+{
+  struct site_searcher *searcher = job->searcher;
+  struct rw_buf headers;
+  struct rw_buf body;
+  struct h1_reply reply = { .status = 200 };
+  if (job->conn == NULL)
+    return;
+  rw_buf_init (&headers);
+  rw_buf_init (&body);
+  write_body (&body, job);
+  rw_buf_printf (&headers,
+                 "X-Redwingfork-Request-Id: %s\r\n"
+                 "X-Redwingfork-Server-Stamp: %s.%s\r\n"
+                 "X-Redwingfork-Server-Load: 1,0,2\r\n",
+                 job->id, searcher->id, job->id);
+  if (searcher->fault == SITE_FAULT_ERROR)
+    reply.status = 500;
+  reply.headers = rw_buf_str (&headers);
+  reply.body = rw_buf_str (&body);
+  if (searcher->fault == SITE_FAULT_RESET)
+    h1_conn_abort (job->conn);
+  else
+    h1_answer (job->conn, &reply);
+  rw_buf_finish (&headers);
+  rw_buf_finish (&body);
+}
+
+static void
+on_job (uv_timer_t *timer)
+{
+  struct job *job = timer->data;
+  rw_time now = site_now ();
+  if (job->conn != NULL && now < job->searcher->paused_until)
+    {
+      uv_timer_start (timer, on_job,
+                      (uint64_t)((job->searcher->paused_until - now) / RW_MSEC)
+                          + 1,
+                      0);
+      return;
+    }
+  finish (job);
+  uv_close ((uv_handle_t *)timer, on_job_closed);
+}
+
+static void
+refuse (struct h1_conn *conn, int status, const char *headers)
+{
+  struct h1_reply reply
+      = { .status = status, .headers = rw_str_from (headers) };
+  h1_answer (conn, &reply);
+}
+
+static void
+run (struct site_searcher *searcher, struct h1_conn *conn,
+     const struct h1_message *message)
+{
+  struct job *job = rw_xcalloc (1, sizeof *job);
+  bool repeatable = !rw_str_starts (message->target, RW_LIT ("/unsafe/"));
+  rw_str_copy (job->id, sizeof job->id,
+               h1_header_value (message, "X-Redwingfork-Request-Id"));
+  job->searcher = searcher;
+  job->conn = conn;
+  uv_timer_init (&searcher->site->loop, &job->timer);
+  job->timer.data = job;
+  h1_conn_set_user (conn, job);
+  count_run (searcher, job->id, repeatable);
+  if (searcher->changed > 0
+      && site_now () - searcher->changed
+             > searcher->site->drain_time + LATE_SLACK)
+    searcher->late++;
+  if (searcher->fault != SITE_FAULT_HANG)
+    uv_timer_start (&job->timer, on_job,
+                    (uint64_t)(searcher->work / RW_MSEC), 0);
+}
+
+static void
+on_request (void *arg, struct h1_conn *conn, const struct h1_message *message)
+{
+  struct site_searcher *searcher = arg;
+  struct rw_str expected
+      = h1_header_value (message, "X-Redwingfork-Expect-Instance");
+  h1_conn_set_user (conn, NULL);
+  searcher->arrivals++;
+  if (searcher->stopped
+      || (expected.len > 0 && !rw_str_eq_cstr (expected, searcher->id)))
+    refuse (conn, 421, "X-Redwingfork-Instance-Id: another\r\n");
+  else if (searcher->fault == SITE_FAULT_SHED)
+    refuse (conn, 503, "X-Redwingfork-Not-Executed: 1\r\n");
+  else
+    run (searcher, conn, message);
+}
+
+static void
+on_gone (void *arg, struct h1_conn *conn)
+{
+  struct job *job = h1_conn_user (conn);
+  (void)arg;
+  if (job == NULL)
+    return;
+  job->conn = NULL;
+  if (job->searcher->fault == SITE_FAULT_HANG)
+    uv_close ((uv_handle_t *)&job->timer, on_job_closed);
+}
+
+static void
+on_refused (void *arg, struct h1_conn *conn, int status)
+{
+  (void)arg;
+  (void)conn;
+  (void)status;
+}
+
+static const struct h1_server_ops searcher_ops
+    = { on_request, on_gone, on_refused };
+
+struct site_searcher *
+site_searcher_add (struct site *site, const char *id, const char *service,
+                   const char *dc, uint16_t port, rw_time work)
+{
+  if (site->searcher_count == SITE_MAX_SEARCHERS)
+    abort ();
+  struct site_searcher *s = &site->searchers[site->searcher_count++];
+  s->site = site;
+  s->work = work;
+  snprintf (s->id, sizeof s->id, "%s", id);
+  snprintf (s->service, sizeof s->service, "%s", service);
+  snprintf (s->dc, sizeof s->dc, "%s", dc);
+  if (site_listen (site, &s->server, port, &searcher_ops, s) != 0)
+    {
+      fprintf (stderr, "rwfsite: cannot listen for searcher %s\n", id);
+      exit (1);
+    }
+  s->port = site_server_port (&s->server);
+  return s;
+}
+
+void
+site_searcher_publish (struct site_searcher *s)
+{
+  char key[100];
+  char value[400];
+  snprintf (key, sizeof key, "servers/%s", s->id);
+  int len = snprintf (value, sizeof value,
+                      "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\","
+                      "\"zone\":\"%s\",\"version\":\"v1\",\"capacity\":2,"
+                      "\"state\":\"%s\",\"warmupLeftMs\":0,\"sequence\":1,"
+                      "\"born\":1}",
+                      s->service, s->port, s->dc,
+                      s->draining ? "draining" : "ready");
+  site_put (s->site, key, s->stopped ? NULL : value, (size_t)len);
+}
--- /dev/null
+++ b/tests/rwfsite/site.h
@@ -0,0 +1,111 @@
+/* Stand-ins of the users' platform on loopback: its store, which can only be
+   read, and searchers.  They follow the published protocol as far as the tests
+   need it.  store.c: items, ranges and watches.  searcher.c: targets with
+   slots, pauses and faults.  control.c: what a test changes and asks.  */
+
+#ifndef SITE_SITE_H
+#define SITE_SITE_H
+
+#include "h1.h"
+
+#define SITE_MAX_ITEMS 1024
+#define SITE_MAX_WATCHES 256
+#define SITE_MAX_SEARCHERS 256
+#define SITE_MAX_RUNS 200000
+
+enum site_store_mode
+{
+  SITE_STORE_UP,
+  SITE_STORE_BUSY,   /* 503 */
+  SITE_STORE_SILENT, /* no answer */
+  SITE_STORE_RESET   /* the connection ends */
+};
+
+struct site_item
+{
+  char key[200];
+  char *value; /* null: removed */
+  size_t value_len;
+  int64_t revision;
+};
+
+struct site_watch
+{
+  struct h1_conn *conn; /* null: free */
+  int64_t after;
+  rw_time until;
+};
+
+enum site_fault
+{
+  SITE_FAULT_NONE,
+  SITE_FAULT_HANG,    /* takes requests and never answers */
+  SITE_FAULT_ERROR,   /* 500 */
+  SITE_FAULT_SHED,    /* 503, not run */
+  SITE_FAULT_RESET    /* runs and ends the connection */
+};
+
+struct site_searcher
+{
+  struct site *site;
+  struct h1_server server;
+  char id[64];
+  char service[64];
+  char dc[32];
+  uint16_t port;
+  bool draining;
+  bool stopped; /* its entry is gone and its id is not known any more */
+  enum site_fault fault;
+  rw_time work;
+  rw_time paused_until;
+  uint64_t arrivals;
+  rw_time changed; /* when it began to leave */
+  uint64_t late;   /* requests that were run longer than allowed after it */
+};
+
+/* One request that ran: to find those that ran twice, or although they were
+   refused.  */
+struct site_run
+{
+  uint64_t id;
+  uint64_t service;
+  uint32_t count;
+};
+
+struct site
+{
+  uv_loop_t loop;
+  struct h1_limits limits;
+  struct h1_server store;
+  struct h1_server control;
+  enum site_store_mode mode;
+  struct site_item items[SITE_MAX_ITEMS];
+  size_t item_count;
+  int64_t revision;
+  int64_t compacted; /* history up to it is gone */
+  uint64_t calls;
+  struct site_watch watches[SITE_MAX_WATCHES];
+  uv_timer_t timer;
+  struct site_searcher searchers[SITE_MAX_SEARCHERS];
+  size_t searcher_count;
+  struct rw_map runs; /* struct site_run */
+  uint64_t ran;
+  uint64_t twice; /* unsafe requests that ran more than once */
+  rw_time drain_time;
+};
+
+rw_time site_now (void);
+int site_store_init (struct site *site, uint16_t port);
+/* Sets an item, or removes it if VALUE is null.  */
+void site_put (struct site *site, const char *key, const char *value,
+               size_t len);
+int site_control_init (struct site *site, uint16_t port);
+struct site_searcher *site_searcher_add (struct site *site, const char *id,
+                                         const char *service, const char *dc,
+                                         uint16_t port, rw_time work);
+void site_searcher_publish (struct site_searcher *searcher);
+uint16_t site_server_port (const struct h1_server *server);
+int site_listen (struct site *site, struct h1_server *server, uint16_t port,
+                 const struct h1_server_ops *ops, void *arg);
+
+#endif
--- /dev/null
+++ b/tests/soak/client.c
@@ -0,0 +1,171 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "soak.h"
+
+#define TIME_LEFT_MS 1500
+/* An answer is due that long after the caller's time is over.  */
+#define HELD_SLACK (700 * RW_MSEC)
+/* A connection that ends earlier may have crossed the request.  */
+#define LOSS_SLACK (200 * RW_MSEC)
+#define MAX_PAUSE_MS 30
+
+static void client_next (struct sok_client *client);
+
+static bool
+is_calm (const struct sok_daemon *daemon, rw_time since)
+{
+  return daemon->running && !daemon->frozen
+         && since - daemon->disturbed > SOK_CALM;
+}
+
+static void
+on_timer (uv_timer_t *timer)
+{
+  struct sok_client *client = timer->data;
+  struct sok_soak *soak = client->soak;
+  if (!client->waiting)
+    {
+      client_next (client);
+      return;
+    }
+  if (is_calm (client->daemon, client->sent))
+    sok_fail (soak, "no answer in time: id=%s daemon=%zu", client->id,
+              client->daemon->index);
+  soak->answers[0]++;
+  client->waiting = false;
+  h1_link_close (&client->link);
+}
+
+static void
+pause_client (struct sok_client *client, uint64_t least_ms)
+{
+  uv_timer_start (&client->timer, on_timer,
+                  least_ms
+                      + rw_rng_below (&client->soak->rng, MAX_PAUSE_MS),
+                  0);
+}
+
+/* Any daemon that takes callers: one that stops is out of rotation after about
+   2 s.  */
+static struct sok_daemon *
+pick_daemon (struct sok_soak *soak)
+{
+  rw_time now = sok_now ();
+  for (int i = 0; i < 20; i++)
+    {
+      struct sok_daemon *daemon
+          = &soak->daemons[rw_rng_below (&soak->rng, soak->daemon_count)];
+      if (daemon->running
+          && (!daemon->stopping || now - daemon->stop_began < 2 * RW_SEC))
+        return daemon;
+    }
+  return &soak->daemons[0];
+}
+
+static void
+send_request (struct sok_client *client)
+{
+  static const char *const routes[] = { "all", "all", "safe", "unsafe" };
+  struct sok_soak *soak = client->soak;
+  char text[512];
+  client->route = routes[rw_rng_below (&soak->rng, 4)];
+  snprintf (client->id, sizeof client->id, "%llx-%llx",
+            (unsigned long long)soak->seed,
+            (unsigned long long)++soak->next_id);
+  int len = snprintf (text, sizeof text,
+                      "GET /%s/x HTTP/1.1\r\nHost: site.example\r\n"
+                      "X-Redwingfork-Request-Id: %s\r\n"
+                      "X-Redwingfork-Deadline-Ms: %d\r\n\r\n",
+                      client->route, client->id, TIME_LEFT_MS);
+  client->waiting = true;
+  client->sent = sok_now ();
+  h1_link_send (&client->link, (struct rw_str){ text, (size_t)len }, false);
+  uv_timer_start (&client->timer, on_timer,
+                  TIME_LEFT_MS + HELD_SLACK / RW_MSEC, 0);
+}
+
+static void
+on_idle (struct h1_link *link)
+{
+  struct sok_client *client = link->arg;
+  if (!client->waiting)
+    pause_client (client, 1);
+}
+
+static enum h1_verdict
+on_reply (struct h1_link *link, const struct h1_message *reply)
+{
+  struct sok_client *client = link->arg;
+  client->waiting = false;
+  client->soak->answers[reply->status / 100 % 6]++;
+  sok_check_answer (client, reply);
+  return H1_REPLY_TAKEN;
+}
+
+static void
+on_lost (struct h1_link *link, int code)
+{
+  struct sok_client *client = link->arg;
+  rw_time now = sok_now ();
+  (void)code;
+  if (!client->waiting)
+    return;
+  client->waiting = false;
+  client->soak->answers[0]++;
+  if (is_calm (client->daemon, client->sent)
+      && now - client->sent > LOSS_SLACK)
+    sok_fail (client->soak, "connection ended without answer: id=%s "
+              "daemon=%zu stopping=%d", client->id, client->daemon->index,
+              client->daemon->stopping);
+}
+
+static void
+on_finished (struct h1_link *link)
+{
+  struct sok_client *client = link->arg;
+  client->link_used = false;
+  if (!client->soak->ended)
+    pause_client (client, 5);
+}
+
+static const struct h1_link_ops client_ops
+    = { on_idle, on_reply, on_lost, on_finished };
+
+static void
+client_next (struct sok_client *client)
+{
+  struct sok_soak *soak = client->soak;
+  struct sockaddr_in addr;
+  if (soak->ended)
+    return;
+  if (client->link_used)
+    {
+      if (client->link.state == H1_LINK_IDLE)
+        send_request (client);
+      return;
+    }
+  client->daemon = pick_daemon (soak);
+  uv_ip4_addr (client->daemon->ip, SOK_CALLER_PORT, &addr);
+  client->link_used = true;
+  h1_link_init (&client->link, &soak->loop, (struct sockaddr *)&addr,
+                soak->scratch, &client_ops, client);
+}
+
+void
+sok_client_init (struct sok_soak *soak, size_t index)
+{
+  struct sok_client *client = &soak->clients[index];
+  client->soak = soak;
+  uv_timer_init (&soak->loop, &client->timer);
+  client->timer.data = client;
+  pause_client (client, 1500);
+}
+
+void
+sok_client_stop (struct sok_client *client)
+{
+  uv_timer_stop (&client->timer);
+  if (client->link_used)
+    h1_link_close (&client->link);
+}
--- /dev/null
+++ b/tests/soak/fault.c
@@ -0,0 +1,198 @@
+#include <signal.h>
+#include <stdio.h>
+
+#include "soak.h"
+
+#define LEAST_GAP_MS 100
+#define MOST_GAP_MS 900
+/* The end of a run: everything is repaired, and must work after it.  */
+#define HEAL_TIME (7 * RW_SEC)
+
+enum fault
+{
+  FAULT_KILL,
+  FAULT_KILL_ALL,
+  FAULT_STOP,
+  FAULT_FREEZE,
+  FAULT_HUP,
+  FAULT_CONFIG,
+  FAULT_SEARCHER,
+  FAULT_PAUSE,
+  FAULT_DRAIN,
+  FAULT_STORE, /* from here on only where the store is disturbed */
+  FAULT_COMPACT,
+  FAULT_PROXY,
+  FAULT_COUNT
+};
+
+static uint64_t
+below (struct sok_soak *soak, uint64_t bound)
+{
+  return rw_rng_below (&soak->rng, bound);
+}
+
+static void
+thaw (struct sok_daemon *daemon)
+{
+  if (!daemon->frozen)
+    return;
+  sok_daemon_signal (daemon, SIGCONT);
+  daemon->frozen = false;
+  daemon->disturbed = sok_now ();
+}
+
+static void
+kill_daemon (struct sok_daemon *daemon)
+{
+  daemon->disturbed = sok_now ();
+  sok_daemon_signal (daemon, SIGKILL);
+}
+
+static void
+stop_daemon (struct sok_daemon *daemon)
+{
+  if (!daemon->running || daemon->stopping || daemon->frozen)
+    return;
+  daemon->stopping = true;
+  daemon->stop_began = sok_now ();
+  sok_daemon_signal (daemon, SIGTERM);
+}
+
+static void
+searcher_fault (struct sok_soak *soak, const char *what)
+{
+  char path[96];
+  if (below (soak, 3) == 0)
+    snprintf (path, sizeof path, "/searcher/one-%d/%s",
+              (int)below (soak, 2), what);
+  else
+    snprintf (path, sizeof path, "/searcher/s%d-%d/%s",
+              (int)below (soak, soak->shards), (int)below (soak, 2), what);
+  sok_command (soak, "POST", path, "", NULL, 0);
+}
+
+static void
+store_fault (struct sok_soak *soak)
+{
+  static const char *const modes[]
+      = { "/store/up", "/store/up", "/store/busy", "/store/silent",
+          "/store/reset" };
+  sok_command (soak, "POST", modes[below (soak, RW_ARRAY_LEN (modes))], "",
+               NULL, 0);
+}
+
+static void
+strike (struct sok_soak *soak)
+{
+  static const char *const faults[]
+      = { "none", "none", "none", "hang", "error", "shed", "reset" };
+  static const char *const pauses[]
+      = { "pause/100", "pause/200", "pause/800" };
+  static const char *const leaves[] = { "drain", "stop", "start", "start" };
+  struct sok_daemon *daemon
+      = &soak->daemons[below (soak, soak->daemon_count)];
+  size_t kinds = soak->store_faults ? FAULT_COUNT : FAULT_STORE;
+  switch ((enum fault)below (soak, kinds))
+    {
+    case FAULT_KILL:
+      kill_daemon (daemon);
+      break;
+    case FAULT_KILL_ALL:
+      if (below (soak, 6) == 0)
+        for (size_t i = 0; i < soak->daemon_count; i++)
+          kill_daemon (&soak->daemons[i]);
+      break;
+    case FAULT_STOP:
+      stop_daemon (daemon);
+      break;
+    case FAULT_FREEZE:
+      daemon->frozen = daemon->running;
+      daemon->disturbed = sok_now ();
+      sok_daemon_signal (daemon, SIGSTOP);
+      break;
+    case FAULT_HUP:
+      sok_daemon_signal (daemon, SIGHUP);
+      break;
+    case FAULT_CONFIG:
+      sok_put_config (soak);
+      break;
+    case FAULT_SEARCHER:
+      searcher_fault (soak, faults[below (soak, RW_ARRAY_LEN (faults))]);
+      break;
+    case FAULT_PAUSE:
+      searcher_fault (soak, pauses[below (soak, RW_ARRAY_LEN (pauses))]);
+      break;
+    case FAULT_DRAIN:
+      searcher_fault (soak, leaves[below (soak, RW_ARRAY_LEN (leaves))]);
+      break;
+    case FAULT_STORE:
+      store_fault (soak);
+      break;
+    case FAULT_COMPACT:
+      sok_command (soak, "POST", "/store/compact", "", NULL, 0);
+      break;
+    case FAULT_PROXY:
+      sok_proxy_set (&daemon->proxy, (enum sok_proxy_mode)below (soak, 4));
+      break;
+    case FAULT_COUNT:
+      break;
+    }
+}
+
+static void
+heal (struct sok_soak *soak)
+{
+  char path[96];
+  soak->healing = true;
+  sok_command (soak, "POST", "/store/up", "", NULL, 0);
+  for (size_t i = 0; i < soak->daemon_count; i++)
+    {
+      thaw (&soak->daemons[i]);
+      sok_proxy_set (&soak->daemons[i].proxy, SOK_PROXY_PASS);
+    }
+  for (size_t i = 0; i < soak->shards + 1; i++)
+    for (int j = 0; j < 2; j++)
+      for (int k = 0; k < 2; k++)
+        {
+          const char *what = k == 0 ? "none" : "start";
+          if (i < soak->shards)
+            snprintf (path, sizeof path, "/searcher/s%zu-%d/%s", i, j, what);
+          else
+            snprintf (path, sizeof path, "/searcher/one-%d/%s", j, what);
+          sok_command (soak, "POST", path, "", NULL, 0);
+        }
+}
+
+static void
+on_fault_timer (uv_timer_t *timer)
+{
+  struct sok_soak *soak = timer->data;
+  rw_time elapsed = sok_now () - soak->began;
+  for (size_t i = 0; i < soak->daemon_count; i++)
+    {
+      struct sok_daemon *daemon = &soak->daemons[i];
+      if (daemon->restart)
+        sok_daemon_start (daemon);
+      else if (daemon->frozen && below (soak, 3) == 0)
+        thaw (daemon);
+    }
+  if (elapsed > soak->length + HEAL_TIME)
+    {
+      uv_stop (&soak->loop);
+      return;
+    }
+  if (elapsed > soak->length && !soak->healing)
+    heal (soak);
+  else if (!soak->healing && elapsed > 3 * RW_SEC)
+    strike (soak);
+  uv_timer_start (timer, on_fault_timer,
+                  LEAST_GAP_MS + below (soak, MOST_GAP_MS - LEAST_GAP_MS), 0);
+}
+
+void
+sok_fault_init (struct sok_soak *soak)
+{
+  uv_timer_init (&soak->loop, &soak->fault_timer);
+  soak->fault_timer.data = soak;
+  uv_timer_start (&soak->fault_timer, on_fault_timer, 1000, 0);
+}
--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,133 @@
+/* A randomized soak: real daemons as separate processes on loopback, stand-ins
+   of the store and the searchers, faults from outside, and checks of what
+   callers and searchers see.  fleet.c: processes.  proxy.c: the way to the
+   store.  client.c: callers.  check.c: answers.  fault.c: what goes wrong.  */
+
+#ifndef SOK_SOAK_H
+#define SOK_SOAK_H
+
+#include <netinet/in.h>
+
+#include "h1.h"
+
+#define SOK_MAX_DAEMONS 64
+#define SOK_MAX_CLIENTS 256
+#define SOK_MAX_REFUSED 4000
+#define SOK_CALLER_PORT 18104
+#define SOK_READY_PORT 18108
+#define SOK_PEER_PORT 18380
+#define SOK_STORE_PORT 18102
+
+/* A daemon that was disturbed less than this time ago is not judged.  */
+#define SOK_CALM (4 * RW_SEC)
+
+struct sok_soak;
+
+enum sok_proxy_mode
+{
+  SOK_PROXY_PASS,
+  SOK_PROXY_SILENT, /* nothing passes */
+  SOK_PROXY_ONE_WAY, /* requests pass, answers do not */
+  SOK_PROXY_RESET   /* connections end */
+};
+
+struct sok_proxy
+{
+  struct sok_soak *soak;
+  uv_tcp_t listener;
+  enum sok_proxy_mode mode;
+  struct sok_pipe *pipes;
+};
+
+struct sok_daemon
+{
+  struct sok_soak *soak;
+  size_t index;
+  char ip[32];
+  char path[256]; /* of the settings */
+  uv_process_t process;
+  bool running;
+  bool stopping;     /* after SIGTERM */
+  bool frozen;
+  bool restart;      /* start again when it has ended */
+  rw_time disturbed; /* end of the last disturbance; SIGTERM is none */
+  rw_time stop_began;
+  struct sok_proxy proxy;
+};
+
+struct sok_client
+{
+  struct sok_soak *soak;
+  struct h1_link link;
+  bool link_used;
+  uv_timer_t timer;
+  struct sok_daemon *daemon;
+  bool waiting;
+  rw_time sent;
+  char id[32];
+  const char *route;
+};
+
+struct sok_soak
+{
+  uv_loop_t loop;
+  struct rw_rng rng;
+  uint64_t seed;
+  rw_time length;
+  const char *bin;  /* directory of the programs */
+  const char *work; /* directory of settings and logs */
+  uv_process_t site;
+  uv_pipe_t site_out;
+  struct sockaddr_in store;
+  struct sockaddr_in control;
+  char net[24]; /* the first three numbers of the daemons' addresses */
+  struct sok_daemon daemons[SOK_MAX_DAEMONS];
+  size_t daemon_count;
+  struct sok_client clients[SOK_MAX_CLIENTS];
+  size_t client_count;
+  size_t shards;
+  size_t version;
+  uv_timer_t fault_timer;
+  rw_time began;
+  bool healing;
+  bool ended;
+  bool store_faults; /* this seed disturbs the store */
+  uint64_t next_id;
+  char refused[SOK_MAX_REFUSED][32]; /* unsafe requests answered 503 */
+  size_t refused_count;
+  uint64_t answers[6]; /* by hundreds of the status; 0: none */
+  uint64_t whole;
+  uint64_t failures;
+  char *scratch;
+};
+
+rw_time sok_now (void);
+/* Reports a broken promise.  */
+void sok_fail (struct sok_soak *soak, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+
+int sok_site_start (struct sok_soak *soak);
+void sok_daemon_init (struct sok_soak *soak, size_t index);
+void sok_daemon_start (struct sok_daemon *daemon);
+void sok_daemon_signal (struct sok_daemon *daemon, int signum);
+void sok_kill_all (struct sok_soak *soak);
+/* Sends a command to the stand-ins and returns the answer's body.  */
+int sok_command (struct sok_soak *soak, const char *method, const char *path,
+                 const char *body, char *answer, size_t size);
+
+int sok_proxy_init (struct sok_proxy *proxy, struct sok_soak *soak,
+                    const char *ip);
+void sok_proxy_set (struct sok_proxy *proxy, enum sok_proxy_mode mode);
+
+void sok_client_init (struct sok_soak *soak, size_t index);
+void sok_client_stop (struct sok_client *client);
+
+/* Whether the answer is right for the client's request.  */
+void sok_check_answer (struct sok_client *client,
+                       const struct h1_message *reply);
+void sok_check_end (struct sok_soak *soak);
+void sok_put_config (struct sok_soak *soak);
+
+void sok_fault_init (struct sok_soak *soak);
+
+#endif
