--- a/cmd/rwfctl/ctl.h
+++ b/cmd/rwfctl/ctl.h
@@ -63,6 +63,7 @@
 void ctl_print_age (FILE *out, int64_t ms);
 
 int ctl_check (const struct ctl_options *options);
+int ctl_request (const struct ctl_options *options);
 int ctl_check_text (const char *file, struct rw_str text,
                     const struct ctl_reports *known, FILE *out, FILE *err);
 int ctl_rules (const struct ctl_options *options);
--- a/cmd/rwfctl/main.c
+++ b/cmd/rwfctl/main.c
@@ -14,7 +14,7 @@
 static const struct command commands[] = {
   { "check", ctl_check },     { "rules", ctl_rules },
   { "targets", ctl_targets }, { "members", ctl_members },
-  { "trace", ctl_trace },
+  { "trace", ctl_trace },     { "request", ctl_request },
 };
 
 int
@@ -28,7 +28,8 @@
     if (strcmp (name, commands[i].name) == 0)
       return commands[i].run (&options);
   fprintf (stderr,
-           "rwfctl: %s: expected check, rules, targets, members or trace\n",
+           "rwfctl: %s: expected check, rules, targets, members, trace or "
+           "request\n",
            name);
   return CTL_EXIT_USAGE;
 }
--- a/cmd/rwfctl/options.c
+++ b/cmd/rwfctl/options.c
@@ -17,7 +17,8 @@
       "  targets [NAME]      admission of the targets; NAME is a target, a\n"
       "                      service or a data centre\n"
       "  members             the daemons as they see each other\n"
-      "  trace ID FILE...    one request through its spans in trace files\n";
+      "  trace ID FILE...    one request through its spans in trace files\n"
+      "  request ID FILE...  one request through the logs of rwfront\n";
 
 static const struct argp_option option_list[] = {
   { "daemons", 'd', "HOST:PORT,...", 0,
--- a/cmd/rwfront/answer.c
+++ b/cmd/rwfront/answer.c
@@ -33,6 +33,37 @@
   return "unknown";
 }
 
+/* Describes the first part that is missing: its service, the target that has
+   it, how many sends that target has of us, and what it reported.  */
+static const char *
+missing_part (const struct frn_request *request, char *buf, size_t size)
+{
+  const struct gat_query *query = &request->query;
+  const struct frn_send *send = NULL;
+  size_t i = 0;
+  buf[0] = '\0';
+  if (request->mode == FRN_MODE_RELAY || query->done == query->plan.parts)
+    return buf;
+  while (query->parts[i].state == GAT_PART_DONE)
+    i++;
+  for (const struct frn_send *s = request->sends; s != NULL; s = s->next)
+    if (s->part == i && (send == NULL || s->steer.at > send->steer.at))
+      send = s;
+  if (send == NULL)
+    snprintf (buf, size, " missing=%s sent=no", request->services[i]->name);
+  else
+    snprintf (buf, size,
+              " missing=%s target=%s state=%s running=%u queued=%.0f "
+              "sent_ms_ago=%lld",
+              request->services[i]->name, send->target->id,
+              send->state == FRN_SEND_QUEUED
+                  ? "no-link"
+                  : (send->state == FRN_SEND_SENT ? "waiting" : "ended"),
+              send->target->running, send->target->queued,
+              (long long)((frn_now () - send->steer.at) / RW_MSEC));
+  return buf;
+}
+
 /* One line for each request that did not get all it asked for in time, and a
    sample of the others.  */
 void
@@ -43,6 +74,7 @@
   rw_time now = frn_now ();
   rw_time took = now - request->start;
   bool plain = outcome == FRN_WHOLE || outcome == FRN_PASSED;
+  char missing[512];
 
   sta_inc (daemon->metrics.outcome[outcome]);
   sta_observe (daemon->metrics.latency, took);
@@ -51,18 +83,18 @@
       plain && took < request->route->aim ? EVT_SAMPLE : EVT_NORMAL,
       "request", now,
       "%s: id=%.*s route=%.*s status=%d ms=%lld aim_ms=%lld parts=%zu/%zu "
-      "lost=%zu sends=%zu error=\"%s\" target=%s version=%llu age_ms=%lld",
+      "lost=%zu sends=%zu%s error=\"%s\" at=%s version=%llu age_ms=%lld",
       frn_outcome_name (outcome), RW_STR_ARG (request->id),
       RW_STR_ARG (request->route->name), status, (long long)(took / RW_MSEC),
       (long long)(request->route->aim / RW_MSEC), request->query.done,
       request->query.plan.parts, request->query.lost, request->query.sends,
+      missing_part (request, missing, sizeof missing),
       request->last_error != NULL ? request->last_error : "",
-      request->last_target,
-      (unsigned long long)request->config->version,
+      request->last_target, (unsigned long long)request->config->version,
       (long long)((now - daemon->config_since) / RW_MSEC));
 }
 
-/* Answers a request that has not run.  RETRY_AFTER below 0: none is stated.  */
+/* Answers a request that has not run.  RETRY_AFTER below 0: none is stated. */
 void
 frn_answer_refusal (struct frn_daemon *daemon, struct h1_conn *conn,
                     int status, rw_time retry_after)
--- a/cmd/rwfront/daemon.c
+++ b/cmd/rwfront/daemon.c
@@ -21,7 +21,7 @@
    daemon out of rotation.  New connections are served until then.  */
 #define ROTATION_TIME (2500 * RW_MSEC)
 /* Kept of the stop time for the exit itself.  */
-#define EXIT_MARGIN (400 * RW_MSEC)
+#define EXIT_MARGIN (700 * RW_MSEC)
 
 rw_time
 frn_now (void)
@@ -38,13 +38,7 @@
          && daemon->view.replica.items.len > 1;
 }
 
-static void
-on_timer_closed (uv_handle_t *handle)
-{
-  (void)handle;
-}
-
-/* Ends the loop: every handle is closed.  */
+/* Ends the loop; main closes and frees everything.  */
 static void
 daemon_exit (struct frn_daemon *daemon)
 {
@@ -62,7 +56,8 @@
   if (since < ROTATION_TIME)
     return;
   h1_server_close_idle (&daemon->callers);
-  if (daemon->callers.busy == 0 || since > daemon->settings.stop_time - EXIT_MARGIN)
+  if (daemon->callers.busy == 0
+      || since > daemon->settings.stop_time - EXIT_MARGIN)
     daemon_exit (daemon);
 }
 
@@ -139,8 +134,7 @@
   struct frn_daemon *daemon = timer->data;
   rw_time now = frn_now ();
   rw_time lag = now - daemon->ticked - TICK_MS * RW_MSEC;
-  sta_set_value (daemon->metrics.loop_lag,
-                 lag > 0 ? (double)lag / RW_SEC : 0);
+  sta_set_value (daemon->metrics.loop_lag, lag > 0 ? (double)lag / RW_SEC : 0);
   daemon->lag = lag;
   daemon->ticked = now;
   frn_peers_tick (daemon, now);
@@ -199,8 +193,8 @@
   apply_settings (daemon);
   rw_map_init (&daemon->routes);
   daemon->scratch = rw_xmalloc (H1_SCRATCH);
-  daemon->limits = (struct h1_limits){ 16384, 262144, 5 * RW_SEC,
-                                       60 * RW_SEC };
+  daemon->limits
+      = (struct h1_limits){ 16384, 262144, 5 * RW_SEC, 60 * RW_SEC };
   size_t conns = daemon->settings.max_files > 2 * FILES_KEPT
                      ? daemon->settings.max_files - FILES_KEPT
                      : FILES_KEPT;
@@ -226,24 +220,48 @@
   return r != 0 ? failed (err, "store", r) : 0;
 }
 
-/* Frees everything after the loop has ended.  */
+static void
+close_pools (struct frn_daemon *daemon)
+{
+  for (struct ste_service *s = daemon->fleet.first; s != NULL; s = s->next)
+    for (struct ste_target *t = s->targets; t != NULL; t = t->next)
+      frn_pool_close (t);
+}
+
+static void
+free_routes (struct frn_daemon *daemon)
+{
+  size_t position = 0;
+  void *stats;
+  while ((stats = rw_map_next (&daemon->routes, &position)) != NULL)
+    free (stats);
+  rw_map_finish (&daemon->routes);
+}
+
+/* Closes everything and frees it; runs the loop until all handles are
+   closed.  */
 void
 frn_daemon_finish (struct frn_daemon *daemon)
 {
   frn_store_finish (daemon);
-  frn_peers_finish (daemon);
-  rep_finish (&daemon->view.replica);
   h1_server_stop (&daemon->callers);
   h1_server_stop (&daemon->admin);
-  uv_close ((uv_handle_t *)&daemon->tick, on_timer_closed);
+  frn_peers_finish (daemon);
+  uv_close ((uv_handle_t *)&daemon->tick, NULL);
   uv_close ((uv_handle_t *)&daemon->sigterm, NULL);
   uv_close ((uv_handle_t *)&daemon->sighup, NULL);
-  for (struct ste_service *s = daemon->fleet.first; s != NULL; s = s->next)
-    for (struct ste_target *t = s->targets; t != NULL; t = t->next)
-      {
-        struct frn_pool *pool = t->user;
-        while (pool != NULL && pool->queue != NULL)
-          frn_send_abandon (pool->queue);
-        (void)frn_pool_release (daemon, t);
-      }
+  close_pools (daemon);
+  uv_run (daemon->loop, UV_RUN_DEFAULT);
+  h1_server_finish (&daemon->callers);
+  h1_server_finish (&daemon->admin);
+  h1_server_finish (&daemon->peers.views);
+  gos_finish (&daemon->peers.gossip);
+  free (daemon->peers.datagram);
+  rep_finish (&daemon->view.replica);
+  ste_finish (&daemon->fleet);
+  free_routes (daemon);
+  cat_config_unref (daemon->config);
+  sta_finish (&daemon->metrics.set);
+  evt_finish (&daemon->log);
+  free (daemon->scratch);
 }
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -34,12 +34,12 @@
   struct sockaddr_in seeds[FRN_MAX_SEEDS];
   size_t seed_count;
   unsigned int max_files;
-  double cores; /* of the VM's processor, for this daemon */
-  bool first_start;     /* the whole system starts for the first time */
-  rw_time drain_time;   /* a leaving target serves this long */
-  rw_time stop_time;    /* from SIGTERM to SIGKILL */
-  double extra_ratio;   /* extra sends for each request */
-  double extra_slack;   /* further ones in a window, of all daemons */
+  double cores;       /* of the VM's processor, for this daemon */
+  bool first_start;   /* the whole system starts for the first time */
+  rw_time drain_time; /* a leaving target serves this long */
+  rw_time stop_time;  /* from SIGTERM to SIGKILL */
+  double extra_ratio; /* extra sends for each request */
+  double extra_slack; /* further ones in a window, of all daemons */
   rw_time extra_window;
 };
 
@@ -125,10 +125,10 @@
   uint32_t fetch_from;
   rw_time fetch_deadline;
   rw_time fetch_next;
-  int64_t wanted;  /* the newest revision that a peer said it has */
-  rw_time fresh;   /* when the copy was known to be current; 0: never */
-  rw_time told;    /* of the last notice of a change */
-  bool tell;       /* a notice is due */
+  int64_t wanted;    /* the newest revision that a peer said it has */
+  rw_time fresh;     /* when the copy was known to be current; 0: never */
+  rw_time told;      /* of the last notice of a change */
+  bool tell;         /* a notice is due */
   rw_time read_from; /* before it, the store is left alone */
   struct ste_service *large; /* peers that gather for smaller ones */
   rw_time large_next;
@@ -145,7 +145,7 @@
   bool waiting; /* CALL is to be sent once the link is open */
   uv_timer_t timer;
   rw_time call_deadline;
-  char after[256]; /* key after which the next page begins */
+  char after[256];      /* key after which the next page begins */
   struct rw_map listed; /* keys on the pages of this reading */
 };
 
@@ -181,7 +181,7 @@
   uv_signal_t sigterm;
   uv_signal_t sighup;
   rw_time ticked;
-  rw_time lag; /* of the last tick */
+  rw_time lag;     /* of the last tick */
   size_t requests; /* not yet freed */
   struct frn_parked parked[FRN_MAX_PARKED];
   size_t parked_count;
@@ -258,7 +258,7 @@
 {
   struct frn_daemon *daemon;
   enum frn_mode mode;
-  bool relayed; /* by a smaller peer, to this daemon */
+  bool relayed;         /* by a smaller peer, to this daemon */
   int64_t time_left_ms; /* as the caller stated it; -1: not stated */
   struct rw_arena arena;
   struct h1_conn *conn; /* null: answered, or the caller left */
@@ -294,7 +294,8 @@
    have waited for long enough.  */
 void frn_parked_run (struct frn_daemon *daemon, rw_time now);
 /* A send ended.  MESSAGE and REPLY are null if there was no answer.  */
-void frn_request_reply (struct frn_send *send, const struct h1_message *message,
+void frn_request_reply (struct frn_send *send,
+                        const struct h1_message *message,
                         const struct plt_reply *reply);
 void frn_request_failed (struct frn_send *send, enum gat_failure failure,
                          const char *reason);
@@ -357,6 +358,8 @@
 void frn_send_abandon (struct frn_send *send);
 void frn_pool_sweep (struct frn_daemon *daemon, rw_time now);
 bool frn_pool_release (void *arg, struct ste_target *target);
+/* Gives up every send to TARGET and closes its links.  */
+void frn_pool_close (struct ste_target *target);
 /* Writes the request of SEND.  */
 void frn_request_write (const struct frn_send *send, struct rw_buf *out);
 
--- a/cmd/rwfront/main.c
+++ b/cmd/rwfront/main.c
@@ -36,10 +36,12 @@
     }
 }
 
-static const struct argp parser
-    = { option_list, parse_option, NULL,
-        "The query tier's daemon on a platform with a readable store.",
-        NULL, NULL, NULL };
+static const struct argp parser = {
+  option_list, parse_option,
+  NULL,        "The query tier's daemon on a platform with a readable store.",
+  NULL,        NULL,
+  NULL
+};
 
 static void
 usage (void)
@@ -83,5 +85,7 @@
   if (frn_daemon_init (&daemon, &loop, options.settings, &err) != 0)
     return report (&err);
   uv_run (&loop, UV_RUN_DEFAULT);
+  frn_daemon_finish (&daemon);
+  uv_loop_close (&loop);
   return 0;
 }
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -350,7 +350,8 @@
             bool relays, rw_time now)
 {
   const struct frn_pool *pool = target->user;
-  if ((relays && target->service->sharded) || target->draining || target->gone || now < target->avoid_until
+  if ((relays && target->service->sharded) || target->draining || target->gone
+      || now < target->avoid_until
       || !ste_usable (&daemon->fleet, target, now))
     return false;
   if (pool == NULL || !pool->opened)
@@ -392,3 +393,11 @@
   target->user = NULL;
   return true;
 }
+
+void
+frn_pool_close (struct ste_target *target)
+{
+  while (target->first != NULL)
+    frn_send_abandon ((struct frn_send *)target->first);
+  (void)frn_pool_release (NULL, target);
+}
--- a/cmd/rwfront/relay.c
+++ b/cmd/rwfront/relay.c
@@ -34,8 +34,8 @@
 }
 
 bool
-frn_relay_wanted (struct frn_daemon *daemon,
-                  const struct frn_request *request, rw_time now)
+frn_relay_wanted (struct frn_daemon *daemon, const struct frn_request *request,
+                  rw_time now)
 {
   if (request->relayed || request->route->kind != CAT_ROUTE_GATHER
       || request->route->u.gather.count < LEAST_PARTS
@@ -78,9 +78,9 @@
   size_t position = 0;
   const struct gos_member *member;
   char other[32];
-  while ((member = gos_next_large (&daemon->peers.gossip,
-                                   own_capacity (daemon) * LARGER, now,
-                                   &position))
+  while ((member
+          = gos_next_large (&daemon->peers.gossip,
+                            own_capacity (daemon) * LARGER, now, &position))
          != NULL)
     {
       peer_id (other, sizeof other, member->ip);
@@ -99,15 +99,14 @@
   if (now < peers->large_next)
     return;
   peers->large_next = now + LIST_PAUSE;
-  while ((member = gos_next_large (&peers->gossip,
-                                   own_capacity (daemon) * LARGER, now,
-                                   &position))
+  while ((member = gos_next_large (
+              &peers->gossip, own_capacity (daemon) * LARGER, now, &position))
          != NULL)
     list_peer (daemon, member, now);
   for (struct ste_target *t = peers->large->targets; t != NULL; t = t->next)
     if (!t->gone && !is_large (daemon, t->id, now))
-      ste_remove (&daemon->fleet, rw_str_from (t->id),
-                  ++peers->large_revision, now);
+      ste_remove (&daemon->fleet, rw_str_from (t->id), ++peers->large_revision,
+                  now);
 }
 
 bool
--- a/cmd/rwfront/settings.c
+++ b/cmd/rwfront/settings.c
@@ -83,8 +83,7 @@
 }
 
 static int
-parse_setting (struct rw_str name, struct rw_str value,
-               struct frn_settings *s)
+parse_setting (struct rw_str name, struct rw_str value, struct frn_settings *s)
 {
   if (rw_str_eq_cstr (name, "RWF_NAME"))
     rw_str_copy (s->name, sizeof s->name, value);
--- a/cmd/rwfront/store.c
+++ b/cmd/rwfront/store.c
@@ -101,8 +101,7 @@
       return;
     }
   if (store->reader.lost_at != 0)
-    evt_line (&daemon->log, EVT_STATE, "store", now,
-              "regained: away_ms=%lld",
+    evt_line (&daemon->log, EVT_STATE, "store", now, "regained: away_ms=%lld",
               (long long)(fol_age (&store->reader, now) / RW_MSEC));
   if (store->call.kind == FOL_CALL_WATCH)
     {
--- a/cmd/rwfront/test_settings.c
+++ b/cmd/rwfront/test_settings.c
@@ -32,10 +32,12 @@
 /* Guards against a bad file that replaces good settings.  */
 TEST (bad_settings_leave_the_old_ones)
 {
-  static const char *const bad[]
-      = { "", "RWF_CALLERS=10.0.0.1:1\n", REQUIRED "RWF_STOP_S=soon\n",
-          REQUIRED "nonsense\n", REQUIRED "RWF_STORE=store:80\n",
-          REQUIRED "RWF_EXTRA_WINDOW_S=0.1\n" };
+  static const char *const bad[] = { "",
+                                     "RWF_CALLERS=10.0.0.1:1\n",
+                                     REQUIRED "RWF_STOP_S=soon\n",
+                                     REQUIRED "nonsense\n",
+                                     REQUIRED "RWF_STORE=store:80\n",
+                                     REQUIRED "RWF_EXTRA_WINDOW_S=0.1\n" };
   struct frn_settings s = { .name = "kept" };
   for (size_t i = 0; i < RW_ARRAY_LEN (bad); i++)
     assert_int_not_equal (parse (bad[i], &s), 0);
--- a/cmd/rwfront/view.c
+++ b/cmd/rwfront/view.c
@@ -53,8 +53,8 @@
       return;
     }
   bind_config (daemon, config);
-  evt_line (&daemon->log, EVT_STATE, "config",
-            now, "in force: version=%llu routes=%zu services=%zu",
+  evt_line (&daemon->log, EVT_STATE, "config", now,
+            "in force: version=%llu routes=%zu services=%zu",
             (unsigned long long)config->version, config->route_count,
             config->service_count);
   cat_config_unref (daemon->config);
@@ -78,22 +78,21 @@
                 (long long)item->revision);
       return;
     }
-  if (plt_decode_target (arena, id, item->value, &entry, &err)
-      != 0)
+  if (plt_decode_target (arena, id, item->value, &entry, &err) != 0)
     {
       evt_line (&daemon->log, EVT_NORMAL, "target", now,
-                "entry ignored: id=%.*s reason=\"%s\"",
-                RW_STR_ARG (id), err.detail);
+                "entry ignored: id=%.*s reason=\"%s\"", RW_STR_ARG (id),
+                err.detail);
       return;
     }
   if (ste_put (&daemon->fleet, &entry, item->revision, now) != NULL)
-    evt_line (&daemon->log, entry.draining ? EVT_STATE : EVT_SAMPLE, "target",
-              now, "%s: id=%.*s service=%.*s dc=%.*s cold_ms=%lld "
-              "revision=%lld",
-              entry.draining ? "leaving" : "listed", RW_STR_ARG (entry.id),
-              RW_STR_ARG (entry.service), RW_STR_ARG (entry.dc),
-              (long long)(entry.cold_for / RW_MSEC),
-              (long long)item->revision);
+    evt_line (
+        &daemon->log, entry.draining ? EVT_STATE : EVT_SAMPLE, "target", now,
+        "%s: id=%.*s service=%.*s dc=%.*s cold_ms=%lld "
+        "revision=%lld",
+        entry.draining ? "leaving" : "listed", RW_STR_ARG (entry.id),
+        RW_STR_ARG (entry.service), RW_STR_ARG (entry.dc),
+        (long long)(entry.cold_for / RW_MSEC), (long long)item->revision);
 }
 
 /* Which data centres are out of service, from all items.  */
@@ -166,8 +165,8 @@
                  int64_t revision, const struct rw_map *listed)
 {
   struct retaining retaining = { daemon, arena };
-  rep_retain (&daemon->view.replica, revision, listed,
-              on_retained_gone, &retaining);
+  rep_retain (&daemon->view.replica, revision, listed, on_retained_gone,
+              &retaining);
 }
 
 /* Ends a batch of changes.  Of several configurations in it only the newest is
--- a/lib/cat/test_cat.c
+++ b/lib/cat/test_cat.c
@@ -4,11 +4,10 @@
 static struct cat_config *
 make_config (void)
 {
-  static const char *const routes[][2]
-      = { { "shop.example", "/a/" },
-          { "shop.example", "/a/b/" },
-          { "shop.example", "/" },
-          { "other.example", "/a/" } };
+  static const char *const routes[][2] = { { "shop.example", "/a/" },
+                                           { "shop.example", "/a/b/" },
+                                           { "shop.example", "/" },
+                                           { "other.example", "/a/" } };
   struct cat_config *config = cat_config_new ();
   config->route_count = RW_ARRAY_LEN (routes);
   config->routes = rw_arena_zalloc (&config->arena, config->route_count,
@@ -25,8 +24,8 @@
 static int
 find (const struct cat_config *config, const char *host, const char *path)
 {
-  struct cat_route *route = cat_config_find (config, rw_str_from (host),
-                                             rw_str_from (path));
+  struct cat_route *route
+      = cat_config_find (config, rw_str_from (host), rw_str_from (path));
   return route == NULL ? -1 : (int)(route - config->routes);
 }
 
--- a/lib/event/event.c
+++ b/lib/event/event.c
@@ -17,7 +17,8 @@
   log->tokens = EVT_BURST;
   log->refilled = now;
   rw_buf_init (&log->queue);
-  if (fstat (fd, &st) != 0 || (!S_ISFIFO (st.st_mode) && !S_ISSOCK (st.st_mode)))
+  if (fstat (fd, &st) != 0
+      || (!S_ISFIFO (st.st_mode) && !S_ISSOCK (st.st_mode)))
     return;
   int flags = fcntl (fd, F_GETFL);
   if (flags >= 0)
--- a/lib/follow/follow.c
+++ b/lib/follow/follow.c
@@ -2,7 +2,7 @@
 
 #include "follow.h"
 
-/* An answer takes a few milliseconds, 60 times that when the store is slow.  */
+/* An answer takes a few milliseconds, 60 times that when the store is slow. */
 #define PAGE_TIMEOUT (1500 * RW_MSEC)
 /* A waiting call may hang on a connection that went silent: it is given up
    before the time in which a configuration must be in force.  */
@@ -120,8 +120,7 @@
   reader->errors++;
   if (reader->lost_at == 0)
     reader->lost_at = now;
-  reader->next
-      = now + delay / 2 + (rw_time)rw_rng_below (&reader->rng, delay);
+  reader->next = now + delay / 2 + (rw_time)rw_rng_below (&reader->rng, delay);
 }
 
 rw_time
--- a/lib/follow/follow.h
+++ b/lib/follow/follow.h
@@ -17,10 +17,10 @@
 struct fol_call
 {
   enum fol_call_kind kind;
-  bool first;        /* PAGE: a new reading begins */
-  int64_t revision;  /* WATCH: changes after it */
-  rw_time wait;      /* WATCH */
-  rw_time timeout;   /* of the whole call */
+  bool first;       /* PAGE: a new reading begins */
+  int64_t revision; /* WATCH: changes after it */
+  rw_time wait;     /* WATCH */
+  rw_time timeout;  /* of the whole call */
 };
 
 enum fol_error
--- a/lib/gather/gather.c
+++ b/lib/gather/gather.c
@@ -28,8 +28,7 @@
 static bool
 may_hedge (const struct gat_query *query, const struct gat_part *part)
 {
-  return query->plan.repeatable && part->running < 2
-         && may_send (query, part);
+  return query->plan.repeatable && part->running < 2 && may_send (query, part);
 }
 
 bool
@@ -62,8 +61,8 @@
   p->attempts++;
   p->sends++;
   query->sends++;
-  p->due = may_hedge (query, p) ? now + query->plan.hedge_after
-                                : RW_TIME_NEVER;
+  p->due
+      = may_hedge (query, p) ? now + query->plan.hedge_after : RW_TIME_NEVER;
 }
 
 static void
@@ -75,8 +74,7 @@
 }
 
 void
-gat_postpone (struct gat_query *query, size_t part, rw_time now,
-              rw_time delay)
+gat_postpone (struct gat_query *query, size_t part, rw_time now, rw_time delay)
 {
   struct gat_part *p = &query->parts[part];
   if (delay < 0 && p->state == GAT_PART_READY && p->running == 0)
@@ -107,8 +105,8 @@
 }
 
 void
-gat_on_failure (struct gat_query *query, size_t part,
-                enum gat_failure failure, rw_time now, rw_time backoff)
+gat_on_failure (struct gat_query *query, size_t part, enum gat_failure failure,
+                rw_time now, rw_time backoff)
 {
   struct gat_part *p = &query->parts[part];
   if (p->running > 0)
--- a/lib/gather/gather.h
+++ b/lib/gather/gather.h
@@ -18,22 +18,22 @@
 struct gat_part
 {
   enum gat_part_state state;
-  unsigned int running;   /* sends without a result */
-  unsigned int attempts;  /* sends that may have run */
-  unsigned int sends;     /* all sends */
-  rw_time due;            /* READY: when to send; SENT: when to hedge */
-  struct rw_str stamp;    /* DONE */
-  struct rw_str body;     /* DONE */
+  unsigned int running;  /* sends without a result */
+  unsigned int attempts; /* sends that may have run */
+  unsigned int sends;    /* all sends */
+  rw_time due;           /* READY: when to send; SENT: when to hedge */
+  struct rw_str stamp;   /* DONE */
+  struct rw_str body;    /* DONE */
 };
 
 struct gat_plan
 {
   size_t parts;
-  size_t need;            /* parts without which there is no success */
-  unsigned int attempts;  /* sends of one part that may run */
-  bool repeatable;        /* a part may run more than once */
-  rw_time hedge_after;    /* of a part that has no result */
-  rw_time cut;            /* from here on, NEED parts are enough */
+  size_t need;           /* parts without which there is no success */
+  unsigned int attempts; /* sends of one part that may run */
+  bool repeatable;       /* a part may run more than once */
+  rw_time hedge_after;   /* of a part that has no result */
+  rw_time cut;           /* from here on, NEED parts are enough */
   rw_time deadline;
 };
 
@@ -78,7 +78,8 @@
                     size_t *part, enum gat_send_kind *kind);
 void gat_on_sent (struct gat_query *query, size_t part, rw_time now);
 /* The part cannot be sent now: no target, or no budget.  It is tried again
-   after DELAY; a first send without any target is lost if DELAY is negative.  */
+   after DELAY; a first send without any target is lost if DELAY is negative.
+ */
 void gat_postpone (struct gat_query *query, size_t part, rw_time now,
                    rw_time delay);
 /* The part arrived; false if it was there already.  The strings must live as
--- a/lib/gather/merge.c
+++ b/lib/gather/merge.c
@@ -2,14 +2,13 @@
 
 #include "gather.h"
 
-/* Puts RECORD into the sorted records BEST, of which there are at most TOP.  */
+/* Puts RECORD into the sorted records BEST, of which there are at most TOP. */
 static size_t
 insert (char *best, size_t count, size_t top, const char *record)
 {
   size_t at = count;
   while (at > 0
-         && memcmp (best + (at - 1) * GAT_RECORD_SIZE, record,
-                    GAT_RECORD_SIZE)
+         && memcmp (best + (at - 1) * GAT_RECORD_SIZE, record, GAT_RECORD_SIZE)
                 < 0)
     at--;
   if (at == top)
--- a/lib/gather/test_gather.c
+++ b/lib/gather/test_gather.c
@@ -195,9 +195,9 @@
           memcpy (all + total * GAT_RECORD_SIZE, body,
                   count * GAT_RECORD_SIZE);
           total += count;
-          gat_on_part (&f->query, i, RW_LIT ("s"),
-                       (struct rw_str){ body,
-                                        count * GAT_RECORD_SIZE + rest });
+          gat_on_part (
+              &f->query, i, RW_LIT ("s"),
+              (struct rw_str){ body, count * GAT_RECORD_SIZE + rest });
         }
       qsort (all, total, GAT_RECORD_SIZE, compare_records);
       struct rw_str merged = gat_merge (&f->query, top, &f->arena);
--- a/lib/gossip/codec.c
+++ b/lib/gossip/codec.c
@@ -26,8 +26,8 @@
   unsigned int flags = (m->leaving ? FLAG_LEAVING : 0)
                        | (m->wants_reply ? FLAG_WANTS_REPLY : 0);
   if (!xdr_u_int (xdr, &magic) || magic != MAGIC || !xdr_u_int (xdr, &flags)
-      || !xdr_u_int (xdr, &m->dc) || !xdr_u_int (xdr, &m->capacity) || !xdr_int64_t (xdr, &m->revision)
-      || !xdr_u_int (xdr, &m->fresh_age_ms)
+      || !xdr_u_int (xdr, &m->dc) || !xdr_u_int (xdr, &m->capacity)
+      || !xdr_int64_t (xdr, &m->revision) || !xdr_u_int (xdr, &m->fresh_age_ms)
       || m->fresh_age_ms > MAX_AGE_MS || m->revision < 0
       || !xdr_u_int (xdr, &count) || count > GOS_MAX_ENTRIES)
     return FALSE;
--- a/lib/gossip/gossip.c
+++ b/lib/gossip/gossip.c
@@ -159,9 +159,8 @@
   size_t count = 0;
   if (now < gossip->next)
     return 0;
-  gossip->next
-      = now + GOS_PERIOD * 3 / 4
-        + (rw_time)rw_rng_below (&gossip->rng, GOS_PERIOD / 2);
+  gossip->next = now + GOS_PERIOD * 3 / 4
+                 + (rw_time)rw_rng_below (&gossip->rng, GOS_PERIOD / 2);
   bool young = now - gossip->started < START_TIME;
   if (max > 0 && s->seed_count > 0
       && (gossip->count < 3 || young
@@ -183,17 +182,16 @@
   message->count = 0;
   if (gossip->count > 0)
     start = (size_t)rw_rng_below (&gossip->rng, gossip->count);
-  for (size_t i = 0;
-       i < gossip->count && message->count < GOS_MAX_ENTRIES; i++)
+  for (size_t i = 0; i < gossip->count && message->count < GOS_MAX_ENTRIES;
+       i++)
     {
       const struct gos_member *member
           = &gossip->members[(start + i) % gossip->count];
       if (!is_alive (member, now))
         continue;
-      message->entries[message->count++] = (struct gos_entry){
-        member->ip, member->dc, member->capacity,
-        (uint32_t)((now - member->heard) / RW_MSEC)
-      };
+      message->entries[message->count++]
+          = (struct gos_entry){ member->ip, member->dc, member->capacity,
+                                (uint32_t)((now - member->heard) / RW_MSEC) };
     }
 }
 
--- a/lib/gossip/gossip.h
+++ b/lib/gossip/gossip.h
@@ -30,8 +30,8 @@
   uint32_t dc;       /* hash */
   uint32_t capacity; /* processor, in thousandths of a core */
   rw_time heard;
-  int64_t revision;      /* of its copy, as far as known */
-  rw_time fresh;         /* when its copy was known to be current */
+  int64_t revision; /* of its copy, as far as known */
+  rw_time fresh;    /* when its copy was known to be current */
 };
 
 struct gos_entry
@@ -107,8 +107,7 @@
    is one; 0 if there is none.  */
 uint32_t gos_ahead (struct gos_gossip *gossip, int64_t revision, rw_time now);
 
-size_t gos_encode (const struct gos_message *message, char *data,
-                   size_t size);
+size_t gos_encode (const struct gos_message *message, char *data, size_t size);
 int gos_decode (struct rw_str data, struct gos_message *message,
                 struct rw_err *err);
 
--- a/lib/gossip/test_gossip.c
+++ b/lib/gossip/test_gossip.c
@@ -60,8 +60,8 @@
   if (to >= world.count || !world.up[to]
       || (world.cut != NULL && world.cut (from, to, now)))
     return;
-  assert_int_equal (
-      gos_decode ((struct rw_str){ data, len }, &received, &err), 0);
+  assert_int_equal (gos_decode ((struct rw_str){ data, len }, &received, &err),
+                    0);
   gos_on_message (&world.daemons[to], (uint32_t)from + 1, &received, now);
 }
 
@@ -92,8 +92,7 @@
   run (0, 14 * RW_SEC);
   for (size_t i = 0; i < world.count; i++)
     if (world.up[i])
-      assert_in_range (gos_daemons (&world.daemons[i], 14 * RW_SEC), 111,
-                       139);
+      assert_in_range (gos_daemons (&world.daemons[i], 14 * RW_SEC), 111, 139);
   stop_all ();
 }
 
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -18,12 +18,12 @@
   struct rw_str value;
 };
 
-/* A whole message.  The views are valid during the call that hands it over.  */
+/* A whole message.  The views are valid during the call that hands it over. */
 struct h1_message
 {
-  unsigned int method; /* requests: enum http_method */
+  unsigned int method;  /* requests: enum http_method */
   struct rw_str target; /* requests: path and query as received */
-  int status;          /* replies */
+  int status;           /* replies */
   bool keep_alive;
   struct h1_header headers[H1_MAX_HEADERS];
   size_t header_count;
@@ -71,8 +71,8 @@
   struct h1_span values[H1_MAX_HEADERS];
   size_t header_count;
   bool in_value;
-  bool started;   /* a byte of the message was read */
-  bool in_body;   /* all headers were read */
+  bool started; /* a byte of the message was read */
+  bool in_body; /* all headers were read */
   bool complete;
   bool skip_body; /* replies: no body follows, whatever the headers say */
   bool expects_continue;
@@ -88,8 +88,7 @@
 void h1_reader_reset (struct h1_reader *reader);
 /* Takes bytes until the message is complete; returns the number taken.  A
    length of 0 says that the connection ended.  */
-size_t h1_reader_feed (struct h1_reader *reader, const char *data,
-                       size_t len);
+size_t h1_reader_feed (struct h1_reader *reader, const char *data, size_t len);
 void h1_reader_message (const struct h1_reader *reader,
                         struct h1_message *message);
 
@@ -123,7 +122,7 @@
   struct h1_conn *conns;
   size_t conn_count;
   size_t max_conns;
-  size_t busy; /* connections with a request that waits for its answer */
+  size_t busy;  /* connections with a request that waits for its answer */
   bool closing; /* answers say Connection: close */
   char *scratch;
 };
@@ -195,8 +194,8 @@
   char *scratch; /* shared read buffer */
   struct h1_reader reader;
   enum h1_link_state state;
-  bool wrote;     /* a byte of the present request went to the transport */
-  bool reusable;  /* after the present reply */
+  bool wrote;         /* a byte of the present request went to the transport */
+  bool reusable;      /* after the present reply */
   rw_time usable_for; /* Keep-Alive timeout of the target; 0: not stated */
 };
 
@@ -207,8 +206,7 @@
                   const struct sockaddr *addr, char *scratch,
                   const struct h1_link_ops *ops, void *arg);
 /* Sends one request on an idle link.  */
-int h1_link_send (struct h1_link *link, struct rw_str request,
-                  bool skip_body);
+int h1_link_send (struct h1_link *link, struct rw_str request, bool skip_body);
 void h1_link_close (struct h1_link *link);
 /* The link's age limit for reuse passed from a reply's Keep-Alive header,
    or 0.  */
--- a/lib/h1/message.c
+++ b/lib/h1/message.c
@@ -39,11 +39,16 @@
 bool
 h1_is_hop_header (const struct h1_message *message, struct rw_str name)
 {
-  static const char *const fixed[]
-      = { "Connection", "Keep-Alive",        "Proxy-Connection",
-          "TE",         "Trailer",           "Transfer-Encoding",
-          "Upgrade",    "Proxy-Authenticate", "Proxy-Authorization",
-          "Expect" };
+  static const char *const fixed[] = { "Connection",
+                                       "Keep-Alive",
+                                       "Proxy-Connection",
+                                       "TE",
+                                       "Trailer",
+                                       "Transfer-Encoding",
+                                       "Upgrade",
+                                       "Proxy-Authenticate",
+                                       "Proxy-Authorization",
+                                       "Expect" };
   for (size_t i = 0; i < RW_ARRAY_LEN (fixed); i++)
     if (h1_name_eq (name, fixed[i]))
       return true;
@@ -244,8 +249,8 @@
   if (reader->parser.upgrade != 0 && reader->fault == H1_FAULT_NONE)
     reader->fault = H1_FAULT_SYNTAX;
   if (code != HPE_OK && reader->fault == H1_FAULT_NONE)
-    reader->fault = code == HPE_HEADER_OVERFLOW ? H1_FAULT_HEADER_SIZE
-                                                : H1_FAULT_SYNTAX;
+    reader->fault
+        = code == HPE_HEADER_OVERFLOW ? H1_FAULT_HEADER_SIZE : H1_FAULT_SYNTAX;
   return taken;
 }
 
@@ -266,9 +271,9 @@
   message->target = view (reader, reader->target);
   message->header_count = reader->header_count;
   for (size_t i = 0; i < reader->header_count; i++)
-    message->headers[i] = (struct h1_header){ view (reader, reader->names[i]),
-                                              view (reader,
-                                                    reader->values[i]) };
+    message->headers[i]
+        = (struct h1_header){ view (reader, reader->names[i]),
+                              view (reader, reader->values[i]) };
   message->body = rw_buf_str (&reader->body);
 }
 
--- a/lib/h1/server.c
+++ b/lib/h1/server.c
@@ -371,8 +371,8 @@
   uv_timer_init (loop, &server->sweep);
   server->sweep.data = server;
   if ((r = uv_tcp_bind (&server->listener, addr, 0)) != 0
-      || (r = uv_listen ((uv_stream_t *)&server->listener, 1024,
-                         on_connection))
+      || (r
+          = uv_listen ((uv_stream_t *)&server->listener, 1024, on_connection))
              != 0)
     return r;
   return uv_timer_start (&server->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
--- a/lib/h1/test_h1.c
+++ b/lib/h1/test_h1.c
@@ -131,11 +131,10 @@
   uv_loop_init (&f->loop);
   f->server_addr.sin_family = AF_INET;
   f->server_addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  assert_int_equal (
-      h1_server_init (&f->server, &f->loop,
-                      (struct sockaddr *)&f->server_addr, &f->limits, 10,
-                      &server_ops, f),
-      0);
+  assert_int_equal (h1_server_init (&f->server, &f->loop,
+                                    (struct sockaddr *)&f->server_addr,
+                                    &f->limits, 10, &server_ops, f),
+                    0);
   uv_tcp_getsockname (&f->server.listener, (struct sockaddr *)&f->server_addr,
                       &len);
   f->listener = listen_on_loopback (&f->listener_addr);
@@ -197,7 +196,7 @@
   do                                                                          \
     {                                                                         \
       ssize_t heard = -1;                                                     \
-      RUN_UNTIL (heard > 0 || (heard = hear (fd, buf, sizeof buf)) > 0);      \
+      RUN_UNTIL (heard > 0 || (heard = hear ((fd), (buf), sizeof (buf))) > 0);      \
     }                                                                         \
   while (0)
 
@@ -265,7 +264,8 @@
     }
   char long_request[4096];
   memset (long_request, 'a', sizeof long_request);
-  memcpy (long_request, "GET /", 5);
+  for (size_t i = 0; i < 5; i++)
+    long_request[i] = "GET /"[i];
   int fd = connect_to (&f->server_addr);
   assert_int_equal (write (fd, long_request, sizeof long_request),
                     sizeof long_request);
@@ -294,11 +294,10 @@
 accept_link (struct fixture *f)
 {
   char buf[256];
-  assert_int_equal (
-      h1_link_init (&f->link, &f->loop,
-                    (struct sockaddr *)&f->listener_addr, f->scratch,
-                    &link_ops, f),
-      0);
+  assert_int_equal (h1_link_init (&f->link, &f->loop,
+                                  (struct sockaddr *)&f->listener_addr,
+                                  f->scratch, &link_ops, f),
+                    0);
   RUN_UNTIL (f->idle == 1);
   int fd = accept (f->listener, NULL, NULL);
   assert_int_equal (
@@ -318,7 +317,8 @@
   assert_string_equal (f->reply_body, "ab");
   h1_link_send (&f->link, RW_LIT ("GET / HTTP/1.1\r\n\r\n"), false);
   HEAR (fd, buf);
-  say (fd, "HTTP/1.1 503 No\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+  say (fd,
+       "HTTP/1.1 503 No\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
   RUN_UNTIL (f->lost == 1);
   assert_int_equal (f->reply_status, 503);
   assert_int_equal (f->idle, 2);
@@ -401,10 +401,10 @@
 TEST (headers_of_one_connection_are_recognized)
 {
   struct h1_message message = { .header_count = 2 };
-  message.headers[0] = (struct h1_header){ RW_LIT ("Connection"),
-                                           RW_LIT ("close, X-Own") };
-  message.headers[1]
-      = (struct h1_header){ RW_LIT ("keep-alive"), RW_LIT ("timeout=7, max=3") };
+  message.headers[0]
+      = (struct h1_header){ RW_LIT ("Connection"), RW_LIT ("close, X-Own") };
+  message.headers[1] = (struct h1_header){ RW_LIT ("keep-alive"),
+                                           RW_LIT ("timeout=7, max=3") };
   assert_true (h1_is_hop_header (&message, RW_LIT ("x-own")));
   assert_true (h1_is_hop_header (&message, RW_LIT ("transfer-encoding")));
   assert_false (h1_is_hop_header (&message, RW_LIT ("X-Other")));
--- a/lib/replica/replica.c
+++ b/lib/replica/replica.c
@@ -91,8 +91,7 @@
 const struct rep_item *
 rep_find (const struct rep_replica *replica, struct rw_str key)
 {
-  const struct rep_item *item
-      = rw_map_get (&replica->items, rw_hash (key));
+  const struct rep_item *item = rw_map_get (&replica->items, rw_hash (key));
   return item != NULL && !item->removed ? item : NULL;
 }
 
--- a/lib/replica/replica.h
+++ b/lib/replica/replica.h
@@ -17,9 +17,9 @@
 
 struct rep_replica
 {
-  struct rw_map items;  /* struct rep_item by hash of the key, on the heap */
-  int64_t revision;     /* 0: nothing was read yet */
-  int64_t forgotten;    /* removals up to it may have been dropped */
+  struct rw_map items; /* struct rep_item by hash of the key, on the heap */
+  int64_t revision;    /* 0: nothing was read yet */
+  int64_t forgotten;   /* removals up to it may have been dropped */
   size_t removed_count;
 };
 
@@ -38,8 +38,8 @@
 /* The next item that is not removed, in no order; null at the end.  */
 const struct rep_item *rep_next (const struct rep_replica *replica,
                                  size_t *position);
-/* Marks as removed at REVISION what is not newer and whose key's hash is not in
-   LISTED.  Calls GONE for each.  */
+/* Marks as removed at REVISION what is not newer and whose key's hash is not
+   in LISTED.  Calls GONE for each.  */
 void rep_retain (struct rep_replica *replica, int64_t revision,
                  const struct rw_map *listed,
                  void (*gone) (void *arg, const struct rep_item *item),
--- a/lib/replica/test_replica.c
+++ b/lib/replica/test_replica.c
@@ -30,8 +30,8 @@
 put (struct rep_replica *replica, const char *key, int64_t revision,
      const char *value)
 {
-  struct rep_item item = { rw_str_from (key), revision, value == NULL,
-                           rw_str_from (value) };
+  struct rep_item item
+      = { rw_str_from (key), revision, value == NULL, rw_str_from (value) };
   return rep_put (replica, &item);
 }
 
@@ -152,10 +152,10 @@
   rep_advance (&f->a, 1);
   rep_pack (&f->a, 0, &packed);
   for (size_t len = 0; len < packed.len; len++)
-    assert_int_not_equal (
-        rep_unpack (&f->arena, (struct rw_str){ packed.ptr, len }, &changes,
-                    &err),
-        0);
+    assert_int_not_equal (rep_unpack (&f->arena,
+                                      (struct rw_str){ packed.ptr, len },
+                                      &changes, &err),
+                          0);
   for (int i = 0; i < 2000; i++)
     {
       char *copy = rw_arena_alloc (&f->arena, packed.len);
--- a/lib/replica/transfer.c
+++ b/lib/replica/transfer.c
@@ -82,8 +82,7 @@
 }
 
 void
-rep_pack (const struct rep_replica *replica, int64_t after,
-          struct rw_buf *out)
+rep_pack (const struct rep_replica *replica, int64_t after, struct rw_buf *out)
 {
   bool full = after < replica->forgotten || after <= 0;
   int64_t revision = replica->revision;
@@ -114,8 +113,7 @@
 static int
 malformed (struct rw_err *err, const char *what)
 {
-  return rw_err_set (err, RW_E_PARSE, "transfer", RW_LIT ("peer"), "%s",
-                     what);
+  return rw_err_set (err, RW_E_PARSE, "transfer", RW_LIT ("peer"), "%s", what);
 }
 
 static int
@@ -129,8 +127,8 @@
   if (!code_head (&xdr, &transfer->revision, &transfer->full, &count)
       || count > len / 16)
     return malformed (err, "invalid head");
-  transfer->items = rw_arena_zalloc (arena, (size_t)count + 1,
-                                     sizeof *transfer->items);
+  transfer->items
+      = rw_arena_zalloc (arena, (size_t)count + 1, sizeof *transfer->items);
   for (transfer->count = 0; transfer->count < count; transfer->count++)
     if (!code_item (&xdr, &transfer->items[transfer->count]))
       return malformed (err, "invalid item");
--- a/mk/lint.sh
+++ b/mk/lint.sh
@@ -3,7 +3,7 @@
 # sources.
 set -eu
 
-includes="-Itests/rwfscn -Itests/standin -Itests/unit"
+includes="-Itests/rwfscn -Itests/standin -Itests/unit -Itests/rwfsite -Iplatform"
 for d in lib/*/; do includes="$includes -I$d"; done
 pkgs=$(pkg-config --cflags libuv libh2o libtirpc jansson libxxhash)
 sources=$(git ls-files -co --exclude-standard '*.c' | grep -v '^lib/wire/gen/')
--- /dev/null
+++ b/tests/process/front.sh
@@ -0,0 +1,189 @@
+#!/bin/sh
+# rwfront on real sockets: for three kinds of failed request, the cause is found
+# by the request's id alone; a standard output that nobody reads, a store that
+# is down, settings that change, a planned stop.  Guards against faults that
+# only real sockets and signals show.
+set -u
+
+cd "$(dirname "$0")/../.." || exit 1
+BIN=build/${VARIANT:-asan}/bin
+DIR=$(mktemp -d)
+NET=127.19.$(($$ % 250))
+PIDS=""
+
+cleanup() {
+	trap - EXIT
+	for pid in $PIDS; do
+		kill -9 "$pid" 2>/dev/null
+		wait "$pid" 2>/dev/null
+	done
+	rm -rf "$DIR"
+}
+trap cleanup EXIT
+trap 'exit 1' INT TERM
+
+fail() {
+	echo "FAILED: $1"
+	tail -n 20 "$DIR"/*.log
+	exit 1
+}
+
+# Checks that WHAT, ACTUAL is EXPECTED.
+expect() {
+	[ "$2" = "$3" ] || fail "$1: '$2' instead of '$3'"
+	echo "ok: $1"
+}
+
+# Waits until the command succeeds, for 10 s.
+await() {
+	what=$1
+	shift
+	for _ in $(seq 100); do
+		"$@" && return
+		sleep 0.1
+	done
+	fail "$what"
+}
+
+# Writes the settings of daemon N.
+settings() {
+	cat >"$DIR/vm-$1.settings" <<EOF
+RWF_NAME=vm-$1
+RWF_DC=dc-a
+RWF_CALLERS=$NET.$1:8104
+RWF_READY=$NET.$1:8108
+RWF_PEERS=$NET.$1:7380
+RWF_STORE=127.0.0.1:$STORE
+RWF_SEEDS=$NET.1:1,$NET.2:1
+EOF
+}
+
+control() {
+	curl -s -m 5 -X "$1" "http://127.0.0.1:$CONTROL$2" --data "${3:-}"
+}
+
+# Sends request ID for PATH to daemon N and prints the status.
+request() {
+	curl -s -m 9 -o "$DIR/body" -D "$DIR/head" -w '%{http_code}' \
+	    -H 'Host: site.example' -H "X-Redwingfork-Request-Id: $1" \
+	    -H 'X-Redwingfork-Deadline-Ms: 1500' "http://$NET.$3:8104$2"
+}
+
+ready() {
+	[ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' \
+	    "http://$NET.$1:8108/ready")" = 200 ]
+}
+
+metric() {
+	curl -s -m 2 "http://$NET.$1:8108/metrics" | sed -n "s/^$2 //p"
+}
+
+# Prints the log lines of request ID in all logs.
+lines() {
+	$BIN/rwfctl request "$1" "$DIR"/vm-*.log
+}
+
+$BIN/rwfsite --shards 4 >"$DIR/site.out" 2>"$DIR/site.log" &
+PIDS="$PIDS $!"
+await "the stand-ins start" grep -q '^store=' "$DIR/site.out"
+STORE=$(sed -n 's/^store=\([0-9]*\).*/\1/p' "$DIR/site.out")
+CONTROL=$(sed -n 's/.*control=\([0-9]*\).*/\1/p' "$DIR/site.out")
+for n in 1 2; do
+	settings $n
+	$BIN/rwfront -c -s "$DIR/vm-$n.settings" || fail "settings are checked"
+	$BIN/rwfront -s "$DIR/vm-$n.settings" >"$DIR/vm-$n.log" 2>&1 &
+	eval "VM$n=$!"
+	PIDS="$PIDS $!"
+done
+await "daemon 1 is ready" ready 1
+await "daemon 2 is ready" ready 2
+
+expect "a query over all shards" "$(request whole-1 /all/x 1)" 200
+expect "nothing is missing" "$(sed -n \
+    's/^X-Redwingfork-Missing-Parts: \([0-9]*\).*/\1/p' "$DIR/head")" 0
+expect "an unknown route" "$(request none-1 /none/x 1)" 404
+
+# Both targets of a shard pause: the answer is partial, and the line tells it.
+control POST /searcher/s0-0/pause/1200
+control POST /searcher/s0-1/pause/1200
+expect "a paused shard" "$(request paused-1 /all/x 1)" 200
+lines paused-1 | grep -q 'partial: .*parts=3/4 .*missing=shard0 target=s0-.*version=1 age_ms=' ||
+    fail "the line of a partial answer: $(lines paused-1)"
+echo "ok: the cause of a partial answer"
+sleep 1.3
+
+# All targets of a shard are gone: three quarters are too few with two lost.
+for s in s0-0 s0-1 s1-0 s1-1; do control POST /searcher/$s/stop; done
+gone() { request gone-1 /all/x 2 >/dev/null; lines gone-1 |
+    grep -q 'refused: .*status=503 .*error="no target"'; }
+await "a refusal names its cause" gone
+grep -q '^Retry-After: 0' "$DIR/head" || fail "Retry-After of a refusal"
+echo "ok: the cause of a refusal"
+for s in s0-0 s0-1 s1-0 s1-1; do control POST /searcher/$s/start; done
+
+# The answer of a reservation is lost: it may have run, and runs once only.
+control POST /searcher/one-0/reset
+control POST /searcher/one-1/reset
+expect "a lost answer" "$(request lost-1 /unsafe/x 1)" 502
+expect "it ran once" "$(control GET /ran/one/lost-1)" 1
+lines lost-1 | grep -q 'failed: .*error="connection lost" at=one-' ||
+    fail "the line of an unknown outcome: $(lines lost-1)"
+echo "ok: the cause of an unknown outcome"
+control POST /searcher/one-0/none
+control POST /searcher/one-1/none
+
+# The store is down: what is known stays in force, and the age shows.
+control POST /store/busy
+sleep 4
+expect "a query without the store" "$(request nostore-1 /all/x 1)" 200
+age=$(metric 1 rwf_store_lost_seconds)
+[ "${age%%.*}" -ge 1 ] || fail "age of the store: $age"
+control POST /store/up
+in_touch() { [ "$(metric 1 rwf_store_lost_seconds)" = 0 ]; }
+await "the store is regained" in_touch
+echo "ok: the store was lost and regained"
+
+# Settings change without a signal, and with one.
+echo RWF_EXTRA_RATIO=0.3 >>"$DIR/vm-1.settings"
+await "changed settings are read" grep -q 'settings: read again: cause=file' \
+    "$DIR/vm-1.log"
+kill -HUP "$VM1"
+await "settings are read at SIGHUP" grep -q 'cause=signal' "$DIR/vm-1.log"
+echo "ok: settings are read again"
+
+# A planned stop cuts nothing.
+control POST /searcher/s0-0/work/900
+control POST /searcher/s0-1/work/900
+request stop-1 /all/x 2 >"$DIR/stop.status" &
+curl_pid=$!
+sleep 0.1
+kill -TERM "$VM2"
+wait $curl_pid
+expect "a request during a stop" "$(cat "$DIR/stop.status")" 200
+ready 2 && fail "a stopping daemon is ready"
+wait "$VM2"
+expect "the stop" $? 0
+control POST /searcher/s0-0/work/5
+control POST /searcher/s0-1/work/5
+
+# Nobody reads the standard output: no request is delayed.
+mkfifo "$DIR/fifo"
+sleep 60 <"$DIR/fifo" &
+PIDS="$PIDS $!"
+$BIN/rwfront -s "$DIR/vm-2.settings" >"$DIR/fifo" 2>"$DIR/blocked.log" &
+VM2=$!
+PIDS="$PIDS $VM2"
+await "daemon 2 is ready again" ready 2
+for i in $(seq 400); do
+	printf 'url = "http://%s:8104/none/%s"\noutput = "/dev/null"\n' \
+	    "$NET.2" "$(printf %0200d "$i")"
+done >"$DIR/urls"
+# Each unknown route is a line of over 200 bytes: 64 KB fill the pipe.
+curl -s -m 20 -H 'Host: site.example' -H 'X-Redwingfork-Request-Id: flood' \
+    -K "$DIR/urls" || fail "requests with a blocked log"
+start=$(date +%s%N)
+expect "a query with a blocked log" "$(request blocked-1 /all/x 2)" 200
+took=$((($(date +%s%N) - start) / 1000000))
+[ $took -lt 1000 ] || fail "a request took $took ms with a blocked log"
+[ "$(metric 2 rwf_log_lines_left_out)" != 0 ] || fail "no line was left out"
+echo "ok: a log that nobody reads delays nothing"
--- a/tests/rwfsite/control.c
+++ b/tests/rwfsite/control.c
@@ -42,8 +42,10 @@
   {
     const char *name;
     enum site_fault fault;
-  } faults[] = { { "none", SITE_FAULT_NONE },   { "hang", SITE_FAULT_HANG },
-                 { "error", SITE_FAULT_ERROR }, { "shed", SITE_FAULT_SHED },
+  } faults[] = { { "none", SITE_FAULT_NONE },
+                 { "hang", SITE_FAULT_HANG },
+                 { "error", SITE_FAULT_ERROR },
+                 { "shed", SITE_FAULT_SHED },
                  { "reset", SITE_FAULT_RESET } };
   for (size_t i = 0; i < RW_ARRAY_LEN (faults); i++)
     if (rw_str_eq_cstr (what, faults[i].name))
--- a/tests/rwfsite/main.c
+++ b/tests/rwfsite/main.c
@@ -59,8 +59,9 @@
 }
 
 static const struct argp parser
-    = { option_list, parse_option, NULL,
-        "Stand-ins of the platform's store and of searchers.", NULL, NULL,
+    = { option_list, parse_option,
+        NULL,        "Stand-ins of the platform's store and of searchers.",
+        NULL,        NULL,
         NULL };
 
 rw_time
@@ -113,11 +114,11 @@
                    "\"targetLatencyMs\":300,\"priority\":2,\"maxAttempts\":2,"
                    "\"service\":\"one\"}",
                    kinds[i], kinds[i], kinds[i]);
-  rw_buf_printf (&text,
-                 "],\"services\":[{\"name\":\"one\",\"healthPath\":\"/health\","
-                 "\"maxConnections\":200}],\"limits\":{\"maxHeaderBytes\":"
-                 "16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,"
-                 "\"idleTimeoutMs\":15000}}");
+  rw_buf_printf (
+      &text, "],\"services\":[{\"name\":\"one\",\"healthPath\":\"/health\","
+             "\"maxConnections\":200}],\"limits\":{\"maxHeaderBytes\":"
+             "16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,"
+             "\"idleTimeoutMs\":15000}}");
   site_put (site, "op/config", text.ptr, text.len);
   rw_buf_finish (&text);
 }
@@ -133,9 +134,9 @@
       {
         snprintf (id, sizeof id, "s%u-%u", i, j);
         snprintf (service, sizeof service, "shard%u", i);
-        site_searcher_publish (site_searcher_add (
-            site, id, service, j % 2 == 0 ? "dc-a" : "dc-b", (uint16_t)port,
-            5 * RW_MSEC));
+        site_searcher_publish (
+            site_searcher_add (site, id, service, j % 2 == 0 ? "dc-a" : "dc-b",
+                               (uint16_t)port, 5 * RW_MSEC));
         port += port > 0;
       }
   for (unsigned int i = 0; i < o->singles; i++)
@@ -151,8 +152,7 @@
 main (int argc, char **argv)
 {
   static struct site site;
-  struct options options
-      = { .shards = 4, .replicas = 2, .singles = 2 };
+  struct options options = { .shards = 4, .replicas = 2, .singles = 2 };
   if (argp_parse (&parser, argc, argv, 0, NULL, &options) != 0)
     return 2;
   signal (SIGPIPE, SIG_IGN);
--- a/tests/rwfsite/searcher.c
+++ b/tests/rwfsite/searcher.c
@@ -27,8 +27,8 @@
 count_run (struct site_searcher *searcher, const char *id, bool repeatable)
 {
   struct site *site = searcher->site;
-  uint64_t key = rw_hash_pair (rw_str_from (id),
-                               rw_str_from (searcher->service));
+  uint64_t key
+      = rw_hash_pair (rw_str_from (id), rw_str_from (searcher->service));
   struct site_run *run = rw_map_get (&site->runs, key);
   site->ran++;
   if (run == NULL && site->runs.len < SITE_MAX_RUNS)
@@ -84,10 +84,9 @@
   rw_time now = site_now ();
   if (job->conn != NULL && now < job->searcher->paused_until)
     {
-      uv_timer_start (timer, on_job,
-                      (uint64_t)((job->searcher->paused_until - now) / RW_MSEC)
-                          + 1,
-                      0);
+      uv_timer_start (
+          timer, on_job,
+          (uint64_t)((job->searcher->paused_until - now) / RW_MSEC) + 1, 0);
       return;
     }
   finish (job);
@@ -121,8 +120,8 @@
              > searcher->site->drain_time + LATE_SLACK)
     searcher->late++;
   if (searcher->fault != SITE_FAULT_HANG)
-    uv_timer_start (&job->timer, on_job,
-                    (uint64_t)(searcher->work / RW_MSEC), 0);
+    uv_timer_start (&job->timer, on_job, (uint64_t)(searcher->work / RW_MSEC),
+                    0);
 }
 
 static void
--- a/tests/rwfsite/site.h
+++ b/tests/rwfsite/site.h
@@ -39,10 +39,10 @@
 enum site_fault
 {
   SITE_FAULT_NONE,
-  SITE_FAULT_HANG,    /* takes requests and never answers */
-  SITE_FAULT_ERROR,   /* 500 */
-  SITE_FAULT_SHED,    /* 503, not run */
-  SITE_FAULT_RESET    /* runs and ends the connection */
+  SITE_FAULT_HANG,  /* takes requests and never answers */
+  SITE_FAULT_ERROR, /* 500 */
+  SITE_FAULT_SHED,  /* 503, not run */
+  SITE_FAULT_RESET  /* runs and ends the connection */
 };
 
 struct site_searcher
--- a/tests/soak/check.c
+++ b/tests/soak/check.c
@@ -78,7 +78,8 @@
   size_t len = TOP * SITE_RECORD_SIZE;
   if (len > records.len)
     len = records.len;
-  if (reply->body.len != len || memcmp (reply->body.ptr, records.ptr, len) != 0)
+  if (reply->body.len != len
+      || memcmp (reply->body.ptr, records.ptr, len) != 0)
     sok_fail (soak, "wrong records: id=%s", client->id);
   rw_buf_finish (&records);
 }
--- a/tests/soak/client.c
+++ b/tests/soak/client.c
@@ -41,8 +41,7 @@
 pause_client (struct sok_client *client, uint64_t least_ms)
 {
   uv_timer_start (&client->timer, on_timer,
-                  least_ms
-                      + rw_rng_below (&client->soak->rng, MAX_PAUSE_MS),
+                  least_ms + rw_rng_below (&client->soak->rng, MAX_PAUSE_MS),
                   0);
 }
 
@@ -115,9 +114,10 @@
   client->soak->answers[0]++;
   if (is_calm (client->daemon, client->sent)
       && now - client->sent > LOSS_SLACK)
-    sok_fail (client->soak, "connection ended without answer: id=%s "
-              "daemon=%zu stopping=%d", client->id, client->daemon->index,
-              client->daemon->stopping);
+    sok_fail (client->soak,
+              "connection ended without answer: id=%s "
+              "daemon=%zu stopping=%d",
+              client->id, client->daemon->index, client->daemon->stopping);
 }
 
 static void
--- a/tests/soak/fault.c
+++ b/tests/soak/fault.c
@@ -63,8 +63,8 @@
 {
   char path[96];
   if (below (soak, 3) == 0)
-    snprintf (path, sizeof path, "/searcher/one-%d/%s",
-              (int)below (soak, 2), what);
+    snprintf (path, sizeof path, "/searcher/one-%d/%s", (int)below (soak, 2),
+              what);
   else
     snprintf (path, sizeof path, "/searcher/s%d-%d/%s",
               (int)below (soak, soak->shards), (int)below (soak, 2), what);
@@ -74,9 +74,8 @@
 static void
 store_fault (struct sok_soak *soak)
 {
-  static const char *const modes[]
-      = { "/store/up", "/store/up", "/store/busy", "/store/silent",
-          "/store/reset" };
+  static const char *const modes[] = { "/store/up", "/store/up", "/store/busy",
+                                       "/store/silent", "/store/reset" };
   sok_command (soak, "POST", modes[below (soak, RW_ARRAY_LEN (modes))], "",
                NULL, 0);
 }
@@ -89,8 +88,7 @@
   static const char *const pauses[]
       = { "pause/100", "pause/200", "pause/800" };
   static const char *const leaves[] = { "drain", "stop", "start", "start" };
-  struct sok_daemon *daemon
-      = &soak->daemons[below (soak, soak->daemon_count)];
+  struct sok_daemon *daemon = &soak->daemons[below (soak, soak->daemon_count)];
   size_t kinds = soak->store_faults ? FAULT_COUNT : FAULT_STORE;
   switch ((enum fault)below (soak, kinds))
     {
--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -50,8 +50,7 @@
   close (fds[1]);
   ssize_t n = read (fds[0], line, sizeof line - 1);
   close (fds[0]);
-  if (n <= 0
-      || sscanf (line, "store=%u control=%u", &store, &control) != 2)
+  if (n <= 0 || sscanf (line, "store=%u control=%u", &store, &control) != 2)
     return -1;
   uv_ip4_addr ("127.0.0.1", (int)store, &soak->store);
   uv_ip4_addr ("127.0.0.1", (int)control, &soak->control);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -35,7 +35,10 @@
 parse_option (int key, char *arg, struct argp_state *state)
 {
   struct options *o = state->input;
-  unsigned int value = arg != NULL ? (unsigned int)strtoul (arg, NULL, 10) : 0;
+  unsigned int value = 0;
+  if (arg == NULL)
+    return ARGP_ERR_UNKNOWN;
+  value = (unsigned int)strtoul (arg, NULL, 10);
   switch (key)
     {
     case 'b':
@@ -64,10 +67,12 @@
     }
 }
 
-static const struct argp parser
-    = { option_list, parse_option, NULL,
-        "Runs daemons under random faults and checks what callers see.", NULL,
-        NULL, NULL };
+static const struct argp parser = {
+  option_list, parse_option,
+  NULL,        "Runs daemons under random faults and checks what callers see.",
+  NULL,        NULL,
+  NULL
+};
 
 rw_time
 sok_now (void)
@@ -112,16 +117,15 @@
     sok_client_stop (&soak->clients[i]);
   sok_check_end (soak);
   sok_kill_all (soak);
-  printf ("seed %llu: %s: failures=%llu answers: 2xx=%llu 4xx=%llu 5xx=%llu "
-          "none=%llu whole=%llu\n",
-          (unsigned long long)soak->seed,
-          soak->failures == 0 ? "passed" : "failed",
-          (unsigned long long)soak->failures,
-          (unsigned long long)soak->answers[2],
-          (unsigned long long)soak->answers[4],
-          (unsigned long long)soak->answers[5],
-          (unsigned long long)soak->answers[0],
-          (unsigned long long)soak->whole);
+  printf (
+      "seed %llu: %s: failures=%llu answers: 2xx=%llu 4xx=%llu 5xx=%llu "
+      "none=%llu whole=%llu\n",
+      (unsigned long long)soak->seed,
+      soak->failures == 0 ? "passed" : "failed",
+      (unsigned long long)soak->failures, (unsigned long long)soak->answers[2],
+      (unsigned long long)soak->answers[4],
+      (unsigned long long)soak->answers[5],
+      (unsigned long long)soak->answers[0], (unsigned long long)soak->whole);
   return soak->failures == 0 ? 0 : 1;
 }
 
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -2,7 +2,7 @@
 
 #include "soak.h"
 
-/* One connection of a daemon to the store: two sockets, in both directions.  */
+/* One connection of a daemon to the store: two sockets, in both directions. */
 struct sok_pipe
 {
   struct sok_proxy *proxy;
@@ -100,8 +100,7 @@
 }
 
 int
-sok_proxy_init (struct sok_proxy *proxy, struct sok_soak *soak,
-                const char *ip)
+sok_proxy_init (struct sok_proxy *proxy, struct sok_soak *soak, const char *ip)
 {
   struct sockaddr_in addr;
   proxy->soak = soak;
@@ -109,9 +108,9 @@
   uv_tcp_init (&soak->loop, &proxy->listener);
   proxy->listener.data = proxy;
   int r = uv_tcp_bind (&proxy->listener, (struct sockaddr *)&addr, 0);
-  return r != 0 ? r
-                : uv_listen ((uv_stream_t *)&proxy->listener, 16,
-                             on_connection);
+  return r != 0
+             ? r
+             : uv_listen ((uv_stream_t *)&proxy->listener, 16, on_connection);
 }
 
 void
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -26,9 +26,9 @@
 enum sok_proxy_mode
 {
   SOK_PROXY_PASS,
-  SOK_PROXY_SILENT, /* nothing passes */
+  SOK_PROXY_SILENT,  /* nothing passes */
   SOK_PROXY_ONE_WAY, /* requests pass, answers do not */
-  SOK_PROXY_RESET   /* connections end */
+  SOK_PROXY_RESET    /* connections end */
 };
 
 struct sok_proxy
@@ -47,7 +47,7 @@
   char path[256]; /* of the settings */
   uv_process_t process;
   bool running;
-  bool stopping;     /* after SIGTERM */
+  bool stopping; /* after SIGTERM */
   bool frozen;
   bool restart;      /* start again when it has ended */
   rw_time disturbed; /* end of the last disturbance; SIGTERM is none */
