--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -116,7 +116,11 @@
 {
   struct frn_link *link = h1->arg;
   struct frn_pool *pool = link->pool;
-  link->idle_since = frn_now ();
+  struct ste_service *service = pool->target->service;
+  rw_time now = frn_now ();
+  if (link->idle_since == 0)
+    service->handshake += (now - link->opened - service->handshake) / 8;
+  link->idle_since = now;
   if (h1->usable_for > 0)
     link->idle_limit = (rw_time)(h1->usable_for * IDLE_PART);
   if (pool->queue != NULL)
@@ -314,6 +318,8 @@
       send->link->send = NULL;
       link_drop (send->link);
       send->link = NULL;
+      if (pool->count == 0 && !send->target->gone)
+        link_open (pool);
       break;
     case FRN_SEND_ENDED:
       return;
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -20,6 +20,8 @@
 /* When there is no budget or no good target for a hedge.  */
 #define HEDGE_DELAY (10 * RW_MSEC)
 #define RETRY_DELAY (20 * RW_MSEC)
+/* A send is given up if its work takes longer than so many handshakes.  */
+#define HANDSHAKES 2
 /* A hedge is not sent to a target that is expected to take longer than this
    part of the aim.  */
 #define HEDGE_WORTH 1.0
@@ -230,11 +232,30 @@
   uv_close ((uv_handle_t *)&request->timer, on_timer_closed);
 }
 
+static struct ste_latency *
+latency_of (const struct frn_request *request)
+{
+  return request->mode == FRN_MODE_RELAY ? &request->stats->relay
+                                         : &request->stats->latency;
+}
+
 static void
-abandon_sends (struct frn_request *request, bool queued_only)
+abandon_sends (struct frn_request *request)
 {
   for (struct frn_send *s = request->sends; s != NULL; s = s->next)
-    if (!queued_only || s->state == FRN_SEND_QUEUED)
+    frn_send_abandon (s);
+}
+
+/* Gives up the sends that nobody waits for any more, where that is cheaper for
+   the target than the work: it drops a request when its connection closes, but
+   the next connection costs it a handshake.  */
+static void
+abandon_costly (struct frn_request *request)
+{
+  for (struct frn_send *s = request->sends; s != NULL; s = s->next)
+    if (s->state == FRN_SEND_QUEUED
+        || latency_of (request)->mean
+               > (double)s->target->service->handshake * HANDSHAKES)
       frn_send_abandon (s);
 }
 
@@ -246,7 +267,7 @@
     request_run (request);
   else
     {
-      abandon_sends (request, false);
+      abandon_sends (request);
       request_release (request);
     }
 }
@@ -258,7 +279,7 @@
 {
   request->ended = true;
   request->conn = NULL;
-  abandon_sends (request, true);
+  abandon_costly (request);
   uv_timer_start (&request->timer, on_timer, LINGER / RW_MSEC, 0);
   request_release (request);
 }
@@ -272,13 +293,6 @@
   uv_timer_start (&request->timer, on_timer, ms, 0);
 }
 
-static struct ste_latency *
-latency_of (const struct frn_request *request)
-{
-  return request->mode == FRN_MODE_RELAY ? &request->stats->relay
-                                         : &request->stats->latency;
-}
-
 static struct ste_target **
 tried_of (struct frn_request *request, size_t part)
 {
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -78,6 +78,7 @@
   struct ext_budget budget;
   unsigned int connections; /* a target's limit; 0: not stated */
   double cold_per_s;
+  rw_time handshake; /* usual time of a new connection; 0: not known */
   bool sharded; /* a shard of a query over many */
 };
 
