Close the other copy of a part once it has arrived

Cause: after a pause of a target the first copies of hedged parts still ran, and their queue delayed the next queries.

--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -21,7 +21,8 @@
 #define HEDGE_DELAY (10 * RW_MSEC)
 #define RETRY_DELAY (20 * RW_MSEC)
 /* A send is given up if its work takes longer than so many handshakes.  */
-#define HANDSHAKES 2
+#define HANDSHAKES 3
+#define ALL_PARTS SIZE_MAX
 /* A hedge is not sent to a target that is expected to take longer than this
    part of the aim.  */
 #define HEDGE_WORTH 1.0
@@ -250,12 +251,13 @@
    the target than the work: it drops a request when its connection closes, but
    the next connection costs it a handshake.  */
 static void
-abandon_costly (struct frn_request *request)
+abandon_costly (struct frn_request *request, size_t part)
 {
   for (struct frn_send *s = request->sends; s != NULL; s = s->next)
-    if (s->state == FRN_SEND_QUEUED
-        || latency_of (request)->mean
-               > (double)s->target->service->handshake * HANDSHAKES)
+    if ((part == ALL_PARTS || s->part == part)
+        && (s->state == FRN_SEND_QUEUED
+            || latency_of (request)->mean
+                   > (double)s->target->service->handshake * HANDSHAKES))
       frn_send_abandon (s);
 }
 
@@ -279,7 +281,7 @@
 {
   request->ended = true;
   request->conn = NULL;
-  abandon_costly (request);
+  abandon_costly (request, ALL_PARTS);
   uv_timer_start (&request->timer, on_timer, LINGER / RW_MSEC, 0);
   request_release (request);
 }
@@ -531,6 +533,7 @@
                rw_arena_str (&request->arena, reply->stamp),
                gather ? rw_arena_str (&request->arena, message->body)
                       : (struct rw_str){ NULL, 0 });
+  abandon_costly (request, send->part);
   request_run (request);
 }
 
