--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -137,7 +137,7 @@
   plan.attempts = route->attempts;
   plan.repeatable = route->repeatable;
   plan.hedge_after
-      = clamp ((rw_time)(stats->latency.high * 1.3), route->aim / 10, longest);
+      = clamp ((rw_time)(stats->latency.high * 1.5), route->aim / 10, longest);
   plan.cut = request->start + route->aim - spent - AIM_MARGIN
              - route->aim / AIM_MARGIN_PART
              - (request->relayed ? RELAY_MARGIN : 0);
--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -20,8 +20,8 @@
    changes within about 50 ms.  */
 #define REPORT_TIME (50 * RW_MSEC)
 /* Added to the expected time of a target in another data centre: two ways of
-   about 1.5 ms, and the price of the bytes.  */
-#define OTHER_DC_COST (4 * RW_MSEC)
+   about 1.5 ms, and the cost of the bytes between data centres.  */
+#define OTHER_DC_COST (8 * RW_MSEC)
 #define COLD_COST (25 * RW_MSEC)
 /* A target that stopped answering is expected back after a pause of about
    this length.  */
