--- a/cmd/rwfctl/request.c
+++ b/cmd/rwfctl/request.c
@@ -41,7 +41,8 @@
   size_t len = strlen (id);
   for (const char *at = strstr (text, "id="); at != NULL;
        at = strstr (at + 1, "id="))
-    if (strncmp (at + 3, id, len) == 0 && (at[3 + len] == ' ' || at[3 + len] == '\n'))
+    if (strncmp (at + 3, id, len) == 0
+        && (at[3 + len] == ' ' || at[3 + len] == '\n'))
       return true;
   return false;
 }
--- a/cmd/rwfront/admin.c
+++ b/cmd/rwfront/admin.c
@@ -45,9 +45,9 @@
                               "changes taken over from peers", none);
   m->daemons = sta_gauge (&m->set, "rwf_daemons",
                           "daemons that share the sums", none);
-  m->store_age = sta_gauge (&m->set, "rwf_store_lost_seconds",
-                            "time since the store was lost, 0: in touch",
-                            none);
+  m->store_age
+      = sta_gauge (&m->set, "rwf_store_lost_seconds",
+                   "time since the store was lost, 0: in touch", none);
   m->config_version = sta_gauge (&m->set, "rwf_config_version",
                                  "version in force, 0: none", none);
   m->config_age = sta_gauge (&m->set, "rwf_config_age_seconds",
--- a/cmd/rwfront/answer.c
+++ b/cmd/rwfront/answer.c
@@ -80,8 +80,8 @@
   sta_observe (daemon->metrics.latency, took);
   evt_line (
       &daemon->log,
-      plain && took < request->route->aim ? EVT_SAMPLE : EVT_NORMAL,
-      "request", now,
+      plain && took < request->route->aim ? EVT_SAMPLE : EVT_NORMAL, "request",
+      now,
       "%s: id=%.*s route=%.*s status=%d ms=%lld aim_ms=%lld parts=%zu/%zu "
       "lost=%zu sends=%zu%s error=\"%s\" at=%s version=%llu age_ms=%lld",
       frn_outcome_name (outcome), RW_STR_ARG (request->id),
--- a/cmd/rwfront/relay.c
+++ b/cmd/rwfront/relay.c
@@ -131,8 +131,8 @@
       list_peer (daemon, member, now);
   for (struct ste_target *t = peers->large->targets; t != NULL; t = t->next)
     if (!t->gone && !is_suitable_id (daemon, t->id, now))
-      ste_remove (&daemon->fleet, rw_str_from (t->id),
-                  ++peers->large_revision, now);
+      ste_remove (&daemon->fleet, rw_str_from (t->id), ++peers->large_revision,
+                  now);
 }
 
 rw_time
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -91,8 +91,7 @@
       break;
     case CAT_ROUTE_GATHER:
       for (size_t i = 0; i < parts; i++)
-        request->services[i]
-            = services[route->u.gather.services[i]].user;
+        request->services[i] = services[route->u.gather.services[i]].user;
       break;
     }
 }
@@ -301,11 +300,10 @@
 }
 
 static void
-send_part (struct frn_request *request, size_t part,
-           struct ste_target *target, rw_time now)
+send_part (struct frn_request *request, size_t part, struct ste_target *target,
+           rw_time now)
 {
-  struct frn_send *send
-      = rw_arena_zalloc (&request->arena, 1, sizeof *send);
+  struct frn_send *send = rw_arena_zalloc (&request->arena, 1, sizeof *send);
   size_t count = request->query.parts[part].sends;
   tried_of (request, part)[count] = target;
   send->request = request;
@@ -326,10 +324,9 @@
   struct frn_daemon *daemon = request->daemon;
   struct ste_service *service = request->services[part];
   struct ste_latency *latency = latency_of (request);
-  struct ext_limits limits = { daemon->settings.extra_ratio,
-                               daemon->settings.extra_slack,
-                               daemon->settings.extra_window,
-                               daemon->fleet.settings.daemons };
+  struct ext_limits limits
+      = { daemon->settings.extra_ratio, daemon->settings.extra_slack,
+          daemon->settings.extra_window, daemon->fleet.settings.daemons };
   size_t tried_n = request->query.parts[part].sends;
   struct ste_target *target
       = ste_pick (&daemon->fleet, service, latency, tried_of (request, part),
@@ -558,9 +555,9 @@
 init_query (struct frn_request *request, const struct gat_plan *plan)
 {
   gat_init (&request->query, &request->arena, plan, frn_now ());
-  request->tried = rw_arena_zalloc (
-      &request->arena, plan->parts * (plan->attempts + 4),
-      sizeof (struct ste_target *));
+  request->tried
+      = rw_arena_zalloc (&request->arena, plan->parts * (plan->attempts + 4),
+                         sizeof (struct ste_target *));
 }
 
 /* Sends the parts from here.  */
--- a/lib/h1/test_h1.c
+++ b/lib/h1/test_h1.c
@@ -196,7 +196,8 @@
   do                                                                          \
     {                                                                         \
       ssize_t heard = -1;                                                     \
-      RUN_UNTIL (heard > 0 || (heard = hear ((fd), (buf), sizeof (buf))) > 0);      \
+      RUN_UNTIL (heard > 0                                                    \
+                 || (heard = hear ((fd), (buf), sizeof (buf))) > 0);          \
     }                                                                         \
   while (0)
 
--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -111,8 +111,7 @@
 ste_expected (const struct ste_fleet *fleet, const struct ste_target *target,
               const struct ste_latency *latency, rw_time now)
 {
-  double slow
-      = faded (target->slow, 1, target->slow_at, now, FORGET_TIME);
+  double slow = faded (target->slow, 1, target->slow_at, now, FORGET_TIME);
   double failing
       = faded (target->failing, 0, target->failing_at, now, FORGET_TIME);
   double queued
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -34,7 +34,7 @@
   int64_t born;
   int64_t revision; /* of the list entry */
   bool draining;
-  bool gone;           /* not on the list any more */
+  bool gone;            /* not on the list any more */
   rw_time usable_until; /* draining or gone: last time to send */
   rw_time cold_until;
   double cold_tokens;
@@ -43,12 +43,12 @@
   struct ste_send *first; /* oldest send without a result */
   struct ste_send *last;
   unsigned int running;
-  rw_time heard;        /* last reply */
-  rw_time stall_end;    /* of the last stall */
-  rw_time pause_end;    /* of the last stall that counts as a pause */
-  double slow;          /* latency over that of the route, moving average */
+  rw_time heard;     /* last reply */
+  rw_time stall_end; /* of the last stall */
+  rw_time pause_end; /* of the last stall that counts as a pause */
+  double slow;       /* latency over that of the route, moving average */
   rw_time slow_at;
-  double failing;       /* part of the sends that fail, moving average */
+  double failing; /* part of the sends that fail, moving average */
   rw_time failing_at;
   rw_time avoid_until;  /* after a failure that concerns all sends */
   unsigned int avoided; /* times in a row */
@@ -79,14 +79,14 @@
   unsigned int connections; /* a target's limit; 0: not stated */
   double cold_per_s;
   rw_time handshake; /* usual time of a new connection; 0: not known */
-  bool sharded; /* a shard of a query over many */
+  bool sharded;      /* a shard of a query over many */
 };
 
 struct ste_settings
 {
-  uint64_t dc;           /* of this daemon */
-  size_t daemons;        /* estimate, at least 1 */
-  rw_time leave_time;    /* a leaving target may still be used this long */
+  uint64_t dc;        /* of this daemon */
+  size_t daemons;     /* estimate, at least 1 */
+  rw_time leave_time; /* a leaving target may still be used this long */
 };
 
 #define STE_MAX_DCS_OUT 64
@@ -97,7 +97,7 @@
   struct rw_rng rng;
   struct rw_map services; /* by key */
   struct ste_service *first;
-  struct rw_map targets; /* by key */
+  struct rw_map targets;         /* by key */
   uint64_t out[STE_MAX_DCS_OUT]; /* data centres taken out of service */
   size_t out_count;
 };
--- a/lib/steer/test_steer.c
+++ b/lib/steer/test_steer.c
@@ -13,8 +13,8 @@
 };
 
 static struct ste_target *
-put (struct ste_fleet *fleet, const char *id, const char *dc,
-     int64_t revision, rw_time now)
+put (struct ste_fleet *fleet, const char *id, const char *dc, int64_t revision,
+     rw_time now)
 {
   struct cat_target entry = { .id = rw_str_from (id),
                               .service = RW_LIT ("s"),
