--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -11,8 +11,6 @@
    a part of the aim.  */
 #define AIM_MARGIN (6 * RW_MSEC)
 #define AIM_MARGIN_PART 20
-/* And for the way back through a smaller peer, which is slow to pass it on.  */
-#define RELAY_MARGIN (6 * RW_MSEC)
 /* After the answer, sends that have no result may still end by themselves:
    longer than a pause of a target, shorter than the half second after which a
    target should not work for a caller that left.  */
@@ -20,6 +18,9 @@
 /* When there is no budget or no good target for a hedge.  */
 #define HEDGE_DELAY (10 * RW_MSEC)
 #define RETRY_DELAY (20 * RW_MSEC)
+/* A send is given up if its work takes longer than so many handshakes.  */
+#define HANDSHAKES 3
+#define ALL_PARTS SIZE_MAX
 /* A hedge is not sent to a target that is expected to take longer than this
    part of the aim.  */
 #define HEDGE_WORTH 1.0
@@ -90,8 +91,7 @@
       break;
     case CAT_ROUTE_GATHER:
       for (size_t i = 0; i < parts; i++)
-        request->services[i]
-            = services[route->u.gather.services[i]].user;
+        request->services[i] = services[route->u.gather.services[i]].user;
       break;
     }
 }
@@ -134,10 +134,9 @@
   plan.attempts = route->attempts;
   plan.repeatable = route->repeatable;
   plan.hedge_after
-      = clamp ((rw_time)(stats->latency.high * 1.3), route->aim / 10, longest);
+      = clamp ((rw_time)(stats->latency.high * 1.5), route->aim / 10, longest);
   plan.cut = request->start + route->aim - spent - AIM_MARGIN
-             - route->aim / AIM_MARGIN_PART
-             - (request->relayed ? RELAY_MARGIN : 0);
+             - route->aim / AIM_MARGIN_PART;
   plan.deadline = request->deadline;
   return plan;
 }
@@ -190,6 +189,8 @@
   rw_buf_printf (out, "%.*s %.*s HTTP/1.1\r\n", RW_STR_ARG (request->method),
                  RW_STR_ARG (request->target));
   rw_buf_append_str (out, request->headers);
+  if (request->mode == FRN_MODE_RELAY)
+    left -= frn_relay_margin (request->daemon);
   plt_write_time_left (out, left > 0 ? left / RW_MSEC : 0);
   if (request->mode == FRN_MODE_RELAY)
     frn_relay_write (send, out);
@@ -230,11 +231,31 @@
   uv_close ((uv_handle_t *)&request->timer, on_timer_closed);
 }
 
+static struct ste_latency *
+latency_of (const struct frn_request *request)
+{
+  return request->mode == FRN_MODE_RELAY ? &request->stats->relay
+                                         : &request->stats->latency;
+}
+
+static void
+abandon_sends (struct frn_request *request)
+{
+  for (struct frn_send *s = request->sends; s != NULL; s = s->next)
+    frn_send_abandon (s);
+}
+
+/* Gives up the sends that nobody waits for any more, where that is cheaper for
+   the target than the work: it drops a request when its connection closes, but
+   the next connection costs it a handshake.  */
 static void
-abandon_sends (struct frn_request *request, bool queued_only)
+abandon_costly (struct frn_request *request, size_t part)
 {
   for (struct frn_send *s = request->sends; s != NULL; s = s->next)
-    if (!queued_only || s->state == FRN_SEND_QUEUED)
+    if ((part == ALL_PARTS || s->part == part)
+        && (s->state == FRN_SEND_QUEUED
+            || latency_of (request)->mean
+                   > (double)s->target->service->handshake * HANDSHAKES))
       frn_send_abandon (s);
 }
 
@@ -246,7 +267,7 @@
     request_run (request);
   else
     {
-      abandon_sends (request, false);
+      abandon_sends (request);
       request_release (request);
     }
 }
@@ -258,7 +279,7 @@
 {
   request->ended = true;
   request->conn = NULL;
-  abandon_sends (request, true);
+  abandon_costly (request, ALL_PARTS);
   uv_timer_start (&request->timer, on_timer, LINGER / RW_MSEC, 0);
   request_release (request);
 }
@@ -272,13 +293,6 @@
   uv_timer_start (&request->timer, on_timer, ms, 0);
 }
 
-static struct ste_latency *
-latency_of (const struct frn_request *request)
-{
-  return request->mode == FRN_MODE_RELAY ? &request->stats->relay
-                                         : &request->stats->latency;
-}
-
 static struct ste_target **
 tried_of (struct frn_request *request, size_t part)
 {
@@ -286,11 +300,10 @@
 }
 
 static void
-send_part (struct frn_request *request, size_t part,
-           struct ste_target *target, rw_time now)
+send_part (struct frn_request *request, size_t part, struct ste_target *target,
+           rw_time now)
 {
-  struct frn_send *send
-      = rw_arena_zalloc (&request->arena, 1, sizeof *send);
+  struct frn_send *send = rw_arena_zalloc (&request->arena, 1, sizeof *send);
   size_t count = request->query.parts[part].sends;
   tried_of (request, part)[count] = target;
   send->request = request;
@@ -311,10 +324,9 @@
   struct frn_daemon *daemon = request->daemon;
   struct ste_service *service = request->services[part];
   struct ste_latency *latency = latency_of (request);
-  struct ext_limits limits = { daemon->settings.extra_ratio,
-                               daemon->settings.extra_slack,
-                               daemon->settings.extra_window,
-                               daemon->fleet.settings.daemons };
+  struct ext_limits limits
+      = { daemon->settings.extra_ratio, daemon->settings.extra_slack,
+          daemon->settings.extra_window, daemon->fleet.settings.daemons };
   size_t tried_n = request->query.parts[part].sends;
   struct ste_target *target
       = ste_pick (&daemon->fleet, service, latency, tried_of (request, part),
@@ -517,6 +529,7 @@
                rw_arena_str (&request->arena, reply->stamp),
                gather ? rw_arena_str (&request->arena, message->body)
                       : (struct rw_str){ NULL, 0 });
+  abandon_costly (request, send->part);
   request_run (request);
 }
 
@@ -542,9 +555,9 @@
 init_query (struct frn_request *request, const struct gat_plan *plan)
 {
   gat_init (&request->query, &request->arena, plan, frn_now ());
-  request->tried = rw_arena_zalloc (
-      &request->arena, plan->parts * (plan->attempts + 4),
-      sizeof (struct ste_target *));
+  request->tried
+      = rw_arena_zalloc (&request->arena, plan->parts * (plan->attempts + 4),
+                         sizeof (struct ste_target *));
 }
 
 /* Sends the parts from here.  */
--- a/lib/gossip/gossip.h
+++ b/lib/gossip/gossip.h
@@ -30,8 +30,8 @@
   uint32_t dc;       /* hash */
   uint32_t capacity; /* processor, in thousandths of a core */
   rw_time heard;
-  int64_t revision;      /* of its copy, as far as known */
-  rw_time fresh;         /* when its copy was known to be current */
+  int64_t revision; /* of its copy, as far as known */
+  rw_time fresh;    /* when its copy was known to be current */
 };
 
 struct gos_entry
@@ -97,18 +97,15 @@
 /* This daemon's place among the living of its data centre, 0 is the first.
    Two daemons with the same view agree.  */
 size_t gos_rank (const struct gos_gossip *gossip, rw_time now);
-/* The next living member of at least CAPACITY, or null; *POSITION starts at
-   0.  */
-const struct gos_member *gos_next_large (const struct gos_gossip *gossip,
-                                         uint32_t capacity, rw_time now,
-                                         size_t *position);
+/* The next living member, or null; *POSITION starts at 0.  */
+const struct gos_member *gos_next (const struct gos_gossip *gossip,
+                                   rw_time now, size_t *position);
 size_t gos_alive (const struct gos_gossip *gossip, rw_time now);
 /* A member whose copy has REVISION or more, in the own data centre if there
    is one; 0 if there is none.  */
 uint32_t gos_ahead (struct gos_gossip *gossip, int64_t revision, rw_time now);
 
-size_t gos_encode (const struct gos_message *message, char *data,
-                   size_t size);
+size_t gos_encode (const struct gos_message *message, char *data, size_t size);
 int gos_decode (struct rw_str data, struct gos_message *message,
                 struct rw_err *err);
 
