--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -206,6 +206,8 @@
 on_timer_closed (uv_handle_t *handle)
 {
   struct frn_request *request = handle->data;
+  for (struct frn_send *s = request->sends; s != NULL; s = s->next)
+    s->target->holds--;
   request->daemon->requests--;
   cat_config_unref (request->config);
   rw_arena_finish (&request->arena);
@@ -309,6 +311,7 @@
   send->request = request;
   send->part = part;
   send->target = target;
+  target->holds++;
   send->next = request->sends;
   request->sends = send;
   gat_on_sent (&request->query, part, now);
--- a/lib/steer/fleet.c
+++ b/lib/steer/fleet.c
@@ -140,7 +140,7 @@
         {
           struct ste_target *t = *at;
           if (!t->gone || t->usable_until > now || t->running > 0
-              || !release (arg, t))
+              || t->holds > 0 || !release (arg, t))
             {
               at = &t->next;
               continue;
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -43,10 +43,11 @@
   struct ste_send *first; /* oldest send without a result */
   struct ste_send *last;
   unsigned int running;
-  rw_time heard;     /* last reply */
-  rw_time stall_end; /* of the last stall */
-  rw_time pause_end; /* of the last stall that counts as a pause */
-  double slow;       /* latency over that of the route, moving average */
+  unsigned int holds; /* pointers of requests; not freed before they end */
+  rw_time heard;      /* last reply */
+  rw_time stall_end;  /* of the last stall */
+  rw_time pause_end;  /* of the last stall that counts as a pause */
+  double slow;        /* latency over that of the route, moving average */
   rw_time slow_at;
   double failing; /* part of the sends that fail, moving average */
   rw_time failing_at;
--- a/lib/steer/test_steer.c
+++ b/lib/steer/test_steer.c
@@ -233,13 +233,18 @@
   return true;
 }
 
-/* Guards against targets that stay in memory for ever.  */
+/* Guards against targets that stay in memory for ever, and against one that is
+   freed while a request still names it.  */
 TEST_WITH_FIXTURE (targets_that_are_gone_are_freed)
 {
   size_t released = 0;
   ste_remove (&f->fleet, RW_LIT ("a"), 9, 0);
   ste_sweep (&f->fleet, release, &released, RW_SEC);
   assert_int_equal (released, 0);
+  f->a->holds++;
+  ste_sweep (&f->fleet, release, &released, 3 * RW_SEC);
+  assert_int_equal (released, 0);
+  f->a->holds--;
   ste_sweep (&f->fleet, release, &released, 3 * RW_SEC);
   assert_int_equal (released, 1);
   assert_int_equal (f->service->target_count, 1);
--- a/mk/check.sh
+++ b/mk/check.sh
@@ -79,5 +79,6 @@
 	[ -f "$s" ] || continue
 	step "process-$(basename "$s" .sh)" sh "$s"
 done
+step soak sh tests/soak.sh
 [ ! -f tests/demo.sh ] || step demo sh tests/demo.sh
 finish
--- /dev/null
+++ b/tests/fuzz/fuzz_http.c
@@ -0,0 +1,38 @@
+#include "fuzz.h"
+#include "h1.h"
+
+/* Requests of callers and replies of targets, in two pieces.  */
+static void
+read_messages (enum http_parser_type type, const char *data, size_t size)
+{
+  struct h1_reader reader;
+  struct h1_message message;
+  size_t half = size / 2;
+  h1_reader_init (&reader, type);
+  reader.max_text = 512;
+  reader.max_body = 256;
+  size_t taken = h1_reader_feed (&reader, data, half);
+  if (!reader.complete && reader.fault == H1_FAULT_NONE && taken == half)
+    h1_reader_feed (&reader, data + half, size - half);
+  if (reader.complete)
+    {
+      h1_reader_message (&reader, &message);
+      FUZZ_CHECK (message.body.len <= 256);
+      for (size_t i = 0; i < message.header_count; i++)
+        (void)h1_is_hop_header (&message, message.headers[i].name);
+      (void)h1_keep_alive_time (&message);
+    }
+  h1_reader_finish (&reader);
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  read_messages (HTTP_REQUEST, (const char *)data, size);
+  read_messages (HTTP_RESPONSE, (const char *)data, size);
+  return 0;
+}
+
+FUZZ_SAMPLES ("POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab",
+              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+              "Keep-Alive: timeout=5\r\n\r\n2\r\nab\r\n0\r\n\r\n")
--- a/tests/process/front.sh
+++ b/tests/process/front.sh
@@ -24,6 +24,7 @@
 
 fail() {
 	echo "FAILED: $1"
+	grep -h -A 14 'ERROR: AddressSanitizer' "$DIR"/*.log
 	tail -n 20 "$DIR"/*.log
 	exit 1
 }
