--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -133,7 +133,6 @@
   struct ste_service *large; /* peers that gather for smaller ones */
   rw_time large_next;
   int64_t large_revision;
-  bool far; /* no shard has a target in the own data centre */
 };
 
 struct frn_store
@@ -229,15 +228,12 @@
 
 /* Relays.  A small VM has too little processor time for queries over many
    shards, and too many small VMs would share a target's connections: a larger
-   peer gathers for it.  So does a peer near the shards for a VM that is far
-   from all of them.  */
+   peer gathers for it.  */
 bool frn_relay_wanted (struct frn_daemon *daemon,
                        const struct frn_request *request, rw_time now);
 bool frn_relay_available (const struct frn_daemon *daemon, rw_time now);
 /* Keeps the list of larger peers up to date.  */
 void frn_relay_tick (struct frn_daemon *daemon, rw_time now);
-/* What a peer must keep for the way back of its answer.  */
-rw_time frn_relay_margin (const struct frn_daemon *daemon);
 bool frn_is_relay_header (struct rw_str name);
 void frn_relay_write (const struct frn_send *send, struct rw_buf *out);
 /* Whether the answer says that the peer does not serve the request.  */
--- a/cmd/rwfront/main.c
+++ b/cmd/rwfront/main.c
@@ -81,6 +81,8 @@
                ? 0
                : report (&err);
   signal (SIGPIPE, SIG_IGN);
+  /* One that arrives before the handler is set asks for nothing new.  */
+  signal (SIGHUP, SIG_IGN);
   uv_loop_init (&loop);
   if (frn_daemon_init (&daemon, &loop, options.settings, &err) != 0)
     return report (&err);
--- a/cmd/rwfront/relay.c
+++ b/cmd/rwfront/relay.c
@@ -16,9 +16,6 @@
 /* A peer that runs late by this time refuses.  */
 #define BUSY_LAG (40 * RW_MSEC)
 #define LIST_PAUSE (500 * RW_MSEC)
-/* Processor time to pass an answer on, with what else waits for the
-   processor.  */
-#define RELAY_WORK (500 * RW_USEC)
 
 static uint32_t
 own_capacity (const struct frn_daemon *daemon)
@@ -47,32 +44,6 @@
   return frn_relay_available (daemon, now);
 }
 
-/* Whether VMs of this data centre are far from all shards.  */
-static bool
-is_far (const struct frn_daemon *daemon, uint32_t dc)
-{
-  for (const struct ste_service *s = daemon->fleet.first; s != NULL;
-       s = s->next)
-    for (const struct ste_target *t = s->targets; s->sharded && t != NULL;
-         t = t->next)
-      if (!t->gone && (uint32_t)t->dc == dc)
-        return false;
-  return true;
-}
-
-/* A peer gathers for this daemon if it is much larger, or near the shards
-   while this daemon is not: then one answer crosses between the data centres
-   in place of the answers of all shards.  */
-static bool
-is_suitable (const struct frn_daemon *daemon, const struct gos_member *member)
-{
-  uint32_t own = own_capacity (daemon);
-  if (member->capacity >= own * LARGER)
-    return true;
-  return daemon->peers.far && member->capacity >= own
-         && !is_far (daemon, member->dc);
-}
-
 static void
 peer_id (char *id, size_t size, uint32_t ip)
 {
@@ -102,16 +73,19 @@
 }
 
 static bool
-is_suitable_id (const struct frn_daemon *daemon, const char *id, rw_time now)
+is_large (const struct frn_daemon *daemon, const char *id, rw_time now)
 {
   size_t position = 0;
   const struct gos_member *member;
   char other[32];
-  while ((member = gos_next (&daemon->peers.gossip, now, &position)) != NULL)
+  while ((member
+          = gos_next_large (&daemon->peers.gossip,
+                            own_capacity (daemon) * LARGER, now, &position))
+         != NULL)
     {
       peer_id (other, sizeof other, member->ip);
       if (strcmp (other, id) == 0)
-        return is_suitable (daemon, member);
+        return true;
     }
   return false;
 }
@@ -125,22 +99,16 @@
   if (now < peers->large_next)
     return;
   peers->large_next = now + LIST_PAUSE;
-  peers->far = is_far (daemon, peers->gossip.settings.dc);
-  while ((member = gos_next (&peers->gossip, now, &position)) != NULL)
-    if (is_suitable (daemon, member))
-      list_peer (daemon, member, now);
+  while ((member = gos_next_large (
+              &peers->gossip, own_capacity (daemon) * LARGER, now, &position))
+         != NULL)
+    list_peer (daemon, member, now);
   for (struct ste_target *t = peers->large->targets; t != NULL; t = t->next)
-    if (!t->gone && !is_suitable_id (daemon, t->id, now))
+    if (!t->gone && !is_large (daemon, t->id, now))
       ste_remove (&daemon->fleet, rw_str_from (t->id), ++peers->large_revision,
                   now);
 }
 
-rw_time
-frn_relay_margin (const struct frn_daemon *daemon)
-{
-  return (rw_time)(RELAY_WORK / daemon->settings.cores);
-}
-
 bool
 frn_is_relay_header (struct rw_str name)
 {
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -11,6 +11,8 @@
    a part of the aim.  */
 #define AIM_MARGIN (6 * RW_MSEC)
 #define AIM_MARGIN_PART 20
+/* And for the way back through a smaller peer, which is slow to pass it on.  */
+#define RELAY_MARGIN (6 * RW_MSEC)
 /* After the answer, sends that have no result may still end by themselves:
    longer than a pause of a target, shorter than the half second after which a
    target should not work for a caller that left.  */
@@ -136,7 +138,8 @@
   plan.hedge_after
       = clamp ((rw_time)(stats->latency.high * 1.5), route->aim / 10, longest);
   plan.cut = request->start + route->aim - spent - AIM_MARGIN
-             - route->aim / AIM_MARGIN_PART;
+             - route->aim / AIM_MARGIN_PART
+             - (request->relayed ? RELAY_MARGIN : 0);
   plan.deadline = request->deadline;
   return plan;
 }
@@ -189,8 +192,6 @@
   rw_buf_printf (out, "%.*s %.*s HTTP/1.1\r\n", RW_STR_ARG (request->method),
                  RW_STR_ARG (request->target));
   rw_buf_append_str (out, request->headers);
-  if (request->mode == FRN_MODE_RELAY)
-    left -= frn_relay_margin (request->daemon);
   plt_write_time_left (out, left > 0 ? left / RW_MSEC : 0);
   if (request->mode == FRN_MODE_RELAY)
     frn_relay_write (send, out);
--- a/lib/gossip/gossip.c
+++ b/lib/gossip/gossip.c
@@ -196,12 +196,13 @@
 }
 
 const struct gos_member *
-gos_next (const struct gos_gossip *gossip, rw_time now, size_t *position)
+gos_next_large (const struct gos_gossip *gossip, uint32_t capacity,
+                rw_time now, size_t *position)
 {
   while (*position < gossip->count)
     {
       const struct gos_member *member = &gossip->members[(*position)++];
-      if (is_alive (member, now))
+      if (member->capacity >= capacity && is_alive (member, now))
         return member;
     }
   return NULL;
--- a/lib/gossip/gossip.h
+++ b/lib/gossip/gossip.h
@@ -97,9 +97,11 @@
 /* This daemon's place among the living of its data centre, 0 is the first.
    Two daemons with the same view agree.  */
 size_t gos_rank (const struct gos_gossip *gossip, rw_time now);
-/* The next living member, or null; *POSITION starts at 0.  */
-const struct gos_member *gos_next (const struct gos_gossip *gossip,
-                                   rw_time now, size_t *position);
+/* The next living member of at least CAPACITY, or null; *POSITION starts at
+   0.  */
+const struct gos_member *gos_next_large (const struct gos_gossip *gossip,
+                                         uint32_t capacity, rw_time now,
+                                         size_t *position);
 size_t gos_alive (const struct gos_gossip *gossip, rw_time now);
 /* A member whose copy has REVISION or more, in the own data centre if there
    is one; 0 if there is none.  */
