--- a/tests/soak/fault.c
+++ b/tests/soak/fault.c
@@ -62,7 +62,7 @@
 searcher_fault (struct sok_soak *soak, const char *what)
 {
   char path[96];
-  if (below (soak, 3) == 0)
+  if (below (soak, 2) == 0)
     snprintf (path, sizeof path, "/searcher/one-%d/%s", (int)below (soak, 2),
               what);
   else
@@ -84,7 +84,7 @@
 strike (struct sok_soak *soak)
 {
   static const char *const faults[]
-      = { "none", "none", "none", "hang", "error", "shed", "reset" };
+      = { "none", "none", "hang", "error", "shed", "reset", "reset" };
   static const char *const pauses[]
       = { "pause/100", "pause/200", "pause/800" };
   static const char *const leaves[] = { "drain", "stop", "start", "start" };
