Let the daemons that gather share most of the connections and extra sends

Change: where small VMs leave queries to larger ones, these share one half of each sum, all others the other half.

Ruled out: keeping abandoned sends open there: the queues it avoids are the same.

--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -133,6 +133,8 @@
   struct ste_service *large; /* peers that gather for smaller ones */
   rw_time large_next;
   int64_t large_revision;
+  size_t gatherers; /* daemons that gather for others; 0: each for itself */
+  bool gathers;     /* this daemon is one of them */
 };
 
 struct frn_store
@@ -234,6 +236,9 @@
 bool frn_relay_available (const struct frn_daemon *daemon, rw_time now);
 /* Keeps the list of larger peers up to date.  */
 void frn_relay_tick (struct frn_daemon *daemon, rw_time now);
+/* Daemons that share what targets bear, as far as this daemon is concerned:
+   where few gather for all, these share most of it.  */
+size_t frn_sharers (const struct frn_daemon *daemon);
 bool frn_is_relay_header (struct rw_str name);
 void frn_relay_write (const struct frn_send *send, struct rw_buf *out);
 /* Whether the answer says that the peer does not serve the request.  */
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -87,7 +87,8 @@
 link_limit (const struct frn_pool *pool)
 {
   const struct ste_service *service = pool->target->service;
-  size_t daemons = pool->daemon->fleet.settings.daemons;
+  size_t daemons = service->sharded ? frn_sharers (pool->daemon)
+                                    : pool->daemon->fleet.settings.daemons;
   if (service->connections == 0)
     return MAX_LINKS;
   size_t share
--- a/cmd/rwfront/relay.c
+++ b/cmd/rwfront/relay.c
@@ -16,6 +16,10 @@
 /* A peer that runs late by this time refuses.  */
 #define BUSY_LAG (40 * RW_MSEC)
 #define LIST_PAUSE (500 * RW_MSEC)
+/* Gatherers that are assumed at least: not all are known at once.  */
+#define LEAST_GATHERERS 12
+/* The gatherers share one half of a sum, all others the other half.  */
+#define HALVES 2
 
 static uint32_t
 own_capacity (const struct frn_daemon *daemon)
@@ -90,6 +94,47 @@
   return false;
 }
 
+/* Finds out whether few larger daemons gather for all others, and whether this
+   is one of them.  */
+static void
+count_gatherers (struct frn_daemon *daemon, rw_time now)
+{
+  struct frn_peers *peers = &daemon->peers;
+  uint32_t own = own_capacity (daemon);
+  uint32_t most = own;
+  size_t position = 0;
+  size_t count = 0;
+  size_t small = 0;
+  const struct gos_member *member;
+  while ((member = gos_next_large (&peers->gossip, 0, now, &position)) != NULL)
+    if (member->capacity > most)
+      most = member->capacity;
+  for (position = 0;
+       (member = gos_next_large (&peers->gossip, 0, now, &position)) != NULL;)
+    {
+      bool gathers = member->capacity * LARGER > most;
+      count += gathers;
+      small += !gathers;
+    }
+  peers->gathers = own * LARGER > most;
+  small += !peers->gathers;
+  peers->gatherers = small > 0 ? count + peers->gathers : 0;
+}
+
+size_t
+frn_sharers (const struct frn_daemon *daemon)
+{
+  const struct frn_peers *peers = &daemon->peers;
+  size_t all = daemon->fleet.settings.daemons;
+  if (peers->gatherers == 0)
+    return all;
+  if (!peers->gathers)
+    return all * HALVES;
+  size_t gatherers = peers->gatherers > LEAST_GATHERERS ? peers->gatherers
+                                                        : LEAST_GATHERERS;
+  return (gatherers < all ? gatherers : all) * HALVES;
+}
+
 void
 frn_relay_tick (struct frn_daemon *daemon, rw_time now)
 {
@@ -99,6 +144,7 @@
   if (now < peers->large_next)
     return;
   peers->large_next = now + LIST_PAUSE;
+  count_gatherers (daemon, now);
   while ((member = gos_next_large (
               &peers->gossip, own_capacity (daemon) * LARGER, now, &position))
          != NULL)
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -330,7 +330,7 @@
   struct ste_latency *latency = latency_of (request);
   struct ext_limits limits
       = { daemon->settings.extra_ratio, daemon->settings.extra_slack,
-          daemon->settings.extra_window, daemon->fleet.settings.daemons };
+          daemon->settings.extra_window, frn_sharers (daemon) };
   size_t tried_n = request->query.parts[part].sends;
   struct ste_target *target
       = ste_pick (&daemon->fleet, service, latency, tried_of (request, part),
--- /dev/null
+++ b/cmd/rwfront/test_relay.c
@@ -0,0 +1,77 @@
+#include <math.h>
+
+#include "front.h"
+#include "unit.h"
+
+struct fixture
+{
+  struct frn_daemon daemon;
+};
+
+static void
+begin (struct fixture *f)
+{
+  struct ste_settings steer = { .daemons = 1 };
+  struct gos_settings gossip = { .ip = 1, .dc = 1, .seed = 1 };
+  ste_init (&f->daemon.fleet, &steer, 1);
+  gos_init (&f->daemon.peers.gossip, &gossip, 0);
+  f->daemon.peers.large = ste_service (&f->daemon.fleet, RW_LIT ("peers"));
+}
+
+static void
+end (struct fixture *f)
+{
+  gos_finish (&f->daemon.peers.gossip);
+  ste_finish (&f->daemon.fleet);
+}
+
+UNIT_FIXTURE (begin, end)
+
+/* A fleet of LARGE and SMALL peers, as a daemon of CORES sees it.  */
+static void
+set_fleet (struct fixture *f, double cores, size_t large, size_t small)
+{
+  f->daemon.settings.cores = cores;
+  for (size_t i = 0; i < large + small; i++)
+    {
+      struct gos_message message
+          = { .dc = 1, .capacity = i < large ? 500 : 84, .revision = 1 };
+      gos_on_message (&f->daemon.peers.gossip, (uint32_t)i + 2, &message,
+                      RW_SEC);
+    }
+  f->daemon.fleet.settings.daemons = large + small + 1;
+  frn_relay_tick (&f->daemon, RW_SEC);
+}
+
+/* Guards against sums over all daemons that are exceeded: 6 large daemons and
+   111 small ones, each using its part.  */
+TEST_WITH_FIXTURE (parts_of_all_daemons_make_up_one_sum)
+{
+  double sum = 0;
+  set_fleet (f, 0.5, 5, 111);
+  assert_true (f->daemon.peers.gathers);
+  sum += 6.0 / (double)frn_sharers (&f->daemon);
+  f->daemon.settings.cores = 0.084;
+  f->daemon.peers.large_next = 0;
+  frn_relay_tick (&f->daemon, RW_SEC);
+  assert_false (f->daemon.peers.gathers);
+  sum += 111.0 / (double)frn_sharers (&f->daemon);
+  assert_true (sum <= 1);
+}
+
+/* Guards against daemons of one size that take each other for larger.  */
+TEST_WITH_FIXTURE (daemons_of_one_size_gather_for_themselves)
+{
+  set_fleet (f, 0.5, 12, 0);
+  assert_int_equal (f->daemon.peers.gatherers, 0);
+  assert_int_equal (frn_sharers (&f->daemon), 13);
+  assert_false (frn_relay_available (&f->daemon, RW_SEC));
+}
+
+/* Guards against small daemons that do not find the larger ones.  */
+TEST_WITH_FIXTURE (small_daemons_know_larger_peers)
+{
+  set_fleet (f, 0.084, 2, 30);
+  assert_true (frn_relay_available (&f->daemon, RW_SEC));
+  assert_int_equal (f->daemon.peers.large->target_count, 2);
+}
