--- a/cmd/rwfront/admin.c
+++ b/cmd/rwfront/admin.c
@@ -97,25 +97,8 @@
   h1_answer (conn, &reply);
 }
 
-static void
-on_gone (void *arg, struct h1_conn *conn)
-{
-  (void)arg;
-  (void)conn;
-}
-
-static void
-on_refused (void *arg, struct h1_conn *conn, int status)
-{
-  (void)arg;
-  (void)conn;
-  (void)status;
-}
-
 static const struct h1_server_ops admin_ops = {
   .on_request = on_request,
-  .on_gone = on_gone,
-  .on_refused = on_refused,
 };
 
 int
--- /dev/null
+++ b/cmd/rwfront/callers.c
@@ -0,0 +1,127 @@
+#include <string.h>
+
+#include "front.h"
+
+/* Until when a caller should come back: another daemon may be able to serve at
+   once.  */
+#define RETRY_NO_CONFIG (100 * RW_MSEC)
+/* A daemon that has just started knows the configuration within some 20 ms;
+   until then requests wait for it.  */
+#define PARK_TIME (150 * RW_MSEC)
+
+void
+frn_request_serve (struct frn_daemon *daemon, struct h1_conn *conn,
+                   const struct h1_message *message, rw_time start,
+                   bool relayed)
+{
+  struct plt_request head;
+  struct rw_str path = message->target;
+  const char *query = memchr (path.ptr, '?', path.len);
+  if (query != NULL)
+    path.len = (size_t)(query - path.ptr);
+  struct cat_route *route = cat_config_find (
+      daemon->config, h1_header_value (message, "Host"), path);
+  plt_read_request (message, &head);
+  if (route == NULL)
+    {
+      sta_inc (daemon->metrics.outcome[FRN_NO_ROUTE]);
+      evt_line (&daemon->log, EVT_NORMAL, "request", frn_now (),
+                "no route: id=%.*s path=%.*s version=%llu",
+                RW_STR_ARG (head.id), RW_STR_ARG (path),
+                (unsigned long long)daemon->config->version);
+      frn_answer_refusal (daemon, conn, 404, -1);
+      return;
+    }
+  if (head.id.len == 0)
+    {
+      sta_inc (daemon->metrics.outcome[FRN_INVALID]);
+      frn_answer_refusal (daemon, conn, 400, -1);
+      return;
+    }
+  frn_request_begin (daemon, conn, message, route, &head, start, relayed);
+}
+
+static void
+refuse_unconfigured (struct frn_daemon *daemon, struct h1_conn *conn)
+{
+  sta_inc (daemon->metrics.outcome[FRN_REFUSED]);
+  evt_line (&daemon->log, EVT_NORMAL, "request", frn_now (),
+            "refused: no configuration is known");
+  frn_answer_refusal (daemon, conn, 503, RETRY_NO_CONFIG);
+}
+
+void
+frn_parked_run (struct frn_daemon *daemon, rw_time now)
+{
+  size_t i = 0;
+  while (i < daemon->parked_count)
+    {
+      struct frn_parked parked = daemon->parked[i];
+      struct h1_message message;
+      if (daemon->config == NULL && now - parked.since < PARK_TIME)
+        {
+          i++;
+          continue;
+        }
+      daemon->parked[i] = daemon->parked[--daemon->parked_count];
+      h1_conn_message (parked.conn, &message);
+      if (daemon->config == NULL)
+        refuse_unconfigured (daemon, parked.conn);
+      else
+        frn_request_serve (daemon, parked.conn, &message, parked.since, false);
+    }
+}
+
+static void
+on_request (void *arg, struct h1_conn *conn, const struct h1_message *message)
+{
+  struct frn_daemon *daemon = arg;
+  rw_time now = frn_now ();
+
+  h1_conn_set_user (conn, NULL);
+  if (daemon->config != NULL)
+    frn_request_serve (daemon, conn, message, now, false);
+  else if (daemon->parked_count < FRN_MAX_PARKED)
+    daemon->parked[daemon->parked_count++] = (struct frn_parked){ conn, now };
+  else
+    refuse_unconfigured (daemon, conn);
+}
+
+static void
+unpark (struct frn_daemon *daemon, const struct h1_conn *conn)
+{
+  for (size_t i = 0; i < daemon->parked_count; i++)
+    if (daemon->parked[i].conn == conn)
+      {
+        daemon->parked[i] = daemon->parked[--daemon->parked_count];
+        return;
+      }
+}
+
+void
+frn_request_gone (void *arg, struct h1_conn *conn)
+{
+  struct frn_request *request = h1_conn_user (conn);
+  if (request == NULL)
+    unpark (arg, conn);
+  if (request == NULL || request->ended)
+    return;
+  frn_log_outcome (request, FRN_GONE, 0);
+  frn_request_end (request);
+}
+
+static void
+on_refused (void *arg, struct h1_conn *conn, int status)
+{
+  struct frn_daemon *daemon = arg;
+  (void)conn;
+  sta_inc (daemon->metrics.outcome[FRN_INVALID]);
+  evt_line (&daemon->log, EVT_NORMAL, "caller", frn_now (),
+            "unreadable request: status=%d", status);
+}
+
+const struct h1_server_ops frn_caller_ops = {
+  .on_request = on_request,
+  .on_gone = frn_request_gone,
+  .on_refused = on_refused,
+};
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -1,6 +1,7 @@
 /* The daemon of the query tier on a platform whose store can only be read.
    daemon.c: life cycle and timers.  store.c: configuration and targets from
-   the store.  request.c: one request from its arrival to its sends.  answer.c:
+   the store.  callers.c: requests as they arrive.
+   request.c: one request from its beginning to its sends.  answer.c:
    what the caller gets.  pool.c: links to targets.  admin.c: readiness and
    metrics.  */
 
@@ -293,6 +294,15 @@
 };
 
 extern const struct h1_server_ops frn_caller_ops;
+/* Starts the request MESSAGE, which arrived at START, on ROUTE of the
+   configuration in force.  */
+void frn_request_begin (struct frn_daemon *daemon, struct h1_conn *conn,
+                        const struct h1_message *message,
+                        struct cat_route *route,
+                        const struct plt_request *head, rw_time start,
+                        bool relayed);
+/* After the answer, or after the caller left.  */
+void frn_request_end (struct frn_request *request);
 /* The caller of CONN left.  */
 void frn_request_gone (void *arg, struct h1_conn *conn);
 /* Starts the requests that waited for a configuration, or refuses those that
--- a/cmd/rwfront/peers.c
+++ b/cmd/rwfront/peers.c
@@ -233,18 +233,9 @@
   rw_buf_finish (&body);
 }
 
-static void
-on_view_refused (void *arg, struct h1_conn *conn, int status)
-{
-  (void)arg;
-  (void)conn;
-  (void)status;
-}
-
 static const struct h1_server_ops view_ops = {
   .on_request = on_view_request,
   .on_gone = frn_request_gone,
-  .on_refused = on_view_refused,
 };
 
 void
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -105,9 +105,9 @@
   /* A whole request.  It is answered by h1_answer, now or later.  */
   void (*on_request) (void *arg, struct h1_conn *conn,
                       const struct h1_message *request);
-  /* The caller left before the answer.  */
+  /* The caller left before the answer.  May be null.  */
   void (*on_gone) (void *arg, struct h1_conn *conn);
-  /* A request that cannot be read, answered with STATUS.  */
+  /* A request that cannot be read, answered with STATUS.  May be null.  */
   void (*on_refused) (void *arg, struct h1_conn *conn, int status);
 };
 
--- a/lib/h1/server.c
+++ b/lib/h1/server.c
@@ -80,7 +80,8 @@
   if (conn->state == CONN_RUNNING)
     {
       server->busy--;
-      server->ops->on_gone (server->arg, conn);
+      if (server->ops->on_gone != NULL)
+        server->ops->on_gone (server->arg, conn);
     }
   conn->state = CONN_CLOSED;
   if (conn->prev != NULL)
@@ -162,7 +163,8 @@
 {
   struct h1_server *server = conn->server;
   struct h1_reply reply = { .status = status, .close = true };
-  server->ops->on_refused (server->arg, conn, status);
+  if (server->ops->on_refused != NULL)
+    server->ops->on_refused (server->arg, conn, status);
   write_reply (conn, &reply, true);
   conn_linger (conn);
 }
--- a/tests/rwfsite/control.c
+++ b/tests/rwfsite/control.c
@@ -161,23 +161,9 @@
     answer (conn, change (site, message) ? 200 : 404, RW_LIT (""));
 }
 
-static void
-on_gone (void *arg, struct h1_conn *conn)
-{
-  (void)arg;
-  (void)conn;
-}
-
-static void
-on_refused (void *arg, struct h1_conn *conn, int status)
-{
-  (void)arg;
-  (void)conn;
-  (void)status;
-}
-
-static const struct h1_server_ops control_ops
-    = { on_request, on_gone, on_refused };
+static const struct h1_server_ops control_ops = {
+  .on_request = on_request,
+};
 
 int
 site_control_init (struct site *site, uint16_t port)
--- a/tests/rwfsite/searcher.c
+++ b/tests/rwfsite/searcher.c
@@ -153,16 +153,10 @@
     uv_close ((uv_handle_t *)&job->timer, on_job_closed);
 }
 
-static void
-on_refused (void *arg, struct h1_conn *conn, int status)
-{
-  (void)arg;
-  (void)conn;
-  (void)status;
-}
-
-static const struct h1_server_ops searcher_ops
-    = { on_request, on_gone, on_refused };
+static const struct h1_server_ops searcher_ops = {
+  .on_request = on_request,
+  .on_gone = on_gone,
+};
 
 struct site_searcher *
 site_searcher_add (struct site *site, const char *id, const char *service,
--- a/tests/rwfsite/store.c
+++ b/tests/rwfsite/store.c
@@ -215,16 +215,10 @@
       site->watches[i].conn = NULL;
 }
 
-static void
-on_refused (void *arg, struct h1_conn *conn, int status)
-{
-  (void)arg;
-  (void)conn;
-  (void)status;
-}
-
-static const struct h1_server_ops store_ops
-    = { on_request, on_gone, on_refused };
+static const struct h1_server_ops store_ops = {
+  .on_request = on_request,
+  .on_gone = on_gone,
+};
 
 static void
 on_tick (uv_timer_t *timer)
