--- a/tests/process/front.sh
+++ b/tests/process/front.sh
@@ -46,7 +46,7 @@
 	fail "$what"
 }
 
-# Writes the settings of daemon N.
+# Writes the settings of daemon N with the processor share CORES.
 settings() {
 	cat >"$DIR/vm-$1.settings" <<EOF
 RWF_NAME=vm-$1
@@ -56,6 +56,8 @@
 RWF_PEERS=$NET.$1:7380
 RWF_STORE=127.0.0.1:$STORE
 RWF_SEEDS=$NET.1:1,$NET.2:1
+RWF_CORES=$2
+RWF_EXTRA_SLACK=1000
 EOF
 }
 
@@ -84,13 +86,13 @@
 	$BIN/rwfctl request "$1" "$DIR"/vm-*.log
 }
 
-$BIN/rwfsite --shards 4 >"$DIR/site.out" 2>"$DIR/site.log" &
+$BIN/rwfsite --shards 8 >"$DIR/site.out" 2>"$DIR/site.log" &
 PIDS="$PIDS $!"
 await "the stand-ins start" grep -q '^store=' "$DIR/site.out"
 STORE=$(sed -n 's/^store=\([0-9]*\).*/\1/p' "$DIR/site.out")
 CONTROL=$(sed -n 's/.*control=\([0-9]*\).*/\1/p' "$DIR/site.out")
-for n in 1 2; do
-	settings $n
+for n in 1 2 3; do
+	settings $n "$([ $n = 3 ] && echo 0.2 || echo 1)"
 	$BIN/rwfront -c -s "$DIR/vm-$n.settings" || fail "settings are checked"
 	$BIN/rwfront -s "$DIR/vm-$n.settings" >"$DIR/vm-$n.log" 2>&1 &
 	eval "VM$n=$!"
@@ -98,6 +100,7 @@
 done
 await "daemon 1 is ready" ready 1
 await "daemon 2 is ready" ready 2
+await "daemon 3 is ready" ready 3
 
 expect "a query over all shards" "$(request whole-1 /all/x 1)" 200
 expect "nothing is missing" "$(sed -n \
@@ -108,19 +111,31 @@
 control POST /searcher/s0-0/pause/1200
 control POST /searcher/s0-1/pause/1200
 expect "a paused shard" "$(request paused-1 /all/x 1)" 200
-lines paused-1 | grep -q 'partial: .*parts=3/4 .*missing=shard0 target=s0-.*version=1 age_ms=' ||
+lines paused-1 | grep -q 'partial: .*parts=7/8 .*missing=shard0 target=s0-.*version=1 age_ms=' ||
     fail "the line of a partial answer: $(lines paused-1)"
 echo "ok: the cause of a partial answer"
 sleep 1.3
 
-# All targets of a shard are gone: three quarters are too few with two lost.
-for s in s0-0 s0-1 s1-0 s1-1; do control POST /searcher/$s/stop; done
+# All targets of three shards are gone: five of eight are too few.
+for s in s0-0 s0-1 s1-0 s1-1 s2-0 s2-1; do control POST /searcher/$s/stop; done
 gone() { request gone-1 /all/x 2 >/dev/null; lines gone-1 |
     grep -q 'refused: .*status=503 .*error="no target"'; }
 await "a refusal names its cause" gone
 grep -q '^Retry-After: 0' "$DIR/head" || fail "Retry-After of a refusal"
 echo "ok: the cause of a refusal"
-for s in s0-0 s0-1 s1-0 s1-1; do control POST /searcher/$s/start; done
+for s in s0-0 s0-1 s1-0 s1-1 s2-0 s2-1; do control POST /searcher/$s/start; done
+
+# A small daemon leaves queries to a larger one, and never sends a part again
+# that the larger one may have sent: three shards answer nothing.
+relayed() { request relay-1 /all/x 3 >/dev/null; lines relay-1 |
+    grep -q 'vm-3.log: .*passed: .*at=peer-'; }
+await "a query is relayed" relayed
+over() { control GET /report | sed 's/.*over=//'; }
+before=$(over)
+for s in s0-0 s0-1 s1-0 s1-1 s2-0 s2-1; do control POST /searcher/$s/hang; done
+expect "a relayed query without answer" "$(request relay-2 /all/x 3)" 504
+for s in s0-0 s0-1 s1-0 s1-1 s2-0 s2-1; do control POST /searcher/$s/none; done
+expect "no part ran too often" "$(over)" "$before"
 
 # The answer of a reservation is lost: it may have run, and runs once only.
 control POST /searcher/one-0/reset
@@ -135,10 +150,13 @@
 
 # The store is down: what is known stays in force, and the age shows.
 control POST /store/busy
-sleep 4
+# A daemon that leaves the reading to others notices when its copy gets old.
+age_shows() {
+	age=$(metric 1 rwf_store_lost_seconds)
+	[ "${age%%.*}" -ge 1 ]
+}
+await "the age of the store shows" age_shows
 expect "a query without the store" "$(request nostore-1 /all/x 1)" 200
-age=$(metric 1 rwf_store_lost_seconds)
-[ "${age%%.*}" -ge 1 ] || fail "age of the store: $age"
 control POST /store/up
 in_touch() { [ "$(metric 1 rwf_store_lost_seconds)" = 0 ]; }
 await "the store is regained" in_touch
--- a/tests/rwfsite/control.c
+++ b/tests/rwfsite/control.c
@@ -104,10 +104,11 @@
   for (size_t i = 0; i < site->searcher_count; i++)
     late += site->searchers[i].late;
   rw_buf_init (&out);
-  rw_buf_printf (&out, "calls=%llu ran=%llu twice=%llu late=%llu\n",
+  rw_buf_printf (&out, "calls=%llu ran=%llu twice=%llu late=%llu over=%llu\n",
                  (unsigned long long)site->calls,
                  (unsigned long long)site->ran,
-                 (unsigned long long)site->twice, (unsigned long long)late);
+                 (unsigned long long)site->twice, (unsigned long long)late,
+                 (unsigned long long)site->over);
   answer (conn, 200, rw_buf_str (&out));
   rw_buf_finish (&out);
 }
--- a/tests/rwfsite/searcher.c
+++ b/tests/rwfsite/searcher.c
@@ -5,6 +5,8 @@
 #include "record.h"
 #include "site.h"
 
+/* As the stand-in's configuration says.  */
+#define MAX_ATTEMPTS 2
 /* A request that reaches a searcher later than its drain time plus this is
    late.  */
 #define LATE_SLACK (200 * RW_MSEC)
@@ -36,8 +38,13 @@
       run = rw_xcalloc (1, sizeof *run);
       rw_map_put (&site->runs, key, run);
     }
-  if (run != NULL && ++run->count > 1 && !repeatable)
+  if (run == NULL)
+    return;
+  run->count++;
+  if (run->count > 1 && !repeatable)
     site->twice++;
+  if (run->count > MAX_ATTEMPTS)
+    site->over++;
 }
 
 static void
--- a/tests/rwfsite/site.h
+++ b/tests/rwfsite/site.h
@@ -91,6 +91,7 @@
   struct rw_map runs; /* struct site_run */
   uint64_t ran;
   uint64_t twice; /* unsafe requests that ran more than once */
+  uint64_t over;  /* parts that ran more often than maxAttempts */
   rw_time drain_time;
 };
 
