--- a/lib/steer/fleet.c
+++ b/lib/steer/fleet.c
@@ -107,13 +107,16 @@
       go (fleet, target, now);
       target = NULL;
     }
-  if (target == NULL)
+  bool is_new = target == NULL;
+  if (is_new)
     target = add (fleet, ste_service (fleet, entry->service), entry, key);
   target->revision = revision;
   target->dc = rw_hash (entry->dc);
   target->slots = entry->slots > 0 ? entry->slots : 1;
   target->cold_until = entry->cold_for > 0 ? now + entry->cold_for : 0;
-  if (entry->draining)
+  /* Of a target that is leaving when it is first seen it is not known how long
+     ago that began: it is not used.  */
+  if (entry->draining && !is_new)
     leave (fleet, target, now);
   target->draining = entry->draining;
   return target;
--- a/lib/steer/test_steer.c
+++ b/lib/steer/test_steer.c
@@ -156,6 +156,22 @@
   assert_null (pick (f, WARM + 2 * RW_SEC));
 }
 
+/* A daemon that restarts: guards against work for a target that has been
+   leaving for longer than it serves (soak seed 148).  */
+TEST_WITH_FIXTURE (a_target_first_seen_leaving_gets_no_work)
+{
+  struct cat_target entry = { .id = RW_LIT ("c"),
+                              .service = RW_LIT ("t"),
+                              .host = RW_LIT ("10.0.0.1"),
+                              .port = 80,
+                              .dc = RW_LIT ("near"),
+                              .draining = true,
+                              .slots = 2 };
+  struct ste_target *c = ste_put (&f->fleet, &entry, 5, WARM);
+  assert_false (ste_usable (&f->fleet, c, WARM));
+  assert_null (ste_pick (&f->fleet, c->service, &f->latency, NULL, 0, WARM));
+}
+
 /* Guards against an old entry that brings a target back.  */
 TEST_WITH_FIXTURE (older_entries_are_ignored)
 {
--- a/tests/soak/fault.c
+++ b/tests/soak/fault.c
@@ -5,6 +5,7 @@
 
 #define LEAST_GAP_MS 100
 #define MOST_GAP_MS 900
+#define START_TIME (300 * RW_MSEC)
 /* The end of a run: everything is repaired, and must work after it.  */
 #define HEAL_TIME (7 * RW_SEC)
 
@@ -109,7 +110,10 @@
       sok_daemon_signal (daemon, SIGSTOP);
       break;
     case FAULT_HUP:
-      sok_daemon_signal (daemon, SIGHUP);
+      /* A process that has not reached its main function cannot handle a
+         signal.  */
+      if (sok_now () - daemon->started > START_TIME)
+        sok_daemon_signal (daemon, SIGHUP);
       break;
     case FAULT_CONFIG:
       sok_put_config (soak);
