--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -13,6 +13,15 @@
 #define AIM_MARGIN_PART 20
 /* And for the way back through a smaller peer, which is slow to pass it on. */
 #define RELAY_MARGIN (6 * RW_MSEC)
+/* A part is hedged after so many times the latency that nine of ten parts of
+   its route stay below, but not before a tenth of the aim, and at the latest
+   when a third of it has passed: then a second send can still arrive in time.
+   A request for one target waits longer, as its work takes a larger part of
+   the aim.  */
+#define HEDGE_AFTER 1.5
+#define HEDGE_EARLIEST_PART 10
+#define HEDGE_LATEST_PART 3
+#define HEDGE_SINGLE_PERCENT 60
 /* After the answer, sends that have no result may still end by themselves:
    longer than a pause of a target, shorter than the half second after which a
    target should not work for a caller that left.  */
@@ -113,7 +122,7 @@
   struct gat_plan plan = { .parts = 1, .need = 1 };
   int64_t time_left_ms = request->time_left_ms;
   rw_time spent = 0;
-  rw_time longest = route->aim * 6 / 10;
+  rw_time longest = route->aim * HEDGE_SINGLE_PERCENT / 100;
 
   if (time_left_ms > stats->budget_ms)
     stats->budget_ms = time_left_ms;
@@ -128,12 +137,12 @@
         plan.need++;
       if (plan.need == 0)
         plan.need = 1;
-      longest = route->aim / 3;
+      longest = route->aim / HEDGE_LATEST_PART;
     }
   plan.attempts = route->attempts;
   plan.repeatable = route->repeatable;
-  plan.hedge_after
-      = clamp ((rw_time)(stats->latency.high * 1.5), route->aim / 10, longest);
+  plan.hedge_after = clamp ((rw_time)(stats->latency.high * HEDGE_AFTER),
+                            route->aim / HEDGE_EARLIEST_PART, longest);
   plan.cut = request->start + route->aim - spent - AIM_MARGIN
              - route->aim / AIM_MARGIN_PART
              - (request->relayed ? RELAY_MARGIN : 0);
