lib/h1: take no request while a reply is handed over

Cause: a link counted as idle during on_reply. A request that was sent from there, a retry or the next request of the caller, went out on it; when on_reply returned, the link was reported idle and the next queued send replaced the first. The first one was never answered: its request waited for its time limit (1,485 ms instead of 20 to 40 ms in the log), and when the link was freed it kept a pointer to it, which the abandon at the limit wrote to.

Ruled out: a pool released with sends under way (ste_sweep keeps targets with running sends). Before: the new test of lib/h1 fails, the request goes out. After: it passes; the pool counts a link within on_reply as one that will take a send soon.

--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -269,7 +269,8 @@
   for (struct frn_link *link = pool->links; link != NULL; link = next)
     {
       next = link->next;
-      if (link->link.state == H1_LINK_CONNECTING)
+      if (link->link.state == H1_LINK_CONNECTING
+          || link->link.state == H1_LINK_REPLYING)
         opening++;
       if (link->link.state != H1_LINK_IDLE)
         continue;
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -162,6 +162,7 @@
   H1_LINK_CONNECTING,
   H1_LINK_IDLE,
   H1_LINK_BUSY,
+  H1_LINK_REPLYING, /* within on_reply; takes no request yet */
   H1_LINK_CLOSED
 };
 
--- a/lib/h1/link.c
+++ b/lib/h1/link.c
@@ -43,7 +43,7 @@
     }
   link->reusable = reply.keep_alive;
   link->usable_for = h1_keep_alive_time (&reply);
-  link->state = H1_LINK_IDLE;
+  link->state = H1_LINK_REPLYING;
   enum h1_verdict verdict = link->ops->on_reply (link, &reply);
   if (link->state == H1_LINK_CLOSED)
     return;
@@ -58,9 +58,12 @@
       return;
     }
   if (!link->reusable || bytes_left)
-    lose (link, RW_E_RESET);
-  else
-    link->ops->on_idle (link);
+    {
+      lose (link, RW_E_RESET);
+      return;
+    }
+  link->state = H1_LINK_IDLE;
+  link->ops->on_idle (link);
 }
 
 static void
--- a/lib/h1/test_h1.c
+++ b/lib/h1/test_h1.c
@@ -28,6 +28,8 @@
   int reply_status;
   char reply_body[256];
   enum h1_verdict verdict;
+  bool send_in_reply;
+  int send_result;
 };
 
 static struct fixture *current;
@@ -79,8 +81,10 @@
 static enum h1_verdict
 on_reply (struct h1_link *link, const struct h1_message *reply)
 {
-  (void)link;
   current->replies++;
+  if (current->send_in_reply)
+    current->send_result
+        = h1_link_send (link, RW_LIT ("GET /early HTTP/1.1\r\n\r\n"), false);
   current->reply_status = reply->status;
   copy (current->reply_body, sizeof current->reply_body, reply->body);
   enum h1_verdict verdict = current->verdict;
@@ -376,6 +380,25 @@
   close (fd);
 }
 
+/* Guards against a request that is sent while the reply before it is handed
+   over: it was forgotten when the link became idle.  */
+TEST_WITH_FIXTURE (no_request_is_sent_before_the_reply_was_taken)
+{
+  char buf[256];
+  int fd = accept_link (f);
+  f->send_in_reply = true;
+  say (fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  RUN_UNTIL (f->idle == 2);
+  assert_int_equal (f->send_result, RW_E_RANGE);
+  assert_int_equal (
+      h1_link_send (&f->link, RW_LIT ("GET /next HTTP/1.1\r\n\r\n"), false),
+      0);
+  HEAR (fd, buf);
+  assert_non_null (strstr (buf, "/next"));
+  assert_null (strstr (buf, "/early"));
+  close (fd);
+}
+
 /* Guards against bytes of nobody's request that wait for the next one.  */
 TEST_WITH_FIXTURE (bytes_without_a_request_end_the_link)
 {
