Drop a target at whose address another one answers

Cause: a target that answered "another target has this address" was avoided for a while only, and a retry was put off as long as the list named a target, usable or not. So a query over shards that nothing serves any more was sent out again, or waited for its time limit.

Now such a target gets nothing until a later entry of the list names it; what was queued for it is tried elsewhere; and a retry for which no target is usable gives the part up, so that the caller hears at once. Unit test in lib/steer.

--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -83,6 +83,19 @@
     }
 }
 
+/* Another target answers at the address: what the list says is out of date. */
+static void
+pool_drop (struct frn_pool *pool, rw_time now)
+{
+  struct frn_daemon *daemon = pool->daemon;
+  struct ste_target *target = pool->target;
+  evt_line (&daemon->log, EVT_STATE, "target", now,
+            "replaced: id=%s at=%s:%u revision=%lld", target->id, target->host,
+            target->port, (long long)target->revision);
+  ste_drop (&daemon->fleet, target, now);
+  queue_fail (pool, "target replaced");
+}
+
 static size_t
 link_limit (const struct frn_pool *pool)
 {
@@ -158,8 +171,8 @@
     ste_on_result (&send->steer, STE_OK, now);
   else
     ste_on_result (&send->steer, STE_FAILED, now);
-  if (reply.other_target)
-    ste_avoid (target, now);
+  if (reply.other_target && !relay)
+    pool_drop (link->pool, now);
   if (!valid && !reply.not_run)
     {
       h1->reusable = false;
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -345,8 +345,10 @@
     target = ste_pick (&daemon->fleet, service, latency, NULL, 0, now);
   if (target == NULL)
     {
-      gat_postpone (&request->query, part, now,
-                    kind == GAT_SEND_FIRST ? -1 : RETRY_DELAY);
+      bool lost = kind == GAT_SEND_FIRST
+                  || (kind == GAT_SEND_RETRY
+                      && !ste_any_usable (&daemon->fleet, service, now));
+      gat_postpone (&request->query, part, now, lost ? -1 : RETRY_DELAY);
       return;
     }
   if (kind == GAT_SEND_HEDGE
@@ -551,13 +553,8 @@
   const struct gat_plan *plan = &request->query.plan;
   size_t served = 0;
   for (size_t i = 0; i < plan->parts; i++)
-    for (const struct ste_target *t = request->services[i]->targets; t != NULL;
-         t = t->next)
-      if (ste_usable (&request->daemon->fleet, t, now))
-        {
-          served++;
-          break;
-        }
+    served
+        += ste_any_usable (&request->daemon->fleet, request->services[i], now);
   return served >= plan->need;
 }
 
--- a/lib/steer/fleet.c
+++ b/lib/steer/fleet.c
@@ -131,6 +131,13 @@
     go (fleet, target, now);
 }
 
+void
+ste_drop (struct ste_fleet *fleet, struct ste_target *target, rw_time now)
+{
+  go (fleet, target, now);
+  target->usable_until = now;
+}
+
 void
 ste_sweep (struct ste_fleet *fleet,
            bool (*release) (void *arg, struct ste_target *target), void *arg,
--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -92,6 +92,16 @@
 
 /* A target is stalled if a send is overdue and nothing at all arrived from the
    target since that send.  */
+bool
+ste_any_usable (const struct ste_fleet *fleet,
+                const struct ste_service *service, rw_time now)
+{
+  const struct ste_target *target = service->targets;
+  while (target != NULL && !ste_usable (fleet, target, now))
+    target = target->next;
+  return target != NULL;
+}
+
 bool
 ste_stalled (const struct ste_target *target, rw_time now)
 {
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -118,6 +118,10 @@
 /* The entry of the target left the list at REVISION.  */
 void ste_remove (struct ste_fleet *fleet, struct rw_str id, int64_t revision,
                  rw_time now);
+/* Another target has the address: nothing is sent to this one any more, until
+   a later entry of the list names it.  */
+void ste_drop (struct ste_fleet *fleet, struct ste_target *target,
+               rw_time now);
 /* Frees the targets that are gone and that nobody uses.  RELEASE frees their
    user data, or returns false to keep the target.  */
 void ste_sweep (struct ste_fleet *fleet,
@@ -128,6 +132,9 @@
 /* Whether a request may be sent to the target at all.  */
 bool ste_usable (const struct ste_fleet *fleet,
                  const struct ste_target *target, rw_time now);
+/* Whether a request may be sent to any target of SERVICE.  */
+bool ste_any_usable (const struct ste_fleet *fleet,
+                     const struct ste_service *service, rw_time now);
 bool ste_stalled (const struct ste_target *target, rw_time now);
 /* Expected time in us until the target answers a request of the route.  */
 double ste_expected (const struct ste_fleet *fleet,
@@ -152,7 +159,7 @@
 };
 void ste_on_result (struct ste_send *send, enum ste_outcome outcome,
                     rw_time now);
-/* The target cannot be reached, or another one has its address.  */
+/* The target cannot be reached.  */
 void ste_avoid (struct ste_target *target, rw_time now);
 void ste_report (struct ste_target *target, unsigned int running,
                  unsigned int waiting, unsigned int slots, rw_time now);
--- a/lib/steer/test_steer.c
+++ b/lib/steer/test_steer.c
@@ -182,6 +182,19 @@
   assert_true (f->a->gone);
 }
 
+/* Guards against requests that wait for a target whose address belongs to
+   another one now, and against a target that is never used again.  */
+TEST_WITH_FIXTURE (a_replaced_target_gets_no_work_until_it_is_listed_again)
+{
+  ste_drop (&f->fleet, f->a, WARM);
+  ste_drop (&f->fleet, f->b, WARM);
+  assert_false (ste_any_usable (&f->fleet, f->service, WARM));
+  assert_null (pick (f, WARM));
+  f->a = put (&f->fleet, "a", "near", 3, WARM);
+  assert_true (ste_any_usable (&f->fleet, f->service, WARM));
+  assert_ptr_equal (pick (f, WARM), f->a);
+}
+
 /* Guards against work in a data centre that operators took out.  */
 TEST_WITH_FIXTURE (a_data_centre_out_gets_no_work)
 {
--- a/tests/process/front.sh
+++ b/tests/process/front.sh
@@ -118,6 +118,13 @@
 
 # All targets of three shards are gone: five of eight are too few.
 for s in s0-0 s0-1 s1-0 s1-1 s2-0 s2-1; do control POST /searcher/$s/stop; done
+# The list still has them, but others answer at their addresses: no request
+# waits for its time limit.  The first one may have run in part.
+begun=$(date +%s%N)
+expect "targets that were replaced" "$(request gone-0 /all/x 2)" 502
+expect "targets known to be replaced" "$(request gone-2 /all/x 2)" 503
+took=$((($(date +%s%N) - begun) / 1000000))
+[ $took -lt 1000 ] || fail "two refusals took $took ms"
 gone() { request gone-1 /all/x 2 >/dev/null; lines gone-1 |
     grep -q 'refused: .*status=503 .*error="no target"'; }
 await "a refusal names its cause" gone
