Recall slow exchanges that hold up another class

Now an exchange of searches that takes three times the usual time while parts of another class wait is cancelled at the target; its parts wait again, first in their class, under new ids, and once at most.

--- a/cmd/rwfload/sim.c
+++ b/cmd/rwfload/sim.c
@@ -206,6 +206,7 @@
 
 static void run_gate (struct sim *sim, struct entry *entry);
 static void run_holder (struct sim *sim, struct holder *holder);
+static void cancel_at_searcher (struct sim *sim, struct exchange *exchange);
 
 static bool
 measured (const struct sim *sim, const struct query *query)
@@ -579,9 +580,12 @@
 run_holder (struct sim *sim, struct holder *holder)
 {
   struct exchange *exchange = rw_xcalloc (1, sizeof *exchange);
+  struct adm_exchange *recalled;
   struct adm_part *part;
   rw_time wake;
 
+  while ((recalled = adm_recall (&holder->target, sim->now)) != NULL)
+    cancel_at_searcher (sim, (struct exchange *)recalled);
   while (adm_next_exchange (&holder->target, &exchange->adm, sim->now,
                             RW_TIME_NEVER))
     {
@@ -746,6 +750,17 @@
   run_holder (sim, holder);
 }
 
+/* Tells the searcher of EXCHANGE to end it.  */
+static void
+cancel_at_searcher (struct sim *sim, struct exchange *exchange)
+{
+  exchange->cancel = exchange->cancel_pending = true;
+  schedule (sim, sim->now + way_to_searcher (sim, exchange),
+            EV_CANCEL_AT_SEARCHER)
+      ->u.exchange
+      = exchange;
+}
+
 static void
 on_cancel_at_holder (struct sim *sim, struct attempt *attempt)
 {
@@ -756,15 +771,7 @@
     {
       if (adm_on_cancel (&holder->target, &attempt->part, &adm)
           == ADM_CANCEL_EXCHANGE)
-        {
-          struct exchange *exchange = (struct exchange *)adm;
-
-          exchange->cancel = exchange->cancel_pending = true;
-          schedule (sim, sim->now + way_to_searcher (sim, exchange),
-                    EV_CANCEL_AT_SEARCHER)
-              ->u.exchange
-              = exchange;
-        }
+        cancel_at_searcher (sim, (struct exchange *)adm);
       send_refusal (sim, attempt);
     }
   unref (sim, attempt->query);
--- a/lib/admit/admit.h
+++ b/lib/admit/admit.h
@@ -106,6 +106,7 @@
   bool once;                     /* has an exchange of its own */
   void *user;                    /* the caller's; not touched */
   struct adm_exchange *exchange; /* the exchange it runs in, or null */
+  bool recalled;                 /* private */
 };
 
 /* One exchange with the target, owned by the caller from adm_next_exchange
@@ -246,6 +247,7 @@
   uint64_t refused_out;
   uint64_t refused_lease;
   uint64_t cancelled; /* parts */
+  uint64_t recalled;  /* exchanges */
   uint64_t cold[ADM_COLD_REASONS];
 };
 
@@ -325,6 +327,11 @@
 struct adm_part *adm_expire (struct adm_target *target, rw_time now,
                              rw_time until);
 
+/* Call in a loop at wake-ups, before adm_next_exchange: returns an exchange
+   that takes much longer than usual while parts of another class wait, or
+   null.  The caller cancels it at the target; its parts are queued again.  */
+struct adm_exchange *adm_recall (struct adm_target *target, rw_time now);
+
 /* The latest time of the next call of adm_expire and adm_next_exchange, or
    RW_TIME_NEVER.  A change of UNTIL needs a call as well.  */
 rw_time adm_next_wakeup (const struct adm_target *target);
@@ -436,6 +443,7 @@
                      const struct adm_classes *classes, unsigned int disabled);
 void adm_queue_push (struct adm_queue *queue, struct adm_item *item,
                      rw_time now);
+void adm_queue_return (struct adm_queue *queue, struct adm_item *item);
 unsigned int adm_queue_index (const struct adm_queue *queue,
                               unsigned int class_id);
 bool adm_queue_full (const struct adm_queue *queue, unsigned int class_id);
--- a/lib/admit/estimate.c
+++ b/lib/admit/estimate.c
@@ -3,7 +3,7 @@
 /* An exchange that takes more than this multiple of the average is a straggler
    and may hold its slot much longer.  Counting such slots as usable let parts
    queue behind them: 8% less goodput under overload.  */
-#define OVERDUE_FACTOR 4
+#define OVERDUE_FACTOR 3
 
 /* Assumed before the first answer: the service time of the searchers of today
    with one way there and back.  */
@@ -43,6 +43,13 @@
   return at > now && at != RW_TIME_NEVER ? at - now : 0;
 }
 
+/* Returns the time after which an exchange of PARTS parts is a straggler.  */
+rw_time
+adm_overdue_after (const struct adm_target *target, size_t parts)
+{
+  return OVERDUE_FACTOR * adm_exchange_time (target, (int)parts);
+}
+
 static int
 overdue (const struct adm_target *target, rw_time now)
 {
@@ -52,8 +59,7 @@
   for (exchange = target->running; exchange != NULL; exchange = exchange->next)
     if (exchange->counted
         && now - exchange->started
-               > OVERDUE_FACTOR
-                     * adm_exchange_time (target, (int)exchange->count))
+               > adm_overdue_after (target, exchange->count))
       count++;
   return count;
 }
--- a/lib/admit/internal.h
+++ b/lib/admit/internal.h
@@ -22,6 +22,10 @@
 rw_time adm_exchange_time (const struct adm_target *target, int parts);
 rw_time adm_wait (const struct adm_target *target, unsigned int class_id,
                   size_t ahead, rw_time now);
+bool adm_judge (struct adm_target *target, const struct adm_exchange *exchange,
+                bool whole, rw_time now);
+rw_time adm_overdue_after (const struct adm_target *target, size_t parts);
+rw_time adm_recall_wakeup (const struct adm_target *target);
 int adm_refusal_code (const struct adm_target *target, rw_time now);
 int adm_closed (const struct adm_target *target, rw_time now, rw_time until);
 
--- a/lib/admit/queue.c
+++ b/lib/admit/queue.c
@@ -157,6 +157,30 @@
     ring_resume (queue, index);
 }
 
+/* Puts ITEM, which was taken, back before the others of its class.  The class
+   paid for it.  */
+void
+adm_queue_return (struct adm_queue *queue, struct adm_item *item)
+{
+  unsigned int index = adm_queue_index (queue, item->class_id);
+  struct adm_class_queue *class_queue = &queue->of[index];
+
+  item->state = ADM_ITEM_QUEUED;
+  item->prev = NULL;
+  item->next = class_queue->head;
+  if (class_queue->head != NULL)
+    class_queue->head->prev = item;
+  else
+    class_queue->tail = item;
+  class_queue->head = item;
+  class_queue->len++;
+  queue->len++;
+  if (item->deadline < queue->earliest)
+    queue->earliest = item->deadline;
+  if (!class_queue->in_ring)
+    ring_add_first (queue, index);
+}
+
 /* Removes a queued ITEM without charging its class.  */
 void
 adm_queue_remove (struct adm_queue *queue, struct adm_item *item)
--- /dev/null
+++ b/lib/admit/recall.c
@@ -0,0 +1,92 @@
+#include "internal.h"
+
+/* Recalls the exchanges that a target takes too long over.  A straggler holds
+   its slot for about 20 times the usual time; with two slots, stragglers of a
+   class with much work hold both for 3% of the time, and the parts of every
+   other class wait.  */
+
+/* Returns the class of the parts that EXCHANGE still carries.  PARTS get the
+   number of them.  */
+static unsigned int
+class_of (const struct adm_exchange *exchange, size_t *parts)
+{
+  unsigned int class_id = 0;
+
+  *parts = 0;
+  for (size_t i = 0; i < exchange->count; i++)
+    if (exchange->parts[i] != NULL)
+      {
+        class_id = exchange->parts[i]->item.class_id;
+        (*parts)++;
+      }
+  return class_id;
+}
+
+/* A part is recalled once, so that a target which is slow for all of them is
+   not asked again and again.  */
+static bool
+recalled_before (const struct adm_exchange *exchange)
+{
+  for (size_t i = 0; i < exchange->count; i++)
+    if (exchange->parts[i] != NULL && exchange->parts[i]->recalled)
+      return true;
+  return false;
+}
+
+/* Returns when EXCHANGE is to be recalled, or RW_TIME_NEVER: it runs for its
+   last part's deadline, was recalled, or holds up no other class.  */
+static rw_time
+recall_at (const struct adm_target *target,
+           const struct adm_exchange *exchange)
+{
+  size_t parts;
+  unsigned int class_id = class_of (exchange, &parts);
+  unsigned int index = adm_queue_index (&target->queue, class_id);
+
+  if (exchange->once || parts == 0 || !exchange->counted
+      || target->queue.len == target->queue.of[index].len
+      || recalled_before (exchange))
+    return RW_TIME_NEVER;
+  return exchange->started + adm_overdue_after (target, exchange->count);
+}
+
+/* Returns when adm_recall is due, or RW_TIME_NEVER.  */
+rw_time
+adm_recall_wakeup (const struct adm_target *target)
+{
+  rw_time earliest = RW_TIME_NEVER;
+
+  for (const struct adm_exchange *exchange = target->running; exchange != NULL;
+       exchange = exchange->next)
+    {
+      rw_time at = recall_at (target, exchange);
+
+      earliest = at < earliest ? at : earliest;
+    }
+  return earliest;
+}
+
+/* Returns an exchange that the caller has to cancel at the target, or null.
+   Its parts wait again, before all others of their class.  */
+struct adm_exchange *
+adm_recall (struct adm_target *target, rw_time now)
+{
+  struct adm_exchange *exchange = target->running;
+
+  while (exchange != NULL && recall_at (target, exchange) > now)
+    exchange = exchange->next;
+  if (exchange == NULL)
+    return NULL;
+  for (size_t i = exchange->count; i-- > 0;)
+    if (exchange->parts[i] != NULL)
+      {
+        struct adm_part *part = exchange->parts[i];
+
+        exchange->parts[i] = NULL;
+        part->exchange = NULL;
+        part->recalled = true;
+        adm_queue_return (&target->queue, &part->item);
+      }
+  target->counters.recalled++;
+  return exchange;
+}
--- a/lib/admit/target.c
+++ b/lib/admit/target.c
@@ -2,17 +2,6 @@
 
 #include <string.h>
 
-/* A latency is a sign of a cold target when it is above this multiple of the
-   moving average and above this time (section 5 of the design page).  */
-#define JUMP_FACTOR 4
-#define JUMP_MIN (5 * RW_MSEC)
-/* Averages of fewer exchanges are not compared with.  */
-#define JUMP_SAMPLES 4
-
-/* A target with a slow exchange is not cold if the next exchange takes at most
-   this multiple of the average.  */
-#define NORMAL_FACTOR 2
-
 /* A process cannot restart and accept connections in less; so after a longer
    time without an exchange the target may be a new, cold process.  */
 #define IDLE_TIME (100 * RW_MSEC)
@@ -232,6 +221,7 @@
 
   adm_lapse (target, now);
   part->exchange = NULL;
+  part->recalled = false;
   item->state = ADM_ITEM_OUTSIDE;
   item->refusal = (struct adm_refusal){ code, closed_retry (code) };
   if (code == 0 && item->deadline - now < MIN_REMAINING)
@@ -412,97 +402,6 @@
     target->lost[target->lost_len++] = until;
 }
 
-/* The size class of an exchange of PARTS parts, 1 to ADM_BATCH_MAX.  */
-static struct adm_latency *
-latency_of (struct adm_target *target, size_t parts)
-{
-  size_t size = 0;
-
-  while (parts > 1 && size < ADM_SIZE_CLASSES - 1)
-    {
-      parts /= 2;
-      size++;
-    }
-  return &target->latency[size];
-}
-
-/* How the latency of an exchange compares with the average.  */
-enum speed
-{
-  SPEED_NORMAL,
-  SPEED_SLOW, /* above NORMAL_FACTOR times the average */
-  SPEED_JUMP
-};
-
-static enum speed
-speed_of (const struct adm_latency *latency, rw_time elapsed)
-{
-  if (latency->samples < JUMP_SAMPLES || elapsed <= JUMP_MIN
-      || elapsed <= NORMAL_FACTOR * latency->warm)
-    return SPEED_NORMAL;
-  return elapsed > JUMP_FACTOR * latency->warm ? SPEED_JUMP : SPEED_SLOW;
-}
-
-static void
-move (rw_time *mean, rw_time elapsed, bool first, int shift)
-{
-  if (first)
-    *mean = elapsed;
-  else
-    *mean += (elapsed - *mean) / (1 << shift);
-  if (*mean < 1)
-    *mean = 1;
-}
-
-/* Moves the averages by the latency ELAPSED of a whole exchange.  A jump moves
-   them by at most JUMP_FACTOR, so that they follow a lasting change but not a
-   single straggler.  Below the full cap the warm one moves slowly: an average
-   of cold exchanges would hide that the target is cold.  */
-static void
-move_averages (struct adm_latency *latency, rw_time elapsed, bool full_cap)
-{
-  bool settled = latency->samples >= JUMP_SAMPLES;
-  rw_time bound = latency->mean * JUMP_FACTOR;
-  rw_time warm_bound = latency->warm * JUMP_FACTOR;
-  bool first = latency->samples == 0;
-
-  move (&latency->mean, settled && elapsed > bound ? bound : elapsed, first,
-        MEAN_SHIFT);
-  move (&latency->warm, settled && elapsed > warm_bound ? warm_bound : elapsed,
-        first, full_cap || !settled ? MEAN_SHIFT : COLD_MEAN_SHIFT);
-  latency->samples++;
-}
-
-/* Judges the time of EXCHANGE.  After a jump the target gets the cold limit at
-   once, until an exchange that started later ends: in normal time, and the
-   jump was a straggler; slowly, and the target counts as cold.  With one
-   straggler in 100 exchanges, counting the target as cold after each halved
-   the capacity of a service (docs/measurements/overload.md).  WHOLE: the
-   exchange ended by itself; otherwise it would have taken longer.  Returns
-   whether the exchange speaks for a warm target.  */
-static bool
-judge_latency (struct adm_target *target, const struct adm_exchange *exchange,
-               bool whole, rw_time now)
-{
-  struct adm_latency *latency = latency_of (target, exchange->count);
-  rw_time elapsed = now - exchange->started;
-  enum speed speed = speed_of (latency, elapsed);
-  bool decides = exchange->started >= target->suspect_since;
-
-  if (whole)
-    move_averages (latency, elapsed, target->cap >= target->rules.slots);
-  if (decides && speed != SPEED_NORMAL)
-    adm_go_cold (target, ADM_COLD_LATENCY, now);
-  else if (decides && whole)
-    target->suspect_since = RW_TIME_NEVER;
-  else if (speed == SPEED_JUMP && target->suspect_since == RW_TIME_NEVER)
-    {
-      target->suspect_since = now;
-      target->reassess = true;
-    }
-  return speed != SPEED_JUMP;
-}
-
 /* Waits longer before the next exchange with each failure in a row.  */
 static void
 pause_after_failure (struct adm_target *target, int code, rw_time at_least,
@@ -579,7 +478,7 @@
 {
   if (note_incarnation (target, outcome->u.ok.incarnation, now))
     return;
-  if (judge_latency (target, exchange, true, now))
+  if (adm_judge (target, exchange, true, now))
     note_success (target, exchange);
   note_load (target, outcome->u.ok.load);
 }
@@ -602,7 +501,7 @@
   uint64_t epoch = target->epoch;
 
   target->streak = 0;
-  judge_latency (target, exchange, false, now);
+  adm_judge (target, exchange, false, now);
   if (target->epoch != epoch)
     pause_after_failure (target, RW_E_RESET, 0, now);
 }
@@ -645,7 +544,7 @@
       on_failed (target, now);
       break;
     case ADM_CANCELLED:
-      judge_latency (target, exchange, false, now);
+      adm_judge (target, exchange, false, now);
       break;
     case ADM_EXPIRED:
       on_expired (target, exchange, now);
@@ -811,7 +710,8 @@
     return 0;
   if (target->queue.len == 0)
     return RW_TIME_NEVER;
-  at = target->queue.earliest - least_remaining (target) + 1;
+  at = min_time (target->queue.earliest - least_remaining (target) + 1,
+                 adm_recall_wakeup (target));
   if (target->paused_until > INT64_MIN)
     at = min_time (at, target->paused_until);
   if (target->foreign > 0)
--- a/lib/admit/test_property.c
+++ b/lib/admit/test_property.c
@@ -38,6 +38,8 @@
   struct adm_target target;
   struct adm_part parts[PARTS];
   enum part_state state[PARTS];
+  struct run *held[PARTS]; /* the run of a running part */
+  bool recalled[PARTS];
   size_t next_part;
   struct run runs[EXCHANGES];
   rw_time now;
@@ -50,6 +52,7 @@
   uint64_t signs;
   int foreign; /* what a predecessor really runs */
   size_t most;
+  size_t recalls;
   uint64_t served[4];
 };
 
@@ -161,6 +164,7 @@
   if (part == NULL)
     return;
   memset (part, 0, sizeof *part);
+  w->recalled[part - w->parts] = false;
   part->item.class_id = (unsigned int)rw_rng_below (&w->rng, 4);
   part->item.deadline = w->now + (rw_time)rw_rng_below (&w->rng, 80 * RW_MSEC);
   part->service = RW_LIT ("partsdesk");
@@ -245,6 +249,7 @@
           assert_string_equal (part->snapshot.ptr,
                                run->exchange.parts[0]->snapshot.ptr);
           w->state[part - w->parts] = PART_RUNNING;
+          w->held[part - w->parts] = run;
           w->served[part->item.class_id]++;
         }
     }
@@ -282,6 +287,32 @@
     }
 }
 
+/* The target ends a recalled exchange at once.  A part is recalled once.  */
+static void
+recall (struct world *w)
+{
+  struct adm_exchange *exchange;
+
+  while ((exchange = adm_recall (&w->target, w->now)) != NULL)
+    {
+      struct run *run = (struct run *)exchange;
+
+      assert_false (exchange->once);
+      for (size_t i = 0; i < PARTS; i++)
+        if (w->held[i] == run && w->state[i] == PART_RUNNING)
+          {
+            assert_null (w->parts[i].exchange);
+            assert_false (w->recalled[i]);
+            w->recalled[i] = true;
+            w->state[i] = PART_QUEUED;
+            w->recalls++;
+          }
+      run->real_end = run->report_at = w->now;
+      run->outcome = (struct adm_outcome){ .kind = ADM_CANCELLED,
+                                           .u.cancelled.confirmed = true };
+    }
+}
+
 static void
 refuse (struct world *w)
 {
@@ -351,6 +382,7 @@
   if (chance (w, 20))
     cancel_one (w);
   refuse (w);
+  recall (w);
   dispatch (w);
   refuse (w);
   assert_true (adm_next_wakeup (&w->target) > w->now);
@@ -381,6 +413,7 @@
 {
   static struct world w;
   size_t most = 0;
+  size_t recalls = 0;
 
   (void)state;
   for (uint64_t seed = 1; seed <= 150; seed++)
@@ -394,8 +427,10 @@
         }
       drain (&w);
       most = w.most > most ? w.most : most;
+      recalls += w.recalls;
     }
   assert_int_equal (most, 6);
+  assert_true (recalls > 0);
 }
 
 /* Guards against a class that gets no service while others overload the
--- a/lib/admit/test_target.c
+++ b/lib/admit/test_target.c
@@ -782,6 +782,64 @@
   assert_int_equal (run_rounds (&gate, 1, 0, &now), 1);
 }
 
+/* Guards against stragglers of one class that hold every slot while the parts
+   of another class wait.  */
+static void
+slow_exchange_is_recalled_for_another_class (void **state)
+{
+  struct adm_exchange *recalled;
+  struct bench b;
+
+  (void)state;
+  bench_init (&b, 1, 1, 1);
+  succeed (&b, 8);
+  b.used = b.dispatched = 0;
+  assert_int_equal (offer_class (&b, 200 * RW_MSEC, 1), 0);
+  assert_int_equal (dispatch (&b), 1);
+  assert_int_equal (offer_class (&b, 200 * RW_MSEC, 1), 0);
+  b.now += 20 * RW_MSEC;
+  assert_null (adm_recall (&b.target, b.now));
+  assert_int_equal (offer_class (&b, 200 * RW_MSEC, 2), 0);
+  assert_true (adm_next_wakeup (&b.target) <= b.now);
+  recalled = adm_recall (&b.target, b.now);
+  assert_ptr_equal (recalled, &b.exchanges[0]);
+  assert_null (b.parts[0].exchange);
+  assert_int_equal (b.target.queue.len, 3);
+
+  /* The slot is free when the target has confirmed it; the recalled part is
+     the first of its class, and is not recalled again.  */
+  assert_int_equal (dispatch (&b), 1);
+  end (&b, 0,
+       (struct adm_outcome){ .kind = ADM_CANCELLED,
+                             .u.cancelled.confirmed = true },
+       20 * RW_MSEC);
+  assert_int_equal (dispatch (&b), 1);
+  end (&b, 1, ok_of (7), 2 * RW_MSEC);
+  assert_int_equal (dispatch (&b), 1);
+  assert_ptr_equal (b.exchanges[2].parts[0], &b.parts[0]);
+  b.now += 20 * RW_MSEC;
+  assert_null (adm_recall (&b.target, b.now));
+  assert_int_equal (b.target.counters.recalled, 1);
+}
+
+/* Guards against a request that may run once and is sent again.  */
+static void
+once_exchange_is_not_recalled (void **state)
+{
+  struct bench b;
+
+  (void)state;
+  bench_init (&b, 1, 1, 1);
+  succeed (&b, 8);
+  b.used = b.dispatched = 0;
+  b.parts[0].once = true;
+  assert_int_equal (offer_class (&b, 200 * RW_MSEC, 1), 0);
+  assert_int_equal (dispatch (&b), 1);
+  assert_int_equal (offer_class (&b, 200 * RW_MSEC, 2), 0);
+  b.now += 50 * RW_MSEC;
+  assert_null (adm_recall (&b.target, b.now));
+}
+
 int
 main (void)
 {
@@ -805,6 +863,8 @@
     cmocka_unit_test (fall_back_refuses_what_cannot_wait),
     cmocka_unit_test (queue_of_a_class_is_bounded),
     cmocka_unit_test (cancelled_parts_leave),
+    cmocka_unit_test (slow_exchange_is_recalled_for_another_class),
+    cmocka_unit_test (once_exchange_is_not_recalled),
     cmocka_unit_test (failures_in_a_row_pause_the_target),
     cmocka_unit_test (successor_subtracts_what_the_predecessor_runs),
     cmocka_unit_test (mechanisms_can_be_switched_off),
--- a/lib/node/exchange.c
+++ b/lib/node/exchange.c
@@ -4,13 +4,16 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Writes the id by which the target knows the part.  A recalled part gets
+   another one, so that the cancellation of its first exchange cannot end the
+   second.  */
 static void
 text_of_id (const struct nod_part *part, char text[64])
 {
-  snprintf (text, 64, "%016llx-%llx-%x",
+  snprintf (text, 64, "%016llx-%llx-%x%s",
             (unsigned long long)part->batch->submit.id.incarnation,
             (unsigned long long)part->batch->submit.id.sequence,
-            part->wire.attempt);
+            part->wire.attempt, part->admission.recalled ? "-r" : "");
 }
 
 static void
@@ -83,6 +86,14 @@
   rw_buf_append_str (&action->data, first->batch->submit.body);
 }
 
+/* Tells the target that nobody waits for EXCHANGE any more.  */
+void
+nod_exchange_cancel (struct nod_node *node, struct nod_exchange *exchange)
+{
+  exchange->cancelled = true;
+  nod_push (node, NOD_CANCEL_EXCHANGE)->u.cancel.exchange = exchange->number;
+}
+
 /* Marks a once request as dispatched.  Returns false, and ends it, if it may
    not run.  */
 static bool
@@ -121,6 +132,16 @@
     }
 }
 
+/* Cancels the exchanges that take too long while other classes wait.  */
+static void
+recall_exchanges (struct nod_node *node, struct nod_target *target)
+{
+  struct adm_exchange *recalled;
+
+  while ((recalled = adm_recall (target->admission, node->now)) != NULL)
+    nod_exchange_cancel (node, (struct nod_exchange *)recalled);
+}
+
 static void
 run_target (struct nod_node *node, struct nod_target *target)
 {
@@ -130,6 +151,7 @@
     return;
   nod_holder_acts (node, target, &until);
   refuse_expired (node, target, until);
+  recall_exchanges (node, target);
   for (;;)
     {
       struct nod_exchange *exchange = rw_xcalloc (1, sizeof *exchange);
--- a/lib/node/holder.h
+++ b/lib/node/holder.h
@@ -21,6 +21,9 @@
 struct rw_str nod_part_once_key (struct nod_node *node,
                                  const struct nod_part *part);
 struct qry_id nod_part_once_id (const struct nod_part *part);
+/* Tells the target that nobody waits for EXCHANGE any more.  */
+void nod_exchange_cancel (struct nod_node *node,
+                          struct nod_exchange *exchange);
 void nod_part_refuse (struct nod_node *node, struct nod_part *part, int code,
                       rw_time retry_after, const char *detail);
 void nod_part_refuse_not_holder (struct nod_node *node, struct nod_part *part);
--- a/lib/node/part.c
+++ b/lib/node/part.c
@@ -163,7 +163,7 @@
                           part->batch->submit.id.sequence };
 }
 
-/* Refuses PART, "not run", and frees it.  */
+/* Refuses PART, which is "not run" unless it was recalled, and frees it.  */
 void
 nod_part_refuse (struct nod_node *node, struct nod_part *part, int code,
                  rw_time retry_after, const char *detail)
@@ -185,7 +185,9 @@
       return;
     }
   result = nod_part_result (node, part);
-  nod_part_error (node, result, code, WIR_RAN_NO, "admission", detail);
+  nod_part_error (node, result, code,
+                  part->admission.recalled ? WIR_RAN_UNKNOWN : WIR_RAN_NO,
+                  "admission", detail);
   result->retry_after_ms = nod_part_ms (retry_after);
   nod_part_end_span (node, part, code);
   nod_part_free (node, part);
@@ -383,18 +385,12 @@
 cancel_part (struct nod_node *node, struct nod_part *part)
 {
   struct adm_exchange *running = NULL;
-  struct nod_exchange *exchange;
 
   if (part->admission.once && part->admission.exchange != NULL)
     return;
   if (adm_on_cancel (part->target->admission, &part->admission, &running)
       == ADM_CANCEL_EXCHANGE)
-    {
-      exchange = (struct nod_exchange *)running;
-      exchange->cancelled = true;
-      nod_push (node, NOD_CANCEL_EXCHANGE)->u.cancel.exchange
-          = exchange->number;
-    }
+    nod_exchange_cancel (node, (struct nod_exchange *)running);
   if (part->admission.once)
     {
       struct onc_result outcome;
