--- a/lib/node/part.c
+++ b/lib/node/part.c
@@ -384,13 +384,15 @@
 static void
 cancel_part (struct nod_node *node, struct nod_part *part)
 {
-  struct adm_exchange *running = NULL;
+  struct nod_exchange *exchange
+      = (struct nod_exchange *)part->admission.exchange;
+  struct adm_exchange *running;
 
   if (part->admission.once && part->admission.exchange != NULL)
     return;
   if (adm_on_cancel (part->target->admission, &part->admission, &running)
       == ADM_CANCEL_EXCHANGE)
-    nod_exchange_cancel (node, (struct nod_exchange *)running);
+    nod_exchange_cancel (node, exchange);
   if (part->admission.once)
     {
       struct onc_result outcome;
