rwfront: hops in the log, metrics by route, reason and state

An engineer with only logs and metrics could not tell which hop of a request was slow, which route or reason a refusal had, or whether sends went to cold or leaving targets. A refusal without a configuration named no id, and a request without an id left no line.

Now: one "span" line for each hop of a sampled request, and for the failed, waiting and additional hops of every request that did not get all it asked for in time, within the rate of the log; requests and times by route, refusals by reason, sends by the state of the target, memory.

--- a/cmd/rwfload/run.c
+++ b/cmd/rwfload/run.c
@@ -22,6 +22,7 @@
 #define CALL_TIMEOUT (2 * RW_SEC)
 #define CONNECTIONS 1000 /* to one entry daemon */
 #define QUERIES 1000     /* different queries */
+#define UNKNOWN_LINES 20 /* reported in full; the results count them all */
 
 struct run_options
 {
@@ -56,6 +57,7 @@
   rw_time start;
   uint64_t next_key;
   size_t waiting; /* requests without answer */
+  int unknown_lines;
   struct run_results results;
 };
 
@@ -228,11 +230,38 @@
                            run->start);
 }
 
+/* Reports a request whose outcome is unknown, for at most UNKNOWN_LINES of
+   them.  */
+static void
+report_unknown (const struct run_request *request,
+                const struct net_reply *reply)
+{
+  struct run *run = request->run;
+  rw_time now = net_now ();
+
+  if (run->unknown_lines == UNKNOWN_LINES)
+    return;
+  run->unknown_lines++;
+  fprintf (stderr,
+           "rwfload: run: outcome unknown: %s of %s due at %.3f s, %.1f ms: ",
+           request->stream->once ? "once request" : "search",
+           request->stream->service,
+           (double)(request->due - run->start) / RW_SEC,
+           (double)(now - request->due) / RW_MSEC);
+  if (reply->err != NULL)
+    fprintf (stderr, "no answer: %s at %s: %s\n", reply->err->step,
+             reply->err->peer, reply->err->detail);
+  else
+    fprintf (stderr, "status %d: %.*s\n", reply->status,
+             RW_STR_ARG (reply->body));
+}
+
 static void
 on_reply (void *arg, uint64_t tag, const struct net_reply *reply)
 {
   struct run_request *request = arg;
   struct run_stream *stream = request->stream;
+  uint64_t unknown = stream->unknown;
 
   (void)tag;
   if (reply->err != NULL)
@@ -241,6 +270,8 @@
     run_count_answer (stream, reply->body, net_now () - request->due);
   else
     run_count_error (stream, reply->body);
+  if (stream->unknown > unknown)
+    report_unknown (request, reply);
   request->run->waiting--;
   free (request);
 }
--- a/cmd/rwfront/answer.c
+++ b/cmd/rwfront/answer.c
@@ -76,8 +76,10 @@
   bool plain = outcome == FRN_WHOLE || outcome == FRN_PASSED;
   char missing[512];
 
-  sta_inc (daemon->metrics.outcome[outcome]);
-  sta_observe (daemon->metrics.latency, took);
+  struct frn_route_metrics *counters = frn_metrics_of (
+      &daemon->metrics, request->stats, request->route->name);
+  sta_inc (counters->outcome[outcome]);
+  sta_observe (counters->latency, took);
   evt_line (
       &daemon->log,
       plain && took < request->route->aim ? EVT_SAMPLE : EVT_NORMAL, "request",
@@ -92,16 +94,15 @@
       request->last_error != NULL ? request->last_error : "",
       request->last_target, (unsigned long long)request->config->version,
       (long long)((now - daemon->config_since) / RW_MSEC));
+  frn_spans_write (request, plain && took < request->route->aim);
 }
 
 /* Answers a request that has not run.  RETRY_AFTER below 0: none is stated. */
 void
-frn_answer_refusal (struct frn_daemon *daemon, struct h1_conn *conn,
-                    int status, rw_time retry_after)
+frn_answer_refusal (struct h1_conn *conn, int status, rw_time retry_after)
 {
   char header[64] = "";
   struct h1_reply reply = { .status = status };
-  (void)daemon;
   if (retry_after >= 0)
     snprintf (header, sizeof header, "Retry-After: %.3f\r\n",
               (double)retry_after / RW_SEC);
@@ -169,7 +170,8 @@
   if (!may_have_run (request))
     {
       frn_log_outcome (request, FRN_REFUSED, 503);
-      frn_answer_refusal (request->daemon, request->conn, 503, RETRY_BUSY);
+      sta_inc (request->daemon->metrics.refusal[FRN_REFUSE_BUSY]);
+      frn_answer_refusal (request->conn, 503, RETRY_BUSY);
       return;
     }
   frn_log_outcome (request, FRN_FAILED, late ? 504 : 502);
--- a/cmd/rwfront/callers.c
+++ b/cmd/rwfront/callers.c
@@ -24,30 +24,37 @@
   plt_read_request (message, &head);
   if (route == NULL)
     {
-      sta_inc (daemon->metrics.outcome[FRN_NO_ROUTE]);
+      sta_inc (daemon->metrics.no_route.outcome[FRN_NO_ROUTE]);
       evt_line (&daemon->log, EVT_NORMAL, "request", frn_now (),
                 "no route: id=%.*s path=%.*s version=%llu",
                 RW_STR_ARG (head.id), RW_STR_ARG (path),
                 (unsigned long long)daemon->config->version);
-      frn_answer_refusal (daemon, conn, 404, -1);
+      frn_answer_refusal (conn, 404, -1);
       return;
     }
   if (head.id.len == 0)
     {
-      sta_inc (daemon->metrics.outcome[FRN_INVALID]);
-      frn_answer_refusal (daemon, conn, 400, -1);
+      sta_inc (daemon->metrics.no_route.outcome[FRN_INVALID]);
+      evt_line (&daemon->log, EVT_NORMAL, "request", frn_now (),
+                "without id: path=%.*s", RW_STR_ARG (path));
+      frn_answer_refusal (conn, 400, -1);
       return;
     }
   frn_request_begin (daemon, conn, message, route, &head, start, relayed);
 }
 
 static void
-refuse_unconfigured (struct frn_daemon *daemon, struct h1_conn *conn)
+refuse_unconfigured (struct frn_daemon *daemon, struct h1_conn *conn,
+                     const struct h1_message *message)
 {
-  sta_inc (daemon->metrics.outcome[FRN_REFUSED]);
+  struct plt_request head;
+  plt_read_request (message, &head);
+  sta_inc (daemon->metrics.no_route.outcome[FRN_REFUSED]);
+  sta_inc (daemon->metrics.refusal[FRN_REFUSE_NO_CONFIG]);
   evt_line (&daemon->log, EVT_NORMAL, "request", frn_now (),
-            "refused: no configuration is known");
-  frn_answer_refusal (daemon, conn, 503, RETRY_NO_CONFIG);
+            "refused: id=%.*s status=503 error=\"no configuration is known\"",
+            RW_STR_ARG (head.id));
+  frn_answer_refusal (conn, 503, RETRY_NO_CONFIG);
 }
 
 void
@@ -66,7 +73,7 @@
       daemon->parked[i] = daemon->parked[--daemon->parked_count];
       h1_conn_message (parked.conn, &message);
       if (daemon->config == NULL)
-        refuse_unconfigured (daemon, parked.conn);
+        refuse_unconfigured (daemon, parked.conn, &message);
       else
         frn_request_serve (daemon, parked.conn, &message, parked.since, false);
     }
@@ -84,7 +91,7 @@
   else if (daemon->parked_count < FRN_MAX_PARKED)
     daemon->parked[daemon->parked_count++] = (struct frn_parked){ conn, now };
   else
-    refuse_unconfigured (daemon, conn);
+    refuse_unconfigured (daemon, conn, message);
 }
 
 static void
@@ -115,7 +122,7 @@
 {
   struct frn_daemon *daemon = arg;
   (void)conn;
-  sta_inc (daemon->metrics.outcome[FRN_INVALID]);
+  sta_inc (daemon->metrics.no_route.outcome[FRN_INVALID]);
   evt_line (&daemon->log, EVT_NORMAL, "caller", frn_now (),
             "unreadable request: status=%d", status);
 }
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -71,12 +71,28 @@
   FRN_SEND_OUTCOMES
 };
 
+/* Why a request was refused.  */
+enum frn_refusal
+{
+  FRN_REFUSE_NO_CONFIG, /* none is known yet */
+  FRN_REFUSE_NO_TARGET, /* too few shards have a target */
+  FRN_REFUSE_BUSY,      /* the targets refused it, or could not be reached */
+  FRN_REFUSALS
+};
+
+struct frn_route_metrics
+{
+  struct sta_series *outcome[FRN_OUTCOMES];
+  struct sta_series *latency;
+};
+
 struct frn_metrics
 {
   struct sta_set set;
-  struct sta_series *outcome[FRN_OUTCOMES];
+  struct frn_route_metrics no_route; /* requests that reached no route */
+  struct sta_series *refusal[FRN_REFUSALS];
+  struct sta_series *admission[STE_STATES];
   struct sta_series *send_outcome[FRN_SEND_OUTCOMES];
-  struct sta_series *latency;
   struct sta_series *first;
   struct sta_series *retries;
   struct sta_series *hedges;
@@ -91,6 +107,7 @@
   struct sta_series *config_version;
   struct sta_series *config_age;
   struct sta_series *loop_lag;
+  struct sta_series *memory;
   struct sta_series *log_left_out;
 };
 
@@ -101,6 +118,7 @@
   struct ste_latency relay;   /* of whole requests at a larger peer */
   int64_t budget_ms;          /* the longest time that callers have waited */
   struct rw_rng rng;          /* draws the service of a split */
+  struct frn_route_metrics metrics;
 };
 
 /* What this daemon knows of the store, and what follows from it.  */
@@ -204,6 +222,11 @@
 bool frn_is_ready (const struct frn_daemon *daemon);
 
 void frn_metrics_init (struct frn_metrics *metrics);
+struct frn_route_metrics *frn_metrics_of (struct frn_metrics *metrics,
+                                          struct frn_route_stats *stats,
+                                          struct rw_str route);
+void frn_metrics_update (struct frn_daemon *daemon);
+const char *frn_refusal_name (enum frn_refusal reason);
 int frn_admin_init (struct frn_daemon *daemon);
 
 int frn_store_init (struct frn_daemon *daemon);
@@ -316,12 +339,16 @@
                          const char *reason);
 /* Answers with what the query has; ends the request.  */
 void frn_answer_query (struct frn_request *request, bool success);
-void frn_answer_refusal (struct frn_daemon *daemon, struct h1_conn *conn,
-                         int status, rw_time retry_after);
+void frn_answer_refusal (struct h1_conn *conn, int status,
+                         rw_time retry_after);
 const char *frn_outcome_name (enum frn_outcome outcome);
 void frn_log_outcome (struct frn_request *request, enum frn_outcome outcome,
                       int status);
 
+/* Log lines for the hops of a request: all of a sampled one, of the others
+   those that failed or were sent in addition.  */
+void frn_spans_write (const struct frn_request *request, bool plain);
+
 /* Links.  */
 
 enum frn_send_state
@@ -339,6 +366,9 @@
   struct frn_send *next; /* of the request */
   size_t part;
   enum frn_send_state state;
+  enum gat_send_kind kind;
+  enum ste_outcome outcome; /* once it has ended */
+  rw_time ended;
   struct ste_target *target;
   struct frn_link *link;
   struct frn_send *queue_next;
--- /dev/null
+++ b/cmd/rwfront/metrics.c
@@ -0,0 +1,148 @@
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "front.h"
+
+const char *
+frn_refusal_name (enum frn_refusal reason)
+{
+  switch (reason)
+    {
+    case FRN_REFUSE_NO_CONFIG:
+      return "no-configuration";
+    case FRN_REFUSE_NO_TARGET:
+      return "no-target";
+    case FRN_REFUSE_BUSY:
+      return "targets-refused";
+    case FRN_REFUSALS:
+      break;
+    }
+  return "unknown";
+}
+
+static void
+init_route (struct sta_set *set, struct frn_route_metrics *metrics,
+            struct rw_str route)
+{
+  char name[128];
+  char outcome[64];
+  char labels[256];
+  struct rw_str route_label = sta_label (name, sizeof name, "route", route);
+
+  for (int i = 0; i < FRN_OUTCOMES; i++)
+    {
+      struct rw_str label
+          = sta_label (outcome, sizeof outcome, "outcome",
+                       rw_str_from (frn_outcome_name ((enum frn_outcome)i)));
+      int len = snprintf (labels, sizeof labels, "%.*s,%.*s",
+                          RW_STR_ARG (route_label), RW_STR_ARG (label));
+      metrics->outcome[i]
+          = sta_counter (set, "rwf_requests_total", "requests by outcome",
+                         (struct rw_str){ labels, (size_t)len });
+    }
+  metrics->latency
+      = sta_histogram (set, "rwf_request_seconds",
+                       "time from a request to its answer", route_label);
+}
+
+/* The counters of ROUTE.  Their number is bounded by lib/stat.  */
+struct frn_route_metrics *
+frn_metrics_of (struct frn_metrics *m, struct frn_route_stats *stats,
+                struct rw_str route)
+{
+  if (stats->metrics.latency == NULL)
+    init_route (&m->set, &stats->metrics, route);
+  return &stats->metrics;
+}
+
+/* Resident memory in bytes; 0 if it cannot be read.  */
+static long
+resident_memory (void)
+{
+  long pages = 0;
+  FILE *file = fopen ("/proc/self/statm", "r");
+  if (file == NULL)
+    return 0;
+  if (fscanf (file, "%*s %ld", &pages) != 1)
+    pages = 0;
+  fclose (file);
+  return pages * sysconf (_SC_PAGESIZE);
+}
+
+void
+frn_metrics_init (struct frn_metrics *m)
+{
+  static const char *const sends[FRN_SEND_OUTCOMES]
+      = { "ok", "refused", "broken", "abandoned" };
+  struct rw_str none = { NULL, 0 };
+  char label[64];
+  sta_init (&m->set);
+  init_route (&m->set, &m->no_route, (struct rw_str){ NULL, 0 });
+  for (int i = 0; i < FRN_REFUSALS; i++)
+    m->refusal[i] = sta_counter (
+        &m->set, "rwf_refusals_total", "refused requests by reason",
+        sta_label (label, sizeof label, "reason",
+                   rw_str_from (frn_refusal_name ((enum frn_refusal)i))));
+  for (int i = 0; i < STE_STATES; i++)
+    m->admission[i] = sta_counter (
+        &m->set, "rwf_admissions_total", "sends by the state of the target",
+        sta_label (label, sizeof label, "target",
+                   rw_str_from (ste_state_name ((enum ste_state)i))));
+  for (int i = 0; i < FRN_SEND_OUTCOMES; i++)
+    m->send_outcome[i] = sta_counter (
+        &m->set, "rwf_sends_total", "sends to targets by outcome",
+        sta_label (label, sizeof label, "outcome", rw_str_from (sends[i])));
+  m->first = sta_counter (&m->set, "rwf_first_sends_total",
+                          "parts sent for the first time", none);
+  m->retries = sta_counter (&m->set, "rwf_retries_total",
+                            "parts sent again after a failure", none);
+  m->hedges = sta_counter (&m->set, "rwf_hedges_total",
+                           "parts sent to a second target", none);
+  m->budget_empty
+      = sta_counter (&m->set, "rwf_extra_budget_empty_total",
+                     "extra sends put off because of the budget", none);
+  m->relays = sta_counter (&m->set, "rwf_relays_total",
+                           "requests left to a larger peer", none);
+  m->links = sta_counter (&m->set, "rwf_links_opened_total",
+                          "connections opened to targets", none);
+  m->store_calls = sta_counter (&m->set, "rwf_store_calls_total",
+                                "answers of the store", none);
+  m->store_errors = sta_counter (&m->set, "rwf_store_errors_total",
+                                 "failed calls to the store", none);
+  m->transfers = sta_counter (&m->set, "rwf_transfers_total",
+                              "changes taken over from peers", none);
+  m->daemons = sta_gauge (&m->set, "rwf_daemons",
+                          "daemons that share the sums", none);
+  m->store_age
+      = sta_gauge (&m->set, "rwf_store_lost_seconds",
+                   "time since the store was lost, 0: in touch", none);
+  m->config_version = sta_gauge (&m->set, "rwf_config_version",
+                                 "version in force, 0: none", none);
+  m->config_age = sta_gauge (&m->set, "rwf_config_age_seconds",
+                             "time since that version came into force", none);
+  m->loop_lag = sta_gauge (&m->set, "rwf_loop_lag_seconds",
+                           "delay of the last tick of the loop", none);
+  m->memory = sta_gauge (&m->set, "rwf_memory_bytes",
+                         "resident memory of the process", none);
+  m->log_left_out = sta_gauge (&m->set, "rwf_log_lines_left_out",
+                               "log lines not written", none);
+}
+
+/* Sets the gauges to what holds now.  */
+void
+frn_metrics_update (struct frn_daemon *daemon)
+{
+  struct frn_metrics *m = &daemon->metrics;
+  rw_time now = frn_now ();
+  sta_set_value (m->store_age,
+                 (double)fol_age (&daemon->store.reader, now) / RW_SEC);
+  sta_set_value (m->daemons, (double)daemon->fleet.settings.daemons);
+  sta_set_value (m->config_version,
+                 daemon->config ? (double)daemon->config->version : 0);
+  sta_set_value (m->config_age,
+                 daemon->config ? (double)(now - daemon->config_since) / RW_SEC
+                                : 0);
+  sta_set_value (m->memory, (double)resident_memory ());
+  sta_set_value (m->log_left_out, (double)daemon->log.left_out);
+}
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -67,6 +67,15 @@
     }
 }
 
+static void
+end_send (struct frn_send *send, enum ste_outcome outcome, rw_time now)
+{
+  send->state = FRN_SEND_ENDED;
+  send->outcome = outcome;
+  send->ended = now;
+  ste_on_result (&send->steer, outcome, now);
+}
+
 /* Fails every queued send: the target cannot be reached.  */
 static void
 queue_fail (struct frn_pool *pool, const char *reason)
@@ -77,8 +86,7 @@
     {
       struct frn_send *send = pool->queue;
       queue_remove (pool, send);
-      send->state = FRN_SEND_ENDED;
-      ste_on_result (&send->steer, STE_ABANDONED, now);
+      end_send (send, STE_ABANDONED, now);
       frn_request_failed (send, GAT_FAIL_NOT_RUN, reason);
     }
 }
@@ -162,15 +170,14 @@
     ste_report (target, reply.running, reply.waiting, reply.slots, now);
   link->send = NULL;
   send->link = NULL;
-  send->state = FRN_SEND_ENDED;
   bool relay = send->request->mode == FRN_MODE_RELAY;
   bool valid = relay || (reply.request_id.len > 0 && reply.stamp.len > 0);
   if (reply.not_run || (relay && frn_relay_refused (message)))
-    ste_on_result (&send->steer, STE_SHED, now);
+    end_send (send, STE_SHED, now);
   else if (valid && (relay || message->status < 500))
-    ste_on_result (&send->steer, STE_OK, now);
+    end_send (send, STE_OK, now);
   else
-    ste_on_result (&send->steer, STE_FAILED, now);
+    end_send (send, STE_FAILED, now);
   if (reply.other_target && !relay)
     pool_drop (link->pool, now);
   if (!valid && !reply.not_run)
@@ -207,8 +214,7 @@
   if (send != NULL)
     {
       send->link = NULL;
-      send->state = FRN_SEND_ENDED;
-      ste_on_result (&send->steer, STE_FAILED, frn_now ());
+      end_send (send, STE_FAILED, frn_now ());
       frn_request_failed (send, GAT_FAIL_UNKNOWN, "connection lost");
     }
   if (connecting && pool->count == 0)
@@ -339,9 +345,8 @@
     case FRN_SEND_ENDED:
       return;
     }
-  send->state = FRN_SEND_ENDED;
   sta_inc (pool->daemon->metrics.send_outcome[FRN_SEND_ABANDONED]);
-  ste_on_result (&send->steer, STE_ABANDONED, frn_now ());
+  end_send (send, STE_ABANDONED, frn_now ());
 }
 
 static void
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -310,13 +310,14 @@
 
 static void
 send_part (struct frn_request *request, size_t part, struct ste_target *target,
-           rw_time now)
+           enum gat_send_kind kind, rw_time now)
 {
   struct frn_send *send = rw_arena_zalloc (&request->arena, 1, sizeof *send);
   size_t count = request->query.parts[part].sends;
   tried_of (request, part)[count] = target;
   send->request = request;
   send->part = part;
+  send->kind = kind;
   send->target = target;
   target->holds++;
   send->next = request->sends;
@@ -374,7 +375,8 @@
   else
     sta_inc (kind == GAT_SEND_HEDGE ? daemon->metrics.hedges
                                     : daemon->metrics.retries);
-  send_part (request, part, target, now);
+  sta_inc (daemon->metrics.admission[ste_state_of (target, now)]);
+  send_part (request, part, target, kind, now);
 }
 
 /* A peer that still answers others is waited for until the end.  */
@@ -582,7 +584,8 @@
     }
   request->last_error = "no target";
   frn_log_outcome (request, FRN_REFUSED, 503);
-  frn_answer_refusal (request->daemon, request->conn, 503, RETRY_NO_TARGET);
+  sta_inc (request->daemon->metrics.refusal[FRN_REFUSE_NO_TARGET]);
+  frn_answer_refusal (request->conn, 503, RETRY_NO_TARGET);
   frn_request_end (request);
 }
 
--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -92,6 +92,35 @@
 
 /* A target is stalled if a send is overdue and nothing at all arrived from the
    target since that send.  */
+enum ste_state
+ste_state_of (const struct ste_target *target, rw_time now)
+{
+  if (target->draining || target->gone)
+    return STE_LEAVING;
+  if (now < target->cold_until)
+    return STE_COLD;
+  return ste_stalled (target, now) ? STE_STALLED : STE_WELL;
+}
+
+const char *
+ste_state_name (enum ste_state state)
+{
+  switch (state)
+    {
+    case STE_WELL:
+      return "well";
+    case STE_COLD:
+      return "cold";
+    case STE_LEAVING:
+      return "leaving";
+    case STE_STALLED:
+      return "stalled";
+    case STE_STATES:
+      break;
+    }
+  return "unknown";
+}
+
 bool
 ste_any_usable (const struct ste_fleet *fleet,
                 const struct ste_service *service, rw_time now)
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -135,6 +135,17 @@
 /* Whether a request may be sent to any target of SERVICE.  */
 bool ste_any_usable (const struct ste_fleet *fleet,
                      const struct ste_service *service, rw_time now);
+/* What a target is like at the moment.  */
+enum ste_state
+{
+  STE_WELL,
+  STE_COLD,    /* has just started */
+  STE_LEAVING, /* drains, or is gone from the list */
+  STE_STALLED, /* has stopped answering */
+  STE_STATES
+};
+enum ste_state ste_state_of (const struct ste_target *target, rw_time now);
+const char *ste_state_name (enum ste_state state);
 bool ste_stalled (const struct ste_target *target, rw_time now);
 /* Expected time in us until the target answers a request of the route.  */
 double ste_expected (const struct ste_fleet *fleet,
--- a/lib/steer/test_steer.c
+++ b/lib/steer/test_steer.c
@@ -182,6 +182,21 @@
   assert_true (f->a->gone);
 }
 
+/* Guards against an admission that is counted for another kind of target.  */
+TEST_WITH_FIXTURE (the_state_of_a_target_is_what_it_is_counted_as)
+{
+  struct ste_send send;
+  warm_up (f);
+  assert_int_equal (ste_state_of (f->a, WARM), STE_WELL);
+  f->a->cold_until = WARM + MS;
+  assert_int_equal (ste_state_of (f->a, WARM), STE_COLD);
+  ste_on_sent (&send, f->b, &f->latency, WARM);
+  assert_int_equal (ste_state_of (f->b, WARM + 2 * RW_SEC), STE_STALLED);
+  f->a->draining = true;
+  assert_int_equal (ste_state_of (f->a, WARM), STE_LEAVING);
+  ste_on_result (&send, STE_ABANDONED, WARM + 2 * RW_SEC);
+}
+
 /* Guards against requests that wait for a target whose address belongs to
    another one now, and against a target that is never used again.  */
 TEST_WITH_FIXTURE (a_replaced_target_gets_no_work_until_it_is_listed_again)
--- a/tests/process/front.sh
+++ b/tests/process/front.sh
@@ -113,6 +113,11 @@
 expect "a paused shard" "$(request paused-1 /all/x 1)" 200
 lines paused-1 | grep -q 'partial: .*parts=7/8 .*missing=shard0 target=s0-.*version=1 age_ms=' ||
     fail "the line of a partial answer: $(lines paused-1)"
+lines paused-1 | grep -q 'span: waiting: .*service=shard0 target=s0-. kind=first' ||
+    fail "the hops of a partial answer: $(lines paused-1)"
+[ "$(metric 1 'rwf_requests_total{route="all",outcome="partial"}')" = 1 ] ||
+    fail "a partial answer is not counted for its route"
+[ "$(metric 1 'rwf_memory_bytes')" != 0 ] || fail "the memory is not counted"
 echo "ok: the cause of a partial answer"
 sleep 1.3
 
@@ -129,6 +134,10 @@
     grep -q 'refused: .*status=503 .*error="no target"'; }
 await "a refusal names its cause" gone
 grep -q '^Retry-After: 0' "$DIR/head" || fail "Retry-After of a refusal"
+[ "$(metric 2 'rwf_refusals_total{reason="no-target"}')" -ge 1 ] ||
+    fail "a refusal is not counted by its reason"
+[ "$(metric 2 'rwf_admissions_total{target="well"}')" -ge 8 ] ||
+    fail "sends are not counted by the state of the target"
 echo "ok: the cause of a refusal"
 for s in s0-0 s0-1 s1-0 s1-1 s2-0 s2-1; do control POST /searcher/$s/start; done
 
--- a/tests/process/holder-lost.sh
+++ b/tests/process/holder-lost.sh
@@ -62,7 +62,7 @@
 say "isa-3 is stopped while requests run"
 entries="$(address isa-1 http),$(address mid-3 http)"
 $BIN/rwfload run --services partsdesk,reserve-svc --rate 50 --duration 3s \
-    --entries "$entries" --csv "$LOGS/stop.csv" >"$LOGS/stop.txt" &
+    --entries "$entries" --csv "$LOGS/stop.csv" >"$LOGS/stop.txt" 2>&1 &
 load=$!
 sleep 1
 kill "$isa_3"
