Demonstrate rwfront with the stand-ins; one copy of what its scripts share

make demo showed rwfd only. tests/demo-platform.sh shows a query over all shards, a pause, a reservation, a killed daemon without the store and a planned stop, each step checked; make check runs it. The functions of front.sh and rwfd.sh that stood twice are in tests/checks.sh and tests/site.sh.

--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,7 @@
 demo: deps
 	@+$(SUB) -j$$(nproc) build
 	@sh tests/demo.sh
+	@sh tests/demo-platform.sh
 
 bench: deps
 	@+$(SUB) -j$$(nproc) build
--- a/mk/check.sh
+++ b/mk/check.sh
@@ -81,4 +81,5 @@
 done
 step soak sh tests/soak.sh
 [ ! -f tests/demo.sh ] || step demo sh tests/demo.sh
+step demo-platform sh tests/demo-platform.sh
 finish
--- a/tests/process/front.sh
+++ b/tests/process/front.sh
@@ -7,104 +7,19 @@
 
 cd "$(dirname "$0")/../.." || exit 1
 BIN=build/${VARIANT:-asan}/bin
-DIR=$(mktemp -d)
-NET=127.19.$(($$ % 250))
-PIDS=""
+. tests/site.sh
 
-cleanup() {
-	trap - EXIT
-	for pid in $PIDS; do
-		kill -9 "$pid" 2>/dev/null
-		wait "$pid" 2>/dev/null
-	done
-	rm -rf "$DIR"
-}
-trap cleanup EXIT
-trap 'exit 1' INT TERM
-
-fail() {
-	echo "FAILED: $1"
-	grep -h -A 14 'ERROR: AddressSanitizer' "$DIR"/*.log
-	tail -n 20 "$DIR"/*.log
-	exit 1
-}
-
-# Checks that WHAT, ACTUAL is EXPECTED.
-expect() {
-	[ "$2" = "$3" ] || fail "$1: '$2' instead of '$3'"
-	echo "ok: $1"
-}
-
-# Waits until the command succeeds, for 10 s.
-await() {
-	what=$1
-	shift
-	for _ in $(seq 100); do
-		"$@" && return
-		sleep 0.1
-	done
-	fail "$what"
-}
-
-# Writes the settings of daemon N with the processor share CORES.
-settings() {
-	cat >"$DIR/vm-$1.settings" <<EOF
-RWF_NAME=vm-$1
-RWF_DC=dc-a
-RWF_CALLERS=$NET.$1:8104
-RWF_READY=$NET.$1:8108
-RWF_PEERS=$NET.$1:7380
-RWF_STORE=127.0.0.1:$STORE
-RWF_SEEDS=$NET.1:1,$NET.2:1
-RWF_CORES=$2
-RWF_EXTRA_SLACK=1000
-EOF
-}
-
-control() {
-	curl -s -m 5 -X "$1" "http://127.0.0.1:$CONTROL$2" --data "${3:-}"
-}
-
-# Sends request ID for PATH to daemon N and prints the status.
-request() {
-	curl -s -m 9 -o "$DIR/body" -D "$DIR/head" -w '%{http_code}' \
-	    -H 'Host: site.example' -H "X-Redwingfork-Request-Id: $1" \
-	    -H 'X-Redwingfork-Deadline-Ms: 1500' "http://$NET.$3:8104$2"
-}
-
-ready() {
-	[ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' \
-	    "http://$NET.$1:8108/ready")" = 200 ]
-}
-
-metric() {
-	curl -s -m 2 "http://$NET.$1:8108/metrics" | sed -n "s/^$2 //p"
-}
-
-# Prints the log lines of request ID in all logs.
-lines() {
-	$BIN/rwfctl request "$1" "$DIR"/vm-*.log
-}
-
-$BIN/rwfsite --shards 8 >"$DIR/site.out" 2>"$DIR/site.log" &
-PIDS="$PIDS $!"
-await "the stand-ins start" grep -q '^store=' "$DIR/site.out"
-STORE=$(sed -n 's/^store=\([0-9]*\).*/\1/p' "$DIR/site.out")
-CONTROL=$(sed -n 's/.*control=\([0-9]*\).*/\1/p' "$DIR/site.out")
+start_site --shards 8
+for n in 1 2 3; do
+	start_front $n "$([ $n = 3 ] && echo 0.2 || echo 1)"
+	eval "VM$n=$PID"
+done
 for n in 1 2 3; do
-	settings $n "$([ $n = 3 ] && echo 0.2 || echo 1)"
-	$BIN/rwfront -c -s "$DIR/vm-$n.settings" || fail "settings are checked"
-	$BIN/rwfront -s "$DIR/vm-$n.settings" >"$DIR/vm-$n.log" 2>&1 &
-	eval "VM$n=$!"
-	PIDS="$PIDS $!"
+	await "daemon $n is ready" ready $n
 done
-await "daemon 1 is ready" ready 1
-await "daemon 2 is ready" ready 2
-await "daemon 3 is ready" ready 3
 
 expect "a query over all shards" "$(request whole-1 /all/x 1)" 200
-expect "nothing is missing" "$(sed -n \
-    's/^X-Redwingfork-Missing-Parts: \([0-9]*\).*/\1/p' "$DIR/head")" 0
+expect "nothing is missing" "$(missing)" 0
 expect "an unknown route" "$(request none-1 /none/x 1)" 404
 
 # Both targets of a shard pause: the answer is partial, and the line tells it.
--- a/tests/process/rwfd.sh
+++ b/tests/process/rwfd.sh
@@ -7,31 +7,7 @@
 cd "$(dirname "$0")/../.." || exit 1
 BIN=build/${VARIANT:-asan}/bin
 IP=127.0.0.1
-DIR=$(mktemp -d)
-PIDS=""
-
-cleanup() {
-	trap - EXIT
-	for pid in $PIDS; do
-		kill -9 "$pid" 2>/dev/null
-		wait "$pid" 2>/dev/null
-	done
-	rm -rf "$DIR"
-}
-trap cleanup EXIT
-trap 'exit 1' INT TERM
-
-fail() {
-	echo "FAILED: $1"
-	tail -n 20 "$DIR"/*.log
-	exit 1
-}
-
-# Checks that WHAT, ACTUAL is EXPECTED.
-expect() {
-	[ "$2" = "$3" ] || fail "$1: '$2' instead of '$3'"
-	echo "ok: $1"
-}
+. tests/checks.sh
 
 # Starts NAME COMMAND... and waits for the line that begins with $READY.
 start() {
@@ -56,15 +32,6 @@
 	curl -s -m 9 -o "$DIR/body" -w '%{http_code}' "$@"
 }
 
-# Waits until the command succeeds, for 15 s.
-await() {
-	for _ in $(seq 150); do
-		"$@" && return
-		sleep 0.1
-	done
-	fail "$*"
-}
-
 search() {
 	status --data lens "http://$(address "$1" http)/v1/search/partsdesk"
 }
@@ -113,7 +80,7 @@
 sed -n 's/^map //p' "$DIR/targets.out" | publish map/partsdesk
 echo 'service partsdesk deadline=2s # thandi' | publish rules
 for vm in vm-1 vm-2 vm-3; do
-	await complete $vm
+	await "$vm answers in full" complete $vm
 	expect "$vm is ready" "$(status "http://$(address $vm http)/ready")" 200
 done
 
@@ -126,9 +93,9 @@
 rpc=$(address vm-1 rpc)
 bash -c "printf '\377\377\377\377' >/dev/tcp/$IP/${rpc##*:}"
 bash -c "printf 'no RPC message' >/dev/udp/$IP/${rpc##*:}"
-await grep -q "rpc: read record: $IP:[0-9]*: record of at least" \
+await "an oversize record is logged" grep -q "rpc: read record: $IP:[0-9]*: record of at least" \
     "$DIR/vm-1.log"
-await grep -q "rpc: decode: $IP: .*(malformed input)" "$DIR/vm-1.log"
+await "a malformed record is logged" grep -q "rpc: decode: $IP: .*(malformed input)" "$DIR/vm-1.log"
 head -c 1048577 /dev/zero >"$DIR/large"
 expect "long body" "$(status --data-binary @"$DIR/large" \
     "http://$(address vm-1 http)/v1/search/partsdesk")" 413
@@ -164,7 +131,7 @@
 kill -9 "$pid_3"
 echo "{\"vms\":[$(echo "$list" | tr -d '\n' | sed 's/},{.*/}/')]}" |
     publish vms
-await complete vm-1
+await "vm-1 answers in full" complete vm-1
 echo "ok: searches are complete after a kill"
 # shellcheck disable=SC2154
 kill "$pid_1"
