--- a/cmd/rwfd/admin.c
+++ b/cmd/rwfd/admin.c
@@ -18,8 +18,7 @@
 static void
 reply_ready (struct rwfd *rwfd, struct net_http *http, uint64_t id)
 {
-  bool ready
-      = rwfd->stop == RWFD_RUNNING && nod_ready (rwfd->node, net_now ());
+  bool ready = rwfd->stop == RWFD_RUNNING && nod_ready (rwfd->node, rw_now ());
 
   rwfd_reply (http, id, ready ? 200 : 503, "application/json",
               ready ? RW_LIT ("{\"ready\":true}\n")
@@ -110,7 +109,7 @@
   struct rw_buf out;
 
   rw_buf_init (&out);
-  nod_report (rwfd->node, RW_LIT ("metrics"), &out, net_now ());
+  nod_report (rwfd->node, RW_LIT ("metrics"), &out, rw_now ());
   count_rpc (rwfd);
   count_http (rwfd);
   sta_write (&rwfd->stats, &out);
@@ -127,7 +126,7 @@
 
   rw_buf_init (&out);
   if (!rw_str_eq_cstr (name, "metrics"))
-    rc = nod_report (rwfd->node, name, &out, net_now ());
+    rc = nod_report (rwfd->node, name, &out, rw_now ());
   if (rc == 0)
     rwfd_reply (&rwfd->admin, id, 200, "application/json", rw_buf_str (&out));
   else
--- a/cmd/rwfd/callers.c
+++ b/cmd/rwfd/callers.c
@@ -96,7 +96,7 @@
   if (rc < 0)
     refuse (rwfd, request->id, rc == RW_E_DEADLINE ? 504 : 400, rc, detail);
   else
-    nod_on_request (rwfd->node, request->id, &out, net_now ());
+    nod_on_request (rwfd->node, request->id, &out, rw_now ());
 }
 
 static void
@@ -117,7 +117,7 @@
 {
   struct rwfd *rwfd = arg;
 
-  nod_on_caller_gone (rwfd->node, id, net_now ());
+  nod_on_caller_gone (rwfd->node, id, rw_now ());
 }
 
 const struct net_http_ops rwfd_caller_ops = { on_request, on_gone };
--- a/cmd/rwfd/daemon.c
+++ b/cmd/rwfd/daemon.c
@@ -57,7 +57,7 @@
       && fwrite (action->data.ptr, 1, action->data.len, rwfd->trace)
              == action->data.len)
     return;
-  log_line (&rwfd->log, LOG_LEVEL_WARN, "trace", net_now (),
+  log_line (&rwfd->log, LOG_LEVEL_WARN, "trace", rw_now (),
             "Spans are no longer written to %s: it is full.",
             rwfd->options->trace_file);
   fclose (rwfd->trace);
@@ -89,7 +89,7 @@
       break;
     case NOD_LOG:
       log_text (&rwfd->log, level_of (action->u.log.level), action->u.log.part,
-                net_now (), rw_buf_str (&action->data));
+                rw_now (), rw_buf_str (&action->data));
       break;
     case NOD_SPAN:
       write_span (rwfd, action);
@@ -143,7 +143,7 @@
       && errno == EAGAIN)
     return;
   rwfd->armed = RW_TIME_NEVER;
-  nod_tick (rwfd->node, net_now ());
+  nod_tick (rwfd->node, rw_now ());
 }
 
 static void
@@ -168,13 +168,13 @@
     return;
   if (nod_drained (rwfd->node) && rwfd->callers.pending.len == 0)
     {
-      log_line (&rwfd->log, LOG_LEVEL_INFO, "daemon", net_now (),
+      log_line (&rwfd->log, LOG_LEVEL_INFO, "daemon", rw_now (),
                 "All work has ended.");
       linger (rwfd, EXIT_SUCCESS);
     }
-  else if (net_now () >= rwfd->stop_limit)
+  else if (rw_now () >= rwfd->stop_limit)
     {
-      log_line (&rwfd->log, LOG_LEVEL_ERROR, "daemon", net_now (),
+      log_line (&rwfd->log, LOG_LEVEL_ERROR, "daemon", rw_now (),
                 "%zu requests had no answer when the time to stop was over.",
                 rwfd->callers.pending.len);
       linger (rwfd, EXIT_FAILURE);
@@ -202,7 +202,7 @@
 {
   struct rwfd *rwfd = timer->data;
 
-  log_tick (&rwfd->log, net_now ());
+  log_tick (&rwfd->log, rw_now ());
   if (rwfd->trace != NULL)
     fflush (rwfd->trace);
 }
@@ -212,7 +212,7 @@
 on_signal (uv_signal_t *handle, int number)
 {
   struct rwfd *rwfd = handle->data;
-  rw_time now = net_now ();
+  rw_time now = rw_now ();
 
   log_line (&rwfd->log, LOG_LEVEL_INFO, "daemon", now, "Signal %d: %s.",
             number, rwfd->stop == RWFD_RUNNING ? "draining" : "stopping now");
@@ -233,7 +233,7 @@
 {
   struct rwfd *rwfd = arg;
 
-  return nod_on_record (rwfd->node, stream, data, net_now (), err);
+  return nod_on_record (rwfd->node, stream, data, rw_now (), err);
 }
 
 /* The actions run at once: what the node sends first on a new stream must go
@@ -246,7 +246,7 @@
 
   memcpy (to.host, addr->host, sizeof to.host);
   to.port = addr->port;
-  nod_on_stream_open (rwfd->node, stream, &to, net_now ());
+  nod_on_stream_open (rwfd->node, stream, &to, rw_now ());
   rwfd_run_actions (rwfd);
 }
 
@@ -255,7 +255,7 @@
 {
   struct rwfd *rwfd = arg;
 
-  nod_on_stream_closed (rwfd->node, stream, net_now ());
+  nod_on_stream_closed (rwfd->node, stream, rw_now ());
 }
 
 static void
@@ -263,7 +263,7 @@
 {
   struct rwfd *rwfd = arg;
 
-  nod_on_unsent (rwfd->node, token, net_now ());
+  nod_on_unsent (rwfd->node, token, rw_now ());
 }
 
 static int
@@ -275,7 +275,7 @@
 
   memcpy (from.host, addr->host, sizeof from.host);
   from.port = addr->port;
-  return nod_on_datagram (rwfd->node, &from, data, net_now (), err);
+  return nod_on_datagram (rwfd->node, &from, data, rw_now (), err);
 }
 
 static void
@@ -283,7 +283,7 @@
 {
   struct rwfd *rwfd = arg;
 
-  log_err (&rwfd->log, LOG_LEVEL_WARN, "rpc", net_now (), err);
+  log_err (&rwfd->log, LOG_LEVEL_WARN, "rpc", rw_now (), err);
 }
 
 static const struct net_rpc_ops RPC_OPS
@@ -329,7 +329,7 @@
   struct timespec ts;
 
   clock_gettime (CLOCK_REALTIME, &ts);
-  return (int64_t)ts.tv_sec * RW_SEC + ts.tv_nsec / 1000 - net_now ();
+  return (int64_t)ts.tv_sec * RW_SEC + ts.tv_nsec / 1000 - rw_now ();
 }
 
 static void
@@ -350,7 +350,7 @@
 
   if (rwfd->trace == NULL)
     settings.trace_sample = 0;
-  rwfd->node = nod_new (&settings, net_now ());
+  rwfd->node = nod_new (&settings, rw_now ());
 }
 
 static int
--- a/cmd/rwfd/platform.c
+++ b/cmd/rwfd/platform.c
@@ -20,7 +20,7 @@
   struct read *read = arg;
   struct nod_node *node = read->rwfd->node;
   struct rw_str key = rw_str_from (read->key);
-  rw_time now = net_now ();
+  rw_time now = rw_now ();
 
   (void)tag;
   if (reply->err != NULL)
--- a/cmd/rwfd/targets.c
+++ b/cmd/rwfd/targets.c
@@ -50,10 +50,10 @@
     return;
   if (reply->err != NULL)
     nod_on_exchange_failed (rwfd->node, tag, reply->sent, reply->err,
-                            net_now ());
+                            rw_now ());
   else
     nod_on_exchange_reply (rwfd->node, tag, reply->status,
-                           reply->retry_after_ms, reply->body, net_now ());
+                           reply->retry_after_ms, reply->body, rw_now ());
   free_exchange (exchange);
 }
 
--- a/cmd/rwfd/test_rwfd.c
+++ b/cmd/rwfd/test_rwfd.c
@@ -457,7 +457,7 @@
 /* Guards against timers that are early, which would repeat ticks, or lost.  */
 TEST_WITH_FIXTURE (ticks_come_when_they_are_due)
 {
-  node.wakeup = net_now () + 1500;
+  node.wakeup = rw_now () + 1500;
   RUN_UNTIL (f, node.events.len > 0);
   assert_true (rw_str_eq_cstr (rw_buf_str (&node.events), "tick due\n"));
 }
--- a/cmd/rwfload/run.c
+++ b/cmd/rwfload/run.c
@@ -237,7 +237,7 @@
                 const struct net_reply *reply)
 {
   struct run *run = request->run;
-  rw_time now = net_now ();
+  rw_time now = rw_now ();
 
   if (run->unknown_lines == UNKNOWN_LINES)
     return;
@@ -267,7 +267,7 @@
   if (reply->err != NULL)
     run_count_failure (stream, reply->sent);
   else if (reply->status == 200)
-    run_count_answer (stream, reply->body, net_now () - request->due);
+    run_count_answer (stream, reply->body, rw_now () - request->due);
   else
     run_count_error (stream, reply->body);
   if (stream->unknown > unknown)
@@ -327,7 +327,7 @@
   struct itimerspec spec = { { 0, 0 }, { 0, 0 } };
 
   if (at >= run_end (run))
-    at = run_end (run) + (net_now () >= run_end (run) ? LINGER : 0);
+    at = run_end (run) + (rw_now () >= run_end (run) ? LINGER : 0);
   spec.it_value.tv_sec = at / RW_SEC;
   spec.it_value.tv_nsec = at % RW_SEC * 1000;
   timerfd_settime (run->timer_fd, TFD_TIMER_ABSTIME, &spec, NULL);
@@ -337,7 +337,7 @@
 on_timer (uv_poll_t *poll, int status, int events)
 {
   struct run *run = poll->data;
-  rw_time now = net_now ();
+  rw_time now = rw_now ();
   uint64_t expirations;
 
   (void)status;
@@ -361,7 +361,7 @@
 on_flush (uv_prepare_t *prepare)
 {
   struct run *run = prepare->data;
-  rw_time now = net_now ();
+  rw_time now = rw_now ();
 
   net_client_flush (&run->client);
   if ((now >= run_end (run) && run->waiting == 0)
@@ -384,7 +384,7 @@
   uv_prepare_init (&run->loop, &run->flush);
   run->flush.data = run;
   uv_prepare_start (&run->flush, on_flush);
-  run->start = net_now ();
+  run->start = rw_now ();
   add_streams (run);
   set_timer (run);
   return 0;
--- a/cmd/rwfront/answer.c
+++ b/cmd/rwfront/answer.c
@@ -60,7 +60,7 @@
                   ? "no-link"
                   : (send->state == FRN_SEND_SENT ? "waiting" : "ended"),
               send->target->running, send->target->queued,
-              (long long)((frn_now () - send->steer.at) / RW_MSEC));
+              (long long)((rw_now () - send->steer.at) / RW_MSEC));
   return buf;
 }
 
@@ -71,7 +71,7 @@
                  int status)
 {
   struct frn_daemon *daemon = request->daemon;
-  rw_time now = frn_now ();
+  rw_time now = rw_now ();
   rw_time took = now - request->start;
   bool plain = outcome == FRN_WHOLE || outcome == FRN_PASSED;
   char missing[512];
@@ -160,7 +160,7 @@
 static void
 answer_failure (struct frn_request *request)
 {
-  bool late = frn_now () >= request->query.plan.deadline;
+  bool late = rw_now () >= request->query.plan.deadline;
   if (request->has_failure)
     {
       frn_log_outcome (request, FRN_FAILED, request->failure.status);
--- a/cmd/rwfront/callers.c
+++ b/cmd/rwfront/callers.c
@@ -25,7 +25,7 @@
   if (route == NULL)
     {
       sta_inc (daemon->metrics.no_route.outcome[FRN_NO_ROUTE]);
-      evt_line (&daemon->log, EVT_NORMAL, "request", frn_now (),
+      evt_line (&daemon->log, EVT_NORMAL, "request", rw_now (),
                 "no route: id=%.*s path=%.*s version=%llu",
                 RW_STR_ARG (head.id), RW_STR_ARG (path),
                 (unsigned long long)daemon->config->version);
@@ -35,7 +35,7 @@
   if (head.id.len == 0)
     {
       sta_inc (daemon->metrics.no_route.outcome[FRN_INVALID]);
-      evt_line (&daemon->log, EVT_NORMAL, "request", frn_now (),
+      evt_line (&daemon->log, EVT_NORMAL, "request", rw_now (),
                 "without id: path=%.*s", RW_STR_ARG (path));
       frn_answer_refusal (conn, 400, -1);
       return;
@@ -51,7 +51,7 @@
   plt_read_request (message, &head);
   sta_inc (daemon->metrics.no_route.outcome[FRN_REFUSED]);
   sta_inc (daemon->metrics.refusal[FRN_REFUSE_NO_CONFIG]);
-  evt_line (&daemon->log, EVT_NORMAL, "request", frn_now (),
+  evt_line (&daemon->log, EVT_NORMAL, "request", rw_now (),
             "refused: id=%.*s status=503 error=\"no configuration is known\"",
             RW_STR_ARG (head.id));
   frn_answer_refusal (conn, 503, RETRY_NO_CONFIG);
@@ -83,7 +83,7 @@
 on_request (void *arg, struct h1_conn *conn, const struct h1_message *message)
 {
   struct frn_daemon *daemon = arg;
-  rw_time now = frn_now ();
+  rw_time now = rw_now ();
 
   h1_conn_set_user (conn, NULL);
   if (daemon->config != NULL)
@@ -123,7 +123,7 @@
   struct frn_daemon *daemon = arg;
   (void)conn;
   sta_inc (daemon->metrics.no_route.outcome[FRN_INVALID]);
-  evt_line (&daemon->log, EVT_NORMAL, "caller", frn_now (),
+  evt_line (&daemon->log, EVT_NORMAL, "caller", rw_now (),
             "unreadable request: status=%d", status);
 }
 
--- a/cmd/rwfront/daemon.c
+++ b/cmd/rwfront/daemon.c
@@ -23,14 +23,6 @@
 /* Kept of the stop time for the exit itself.  */
 #define EXIT_MARGIN (700 * RW_MSEC)
 
-rw_time
-frn_now (void)
-{
-  struct timespec ts;
-  clock_gettime (CLOCK_BOOTTIME, &ts);
-  return ts.tv_sec * RW_SEC + ts.tv_nsec / 1000;
-}
-
 bool
 frn_is_ready (const struct frn_daemon *daemon)
 {
@@ -42,10 +34,10 @@
 static void
 daemon_exit (struct frn_daemon *daemon)
 {
-  evt_line (&daemon->log, EVT_STATE, "daemon", frn_now (),
+  evt_line (&daemon->log, EVT_STATE, "daemon", rw_now (),
             "stopped: requests=%zu ms=%lld", daemon->requests,
-            (long long)((frn_now () - daemon->stop_began) / RW_MSEC));
-  evt_tick (&daemon->log, frn_now ());
+            (long long)((rw_now () - daemon->stop_began) / RW_MSEC));
+  evt_tick (&daemon->log, rw_now ());
   uv_stop (daemon->loop);
 }
 
@@ -69,7 +61,7 @@
   if (daemon->stopping)
     return;
   daemon->stopping = true;
-  daemon->stop_began = frn_now ();
+  daemon->stop_began = rw_now ();
   h1_server_drain (&daemon->callers);
   frn_peers_leave (daemon);
   evt_line (&daemon->log, EVT_STATE, "daemon", daemon->stop_began,
@@ -103,7 +95,7 @@
 {
   struct frn_settings settings;
   struct rw_err err;
-  rw_time now = frn_now ();
+  rw_time now = rw_now ();
   daemon->settings_mtime = file_time (daemon->settings_path);
   if (frn_settings_read (daemon->settings_path, &settings, &err) != 0)
     {
@@ -132,7 +124,7 @@
 {
   static unsigned int ticks;
   struct frn_daemon *daemon = timer->data;
-  rw_time now = frn_now ();
+  rw_time now = rw_now ();
   rw_time lag = now - daemon->ticked - TICK_MS * RW_MSEC;
   sta_set_value (daemon->metrics.loop_lag, lag > 0 ? (double)lag / RW_SEC : 0);
   daemon->lag = lag;
@@ -154,7 +146,7 @@
 {
   uv_timer_init (daemon->loop, &daemon->tick);
   daemon->tick.data = daemon;
-  daemon->ticked = frn_now ();
+  daemon->ticked = rw_now ();
   uv_timer_start (&daemon->tick, on_tick, TICK_MS, TICK_MS);
   uv_signal_init (daemon->loop, &daemon->sigterm);
   daemon->sigterm.data = daemon;
@@ -185,11 +177,11 @@
   if (r != 0)
     return r;
   daemon->settings_mtime = file_time (settings_path);
-  evt_init (&daemon->log, STDOUT_FILENO, frn_now ());
+  evt_init (&daemon->log, STDOUT_FILENO, rw_now ());
   frn_metrics_init (&daemon->metrics);
   ste_init (&daemon->fleet, &steer,
             rw_hash (rw_str_from (daemon->settings.name))
-                ^ (uint64_t)frn_now ());
+                ^ (uint64_t)rw_now ());
   apply_settings (daemon);
   rw_map_init (&daemon->routes);
   daemon->scratch = rw_xmalloc (H1_SCRATCH);
@@ -214,7 +206,7 @@
   if (r != 0)
     return failed (err, "listen-peers", r);
   r = frn_store_init (daemon);
-  evt_line (&daemon->log, EVT_STATE, "daemon", frn_now (),
+  evt_line (&daemon->log, EVT_STATE, "daemon", rw_now (),
             "started: name=%s dc=%s pid=%d", daemon->settings.name,
             daemon->settings.dc, (int)getpid ());
   return r != 0 ? failed (err, "store", r) : 0;
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -214,8 +214,6 @@
 struct frn_send;
 struct frn_request;
 
-rw_time frn_now (void);
-
 int frn_daemon_init (struct frn_daemon *daemon, uv_loop_t *loop,
                      const char *settings_path, struct rw_err *err);
 void frn_daemon_finish (struct frn_daemon *daemon);
--- a/cmd/rwfront/peers.c
+++ b/cmd/rwfront/peers.c
@@ -35,7 +35,7 @@
   struct gos_message message = { .wants_reply = wants_reply };
   char data[GOS_MAX_DATAGRAM];
   struct sockaddr_in addr = daemon->settings.peers;
-  rw_time now = frn_now ();
+  rw_time now = rw_now ();
   message.leaving = daemon->stopping;
   message.revision = daemon->view.replica.revision;
   message.fresh_age_ms = (uint32_t)((now - peers->fresh) / RW_MSEC);
@@ -80,7 +80,7 @@
   struct rep_transfer transfer;
   struct rw_err err;
   struct rw_map listed;
-  rw_time now = frn_now ();
+  rw_time now = rw_now ();
 
   rw_arena_init (&arena, 65536);
   if (rep_unpack (&arena, body, &transfer, &err) != 0)
@@ -171,7 +171,7 @@
   struct frn_peers *peers = &daemon->peers;
   struct gos_message message;
   struct rw_err err;
-  rw_time now = frn_now ();
+  rw_time now = rw_now ();
   if (n <= 0 || from == NULL || (flags & UV_UDP_PARTIAL) != 0)
     return;
   uint32_t ip = ntohl (((const struct sockaddr_in *)from)->sin_addr.s_addr);
@@ -264,7 +264,7 @@
 void
 frn_peers_leave (struct frn_daemon *daemon)
 {
-  tell (daemon, frn_now ());
+  tell (daemon, rw_now ());
 }
 
 void
@@ -288,7 +288,7 @@
 {
   struct frn_peers *peers = &daemon->peers;
   const struct frn_settings *settings = &daemon->settings;
-  rw_time now = frn_now ();
+  rw_time now = rw_now ();
   struct gos_settings gossip = {
     .ip = ntohl (settings->peers.sin_addr.s_addr),
     .dc = (uint32_t)rw_hash (rw_str_from (settings->dc)),
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -80,7 +80,7 @@
 static void
 queue_fail (struct frn_pool *pool, const char *reason)
 {
-  rw_time now = frn_now ();
+  rw_time now = rw_now ();
   ste_avoid (pool->target, now);
   while (pool->queue != NULL)
     {
@@ -139,7 +139,7 @@
   struct frn_link *link = h1->arg;
   struct frn_pool *pool = link->pool;
   struct ste_service *service = pool->target->service;
-  rw_time now = frn_now ();
+  rw_time now = rw_now ();
   if (link->idle_since == 0)
     service->handshake += (now - link->opened - service->handshake) / 8;
   link->idle_since = now;
@@ -160,7 +160,7 @@
   struct frn_send *send = link->send;
   struct ste_target *target = link->pool->target;
   struct plt_reply reply;
-  rw_time now = frn_now ();
+  rw_time now = rw_now ();
 
   plt_read_reply (message, &reply);
   if (reply.request_id.len > 0
@@ -214,7 +214,7 @@
   if (send != NULL)
     {
       send->link = NULL;
-      end_send (send, STE_FAILED, frn_now ());
+      end_send (send, STE_FAILED, rw_now ());
       frn_request_failed (send, GAT_FAIL_UNKNOWN, "connection lost");
     }
   if (connecting && pool->count == 0)
@@ -255,7 +255,7 @@
     }
   link = rw_xcalloc (1, sizeof *link);
   link->pool = pool;
-  link->opened = frn_now ();
+  link->opened = rw_now ();
   link->next = pool->links;
   pool->links = link;
   pool->count++;
@@ -282,7 +282,7 @@
 static void
 pool_serve (struct frn_pool *pool)
 {
-  rw_time now = frn_now ();
+  rw_time now = rw_now ();
   size_t opening = 0;
   struct frn_link *next;
   for (struct frn_link *link = pool->links; link != NULL; link = next)
@@ -320,7 +320,7 @@
 frn_pool_send (struct frn_daemon *daemon, struct frn_send *send)
 {
   struct frn_pool *pool = pool_of (daemon, send->target);
-  pool->used = frn_now ();
+  pool->used = rw_now ();
   send->state = FRN_SEND_QUEUED;
   queue_push (pool, send);
   pool_serve (pool);
@@ -346,7 +346,7 @@
       return;
     }
   sta_inc (pool->daemon->metrics.send_outcome[FRN_SEND_ABANDONED]);
-  end_send (send, STE_ABANDONED, frn_now ());
+  end_send (send, STE_ABANDONED, rw_now ());
 }
 
 static void
--- a/cmd/rwfront/relay.c
+++ b/cmd/rwfront/relay.c
@@ -189,6 +189,6 @@
       || (uint64_t)version != daemon->config->version)
     h1_answer (conn, &refusal);
   else
-    frn_request_serve (daemon, conn, message, frn_now (), true);
+    frn_request_serve (daemon, conn, message, rw_now (), true);
   return true;
 }
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -194,7 +194,7 @@
 frn_request_write (const struct frn_send *send, struct rw_buf *out)
 {
   const struct frn_request *request = send->request;
-  rw_time left = request->caller_deadline - frn_now ();
+  rw_time left = request->caller_deadline - rw_now ();
   rw_buf_printf (out, "%.*s %.*s HTTP/1.1\r\n", RW_STR_ARG (request->method),
                  RW_STR_ARG (request->target));
   rw_buf_append_str (out, request->headers);
@@ -399,7 +399,7 @@
 static void
 request_run (struct frn_request *request)
 {
-  rw_time now = frn_now ();
+  rw_time now = rw_now ();
   size_t position = 0;
   size_t part;
   enum gat_send_kind kind;
@@ -458,7 +458,7 @@
 after_failure (struct frn_request *request, size_t part,
                enum gat_failure failure)
 {
-  gat_on_failure (&request->query, part, failure, frn_now (),
+  gat_on_failure (&request->query, part, failure, rw_now (),
                   failure == GAT_FAIL_NOT_RUN ? RW_MSEC : 0);
   if (request->ended)
     request_release (request);
@@ -563,7 +563,7 @@
 static void
 init_query (struct frn_request *request, const struct gat_plan *plan)
 {
-  gat_init (&request->query, &request->arena, plan, frn_now ());
+  gat_init (&request->query, &request->arena, plan, rw_now ());
   request->tried
       = rw_arena_zalloc (&request->arena, plan->parts * (plan->attempts + 4),
                          sizeof (struct ste_target *));
@@ -577,7 +577,7 @@
   request->mode = FRN_MODE_LOCAL;
   init_query (request, &plan);
   bind_services (request);
-  if (is_servable (request, frn_now ()))
+  if (is_servable (request, rw_now ()))
     {
       request_run (request);
       return;
@@ -631,7 +631,7 @@
   request->timer.data = request;
   daemon->requests++;
   h1_conn_set_user (conn, request);
-  if (frn_relay_wanted (daemon, request, frn_now ()))
+  if (frn_relay_wanted (daemon, request, rw_now ()))
     start_relay (request);
   else
     start_local (request);
--- a/cmd/rwfront/span.c
+++ b/cmd/rwfront/span.c
@@ -68,7 +68,7 @@
 frn_spans_write (const struct frn_request *request, bool plain)
 {
   bool sampled = rw_hash (request->id) % SPAN_SAMPLE == 0;
-  rw_time now = frn_now ();
+  rw_time now = rw_now ();
   size_t written = 0;
   if (plain && !sampled)
     return;
--- a/cmd/rwfront/store.c
+++ b/cmd/rwfront/store.c
@@ -19,7 +19,7 @@
 static void
 arm (struct frn_daemon *daemon, rw_time at)
 {
-  rw_time now = frn_now ();
+  rw_time now = rw_now ();
   rw_time wait = at > now ? at - now : 0;
   if (at == RW_TIME_NEVER)
     uv_timer_stop (&daemon->store.timer);
@@ -33,7 +33,7 @@
              const char *reason)
 {
   struct frn_store *store = &daemon->store;
-  rw_time now = frn_now ();
+  rw_time now = rw_now ();
   if (!store->reader.in_call)
     return;
   if (store->reader.lost_at == 0 && error != FOL_ERROR_COMPACTED)
@@ -58,7 +58,7 @@
   int64_t revision = store->reader.first_at;
   frn_view_retain (daemon, arena, revision, &store->listed);
   frn_view_commit (daemon, revision);
-  evt_line (&daemon->log, EVT_STATE, "store", frn_now (),
+  evt_line (&daemon->log, EVT_STATE, "store", rw_now (),
             "read: revision=%lld targets=%zu", (long long)revision,
             daemon->fleet.targets.len);
 }
@@ -94,7 +94,7 @@
   struct frn_store *store = &daemon->store;
   struct plt_page page;
   struct rw_err err;
-  rw_time now = frn_now ();
+  rw_time now = rw_now ();
   if (plt_decode_page (arena, body, &page, &err) != 0)
     {
       call_failed (daemon, FOL_ERROR_BROKEN, err.detail);
@@ -224,7 +224,7 @@
 start_call (struct frn_daemon *daemon)
 {
   struct frn_store *store = &daemon->store;
-  store->call_deadline = frn_now () + store->call.timeout;
+  store->call_deadline = rw_now () + store->call.timeout;
   arm (daemon, store->call_deadline);
   store->waiting = true;
   if (store->link_used)
@@ -246,7 +246,7 @@
 store_run (struct frn_daemon *daemon)
 {
   struct frn_store *store = &daemon->store;
-  rw_time now = frn_now ();
+  rw_time now = rw_now ();
   if (store->reader.in_call && now >= store->call_deadline)
     {
       call_failed (daemon, FOL_ERROR_BROKEN, "no answer in time");
--- a/cmd/rwfront/view.c
+++ b/cmd/rwfront/view.c
@@ -36,7 +36,7 @@
 apply_config (struct frn_daemon *daemon, const struct rep_item *item)
 {
   struct rw_err err;
-  rw_time now = frn_now ();
+  rw_time now = rw_now ();
   struct cat_config *config;
   config = cat_config_new ();
   if (plt_decode_config (item->value, config, &err) != 0)
@@ -69,7 +69,7 @@
 {
   struct rw_err err;
   struct cat_target entry;
-  rw_time now = frn_now ();
+  rw_time now = rw_now ();
   if (item->removed)
     {
       ste_remove (&daemon->fleet, id, item->revision, now);
@@ -129,7 +129,7 @@
       break;
     case PLT_DC_OUT:
       view->dcs_changed = true;
-      evt_line (&daemon->log, EVT_STATE, "dc", frn_now (),
+      evt_line (&daemon->log, EVT_STATE, "dc", rw_now (),
                 "%s of service: name=%.*s revision=%lld",
                 item->removed ? "no longer out" : "out", RW_STR_ARG (name),
                 (long long)item->revision);
--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -1,5 +1,6 @@
 /* Strings, arenas, errors, seeded random numbers, hashing and histograms
-   shared by every library.  Nothing here reads a clock or a socket.  */
+   shared by every library.  Nothing but rw_now reads a clock, and
+   nothing a socket.  */
 
 #ifndef RW_BASE_H
 #define RW_BASE_H
@@ -17,6 +18,9 @@
 #define RW_SEC INT64_C (1000000)
 #define RW_TIME_NEVER INT64_MAX
 
+/* The time now; it also counts while the machine is suspended.  */
+rw_time rw_now (void);
+
 #define RW_ARRAY_LEN(a) (sizeof (a) / sizeof ((a)[0]))
 
 /* A length-counted string.  The bytes belong to somebody else: an arena, a
--- a/lib/cat/cat.h
+++ b/lib/cat/cat.h
@@ -55,7 +55,6 @@
 struct cat_service
 {
   struct rw_str name;
-  struct rw_str health_path;
   unsigned int connections; /* that a target accepts; 0: not stated */
   double cold_per_s;        /* requests a cold target bears; 0: not stated */
   void *user;
--- a/lib/cat/config.c
+++ b/lib/cat/config.c
@@ -48,7 +48,6 @@
   struct cat_service *service = &config->services[config->service_count++];
   memset (service, 0, sizeof *service);
   service->name = rw_arena_str (&config->arena, name);
-  service->health_path = RW_LIT ("/health");
   rw_map_put (&config->by_name, key, (void *)(uintptr_t)config->service_count);
   return (uint32_t)config->service_count - 1;
 }
--- a/lib/extra/extra.c
+++ b/lib/extra/extra.c
@@ -65,14 +65,3 @@
   budget->extra_sum++;
   return true;
 }
-
-double
-ext_left (struct ext_budget *budget, const struct ext_limits *limits,
-          rw_time now)
-{
-  advance (budget, limits, now);
-  double limit = allowed (budget, limits);
-  if (limit <= 0 || budget->extra_sum >= limit)
-    return 0;
-  return 1 - budget->extra_sum / limit;
-}
--- a/lib/extra/extra.h
+++ b/lib/extra/extra.h
@@ -32,8 +32,5 @@
 /* Takes one extra send, or returns false when the budget is used up.  */
 bool ext_take (struct ext_budget *budget, const struct ext_limits *limits,
                rw_time now);
-/* The part of the budget that is left, 0 to 1.  */
-double ext_left (struct ext_budget *budget, const struct ext_limits *limits,
-                 rw_time now);
 
 #endif
--- a/lib/extra/test_extra.c
+++ b/lib/extra/test_extra.c
@@ -48,7 +48,6 @@
   while (ext_take (&budget, &limits, 20 * RW_SEC))
     ;
   assert_false (ext_take (&budget, &limits, 25 * RW_SEC));
-  assert_true (ext_left (&budget, &limits, 25 * RW_SEC) < 0.3);
   assert_true (ext_take (&budget, &limits, 31 * RW_SEC));
   assert_true (ext_take (&budget, &limits, 5 * RW_SEC));
 }
--- a/lib/follow/follow.c
+++ b/lib/follow/follow.c
@@ -40,7 +40,6 @@
     return;
   reader->revision = revision;
   reader->listing = false;
-  reader->complete = true;
 }
 
 bool
@@ -84,7 +83,6 @@
   if (more)
     return false;
   reader->listing = false;
-  reader->complete = true;
   reader->revision = reader->first_at;
   return true;
 }
--- a/lib/follow/follow.h
+++ b/lib/follow/follow.h
@@ -35,7 +35,6 @@
   bool listing;
   bool first_page;
   bool in_call;
-  bool complete;       /* the content was read once */
   int64_t first_at;    /* revision of the first page of this reading */
   int64_t revision;    /* changes up to it are known */
   rw_time next;        /* of the next call */
--- a/lib/net/addr.c
+++ b/lib/net/addr.c
@@ -82,14 +82,3 @@
   addr->port = ntohs (v6->sin6_port);
   return uv_ip6_name (v6, addr->host, sizeof addr->host);
 }
-
-/* Returns CLOCK_BOOTTIME in microseconds; it also counts while the machine is
-   suspended.  */
-rw_time
-net_now (void)
-{
-  struct timespec ts;
-
-  clock_gettime (CLOCK_BOOTTIME, &ts);
-  return (rw_time)ts.tv_sec * RW_SEC + ts.tv_nsec / 1000;
-}
--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -273,7 +273,7 @@
 
   if (next == RW_TIME_NEVER)
     return;
-  left = next - net_now ();
+  left = next - rw_now ();
   uv_update_time (client->loop);
   uv_timer_start (&client->timer, on_deadline,
                   left > 0 ? (uint64_t)((left + RW_MSEC - 1) / RW_MSEC) : 0,
@@ -284,7 +284,7 @@
 add_deadline (struct net_client *client, const struct net_call *call,
               rw_time timeout)
 {
-  rw_time at = net_now () + (timeout > 0 ? timeout : 0);
+  rw_time at = rw_now () + (timeout > 0 ? timeout : 0);
   bool first = at < rw_heap_next (&client->deadlines);
 
   rw_heap_push (&client->deadlines, at, (void *)(uintptr_t)call->id);
@@ -315,7 +315,7 @@
     }
   call->target = target;
   target->active++;
-  target->last_used = net_now ();
+  target->last_used = rw_now ();
   write_request (call, spec);
   add_deadline (client, call, spec->timeout);
   h2o_http1client_connect_with_pool (&call->h1, call, &client->ctx,
@@ -369,7 +369,7 @@
 on_deadline (uv_timer_t *timer)
 {
   struct net_client *client = timer->data;
-  rw_time now = net_now ();
+  rw_time now = rw_now ();
 
   while (rw_heap_next (&client->deadlines) <= now)
     {
@@ -398,7 +398,7 @@
   if (call->target == NULL)
     return;
   call->target->active--;
-  call->target->last_used = net_now ();
+  call->target->last_used = rw_now ();
   call->target = NULL;
 }
 
@@ -469,7 +469,7 @@
 on_sweep (uv_timer_t *timer)
 {
   struct net_client *client = timer->data;
-  rw_time now = net_now ();
+  rw_time now = rw_now ();
   struct net_target *target;
 
   free_disposed (client);
--- a/lib/net/net.h
+++ b/lib/net/net.h
@@ -26,7 +26,6 @@
 int net_addr_to_sockaddr (const struct net_addr *addr,
                           struct sockaddr_storage *sa);
 int net_addr_from_sockaddr (const struct sockaddr *sa, struct net_addr *addr);
-rw_time net_now (void);
 
 /* Streams and datagrams between daemons.  */
 
--- a/lib/net/rpc.c
+++ b/lib/net/rpc.c
@@ -137,7 +137,7 @@
   stream->rpc = rpc;
   stream->id = rpc->next_stream++;
   stream->outgoing = outgoing;
-  stream->started = net_now ();
+  stream->started = rw_now ();
   wir_reader_init (&stream->reader);
   rw_buf_init (&stream->queue);
   rw_buf_init (&stream->flight);
@@ -519,7 +519,7 @@
 on_sweep (uv_timer_t *timer)
 {
   struct net_rpc *rpc = timer->data;
-  rw_time now = net_now ();
+  rw_time now = rw_now ();
   struct net_stream *late;
   size_t connecting;
 
--- a/tests/rwfsite/control.c
+++ b/tests/rwfsite/control.c
@@ -67,7 +67,7 @@
     s->stopped = s->draining = false;
   else
     return false;
-  s->changed = s->stopped || s->draining ? site_now () : 0;
+  s->changed = s->stopped || s->draining ? rw_now () : 0;
   site_searcher_publish (s);
   return true;
 }
@@ -86,7 +86,7 @@
         continue;
       rw_str_to_int (value, 0, 600000, &ms);
       if (rw_str_eq_cstr (what, "pause"))
-        s->paused_until = site_now () + ms * RW_MSEC;
+        s->paused_until = rw_now () + ms * RW_MSEC;
       else if (rw_str_eq_cstr (what, "work"))
         s->work = ms * RW_MSEC;
       else if (!set_fault (s, what) && !set_state (s, what))
--- a/tests/rwfsite/main.c
+++ b/tests/rwfsite/main.c
@@ -64,14 +64,6 @@
         NULL,        NULL,
         NULL };
 
-rw_time
-site_now (void)
-{
-  struct timespec ts;
-  clock_gettime (CLOCK_BOOTTIME, &ts);
-  return ts.tv_sec * RW_SEC + ts.tv_nsec / 1000;
-}
-
 int
 site_listen (struct site *site, struct h1_server *server, uint16_t port,
              const struct h1_server_ops *ops, void *arg)
--- a/tests/rwfsite/searcher.c
+++ b/tests/rwfsite/searcher.c
@@ -88,7 +88,7 @@
 on_job (uv_timer_t *timer)
 {
   struct job *job = timer->data;
-  rw_time now = site_now ();
+  rw_time now = rw_now ();
   if (job->conn != NULL && now < job->searcher->paused_until)
     {
       uv_timer_start (
@@ -123,7 +123,7 @@
   h1_conn_set_user (conn, job);
   count_run (searcher, job->id, repeatable);
   if (searcher->changed > 0
-      && site_now () - searcher->changed
+      && rw_now () - searcher->changed
              > searcher->site->drain_time + LATE_SLACK)
     searcher->late++;
   if (searcher->fault != SITE_FAULT_HANG)
--- a/tests/rwfsite/site.h
+++ b/tests/rwfsite/site.h
@@ -95,7 +95,6 @@
   rw_time drain_time;
 };
 
-rw_time site_now (void);
 int site_store_init (struct site *site, uint16_t port);
 /* Sets an item, or removes it if VALUE is null.  */
 void site_put (struct site *site, const char *key, const char *value,
--- a/tests/rwfsite/store.c
+++ b/tests/rwfsite/store.c
@@ -167,7 +167,7 @@
     if (site->watches[i].conn == NULL)
       {
         site->watches[i]
-            = (struct site_watch){ conn, after, site_now () + wait * RW_MSEC };
+            = (struct site_watch){ conn, after, rw_now () + wait * RW_MSEC };
         return;
       }
   rw_buf_init (&body);
@@ -224,7 +224,7 @@
 on_tick (uv_timer_t *timer)
 {
   struct site *site = timer->data;
-  rw_time now = site_now ();
+  rw_time now = rw_now ();
   if (site->mode != SITE_STORE_UP)
     return;
   for (size_t i = 0; i < SITE_MAX_WATCHES; i++)
--- a/tests/rwftarget/control.c
+++ b/tests/rwftarget/control.c
@@ -11,7 +11,7 @@
 control_cold (struct tgt_searcher *searcher, const struct srv_request *request)
 {
   (void)request;
-  mdl_go_cold (&searcher->model, tgt_now ());
+  mdl_go_cold (&searcher->model, rw_now ());
 }
 
 static void
@@ -27,14 +27,14 @@
 {
   searcher->restarts++;
   mdl_restart (&searcher->model, srv_param_int (request, "ms", 500) * RW_MSEC,
-               tgt_now ());
+               rw_now ());
 }
 
 static void
 control_shed (struct tgt_searcher *searcher, const struct srv_request *request)
 {
   searcher->sheds_until
-      = tgt_now () + srv_param_int (request, "ms", 1000) * RW_MSEC;
+      = rw_now () + srv_param_int (request, "ms", 1000) * RW_MSEC;
 }
 
 static void
@@ -52,7 +52,7 @@
                 const struct srv_request *request)
 {
   searcher->frozen_until
-      = tgt_now () + srv_param_int (request, "ms", 1000) * RW_MSEC;
+      = rw_now () + srv_param_int (request, "ms", 1000) * RW_MSEC;
 }
 
 static void
@@ -150,7 +150,7 @@
   json_t *list = json_array ();
   json_t *body;
   char *text;
-  rw_time now = tgt_now ();
+  rw_time now = rw_now ();
 
   for (int i = 0; i < tgt->searchers_len; i++)
     if (is_meant (&tgt->searchers[i], request))
--- a/tests/rwftarget/exchange.c
+++ b/tests/rwftarget/exchange.c
@@ -9,16 +9,6 @@
 
 #define NO_DEADLINE (60 * RW_SEC) /* of a request that states none */
 
-/* Microseconds of CLOCK_BOOTTIME.  */
-rw_time
-tgt_now (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_BOOTTIME, &now);
-  return now.tv_sec * RW_SEC + now.tv_nsec / 1000;
-}
-
 void
 tgt_free_exchange (struct tgt_exchange *exchange)
 {
@@ -66,7 +56,7 @@
 void
 tgt_run (struct tgt *tgt, struct tgt_searcher *searcher)
 {
-  rw_time now = tgt_now ();
+  rw_time now = rw_now ();
   struct mdl_request *done;
 
   if (now < searcher->frozen_until)
@@ -87,7 +77,7 @@
 {
   rw_time at;
 
-  while (rw_heap_next (&tgt->answers) <= tgt_now ())
+  while (rw_heap_next (&tgt->answers) <= rw_now ())
     answer (rw_heap_pop (&tgt->answers, &at));
 }
 
@@ -180,7 +170,7 @@
 tgt_accept (struct tgt_exchange *exchange, int parts)
 {
   struct tgt_searcher *searcher = exchange->searcher;
-  rw_time now = tgt_now ();
+  rw_time now = rw_now ();
   int64_t ms;
   enum mdl_arrival arrival;
 
@@ -238,7 +228,7 @@
         }
       if (left > 0 || exchange->queries_len == 0)
         continue;
-      mdl_cancel (&searcher->model, r, tgt_now ());
+      mdl_cancel (&searcher->model, r, rw_now ());
       srv_reply (exchange->request, 410, RW_LIT ("{\"error\":\"cancelled\"}"));
       tgt_free_exchange (exchange);
     }
@@ -281,7 +271,7 @@
 {
   const struct tgt_searcher *searcher = data;
 
-  return !mdl_is_down (&searcher->model, tgt_now ());
+  return !mdl_is_down (&searcher->model, rw_now ());
 }
 
 /* Serves the port of one searcher.  */
--- a/tests/rwftarget/target.h
+++ b/tests/rwftarget/target.h
@@ -78,7 +78,6 @@
   uint64_t once_runs;
 };
 
-rw_time tgt_now (void);
 int tgt_init_timer (struct tgt *tgt);
 void tgt_schedule (struct tgt *tgt);
 void tgt_run (struct tgt *tgt, struct tgt_searcher *searcher);
--- a/tests/soak/client.c
+++ b/tests/soak/client.c
@@ -50,7 +50,7 @@
 static struct sok_daemon *
 pick_daemon (struct sok_soak *soak)
 {
-  rw_time now = sok_now ();
+  rw_time now = rw_now ();
   for (int i = 0; i < 20; i++)
     {
       struct sok_daemon *daemon
@@ -78,7 +78,7 @@
                       "X-Redwingfork-Deadline-Ms: %d\r\n\r\n",
                       client->route, client->id, TIME_LEFT_MS);
   client->waiting = true;
-  client->sent = sok_now ();
+  client->sent = rw_now ();
   h1_link_send (&client->link, (struct rw_str){ text, (size_t)len }, false);
   uv_timer_start (&client->timer, on_timer,
                   TIME_LEFT_MS + HELD_SLACK / RW_MSEC, 0);
@@ -106,7 +106,7 @@
 on_lost (struct h1_link *link, int code)
 {
   struct sok_client *client = link->arg;
-  rw_time now = sok_now ();
+  rw_time now = rw_now ();
   (void)code;
   if (!client->waiting)
     return;
--- a/tests/soak/fault.c
+++ b/tests/soak/fault.c
@@ -39,13 +39,13 @@
     return;
   sok_daemon_signal (daemon, SIGCONT);
   daemon->frozen = false;
-  daemon->disturbed = sok_now ();
+  daemon->disturbed = rw_now ();
 }
 
 static void
 kill_daemon (struct sok_daemon *daemon)
 {
-  daemon->disturbed = sok_now ();
+  daemon->disturbed = rw_now ();
   sok_daemon_signal (daemon, SIGKILL);
 }
 
@@ -55,7 +55,7 @@
   if (!daemon->running || daemon->stopping || daemon->frozen)
     return;
   daemon->stopping = true;
-  daemon->stop_began = sok_now ();
+  daemon->stop_began = rw_now ();
   sok_daemon_signal (daemon, SIGTERM);
 }
 
@@ -106,13 +106,13 @@
       break;
     case FAULT_FREEZE:
       daemon->frozen = daemon->running;
-      daemon->disturbed = sok_now ();
+      daemon->disturbed = rw_now ();
       sok_daemon_signal (daemon, SIGSTOP);
       break;
     case FAULT_HUP:
       /* A process that has not reached its main function, perhaps because it
          was frozen at once, cannot handle a signal.  */
-      if (!daemon->frozen && sok_now () - daemon->disturbed > START_TIME)
+      if (!daemon->frozen && rw_now () - daemon->disturbed > START_TIME)
         sok_daemon_signal (daemon, SIGHUP);
       break;
     case FAULT_CONFIG:
@@ -169,7 +169,7 @@
 on_fault_timer (uv_timer_t *timer)
 {
   struct sok_soak *soak = timer->data;
-  rw_time elapsed = sok_now () - soak->began;
+  rw_time elapsed = rw_now () - soak->began;
   for (size_t i = 0; i < soak->daemon_count; i++)
     {
       struct sok_daemon *daemon = &soak->daemons[i];
--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -118,7 +118,7 @@
 {
   struct sok_daemon *daemon = process->data;
   struct sok_soak *soak = daemon->soak;
-  rw_time now = sok_now ();
+  rw_time now = rw_now ();
   daemon->running = false;
   daemon->frozen = false;
   if (soak->ended)
@@ -162,7 +162,7 @@
   if (r != 0)
     sok_fail (daemon->soak, "cannot start a daemon: %s", uv_strerror (r));
   daemon->running = r == 0;
-  daemon->disturbed = sok_now ();
+  daemon->disturbed = rw_now ();
 }
 
 void
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -74,21 +74,13 @@
   NULL
 };
 
-rw_time
-sok_now (void)
-{
-  struct timespec ts;
-  clock_gettime (CLOCK_BOOTTIME, &ts);
-  return ts.tv_sec * RW_SEC + ts.tv_nsec / 1000;
-}
-
 void
 sok_fail (struct sok_soak *soak, const char *format, ...)
 {
   va_list args;
   soak->failures++;
   printf ("seed %llu: %.3f s: ", (unsigned long long)soak->seed,
-          (double)(sok_now () - soak->began) / RW_SEC);
+          (double)(rw_now () - soak->began) / RW_SEC);
   va_start (args, format);
   vprintf (format, args);
   va_end (args);
@@ -98,7 +90,7 @@
 static int
 run (struct sok_soak *soak, const struct options *o)
 {
-  soak->began = sok_now ();
+  soak->began = rw_now ();
   if (sok_site_start (soak) != 0)
     {
       fprintf (stderr, "rwfsoak: cannot start the stand-ins\n");
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -101,7 +101,6 @@
   char *scratch;
 };
 
-rw_time sok_now (void);
 /* Reports a broken promise.  */
 void sok_fail (struct sok_soak *soak, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
--- a/tests/unit/loop.h
+++ b/tests/unit/loop.h
@@ -15,8 +15,8 @@
 #define LOOP_RUN_UNTIL(LOOP, CONDITION)                                       \
   do                                                                          \
     {                                                                         \
-      rw_time until = net_now () + WAIT;                                      \
-      while (!(CONDITION) && net_now () < until)                              \
+      rw_time until = rw_now () + WAIT;                                       \
+      while (!(CONDITION) && rw_now () < until)                               \
         uv_run (LOOP, UV_RUN_ONCE);                                           \
       assert_true (CONDITION);                                                \
     }                                                                         \
