Come back faster and with fewer connections after a start of all

Causes: a daemon sent two messages a second and so knew neither how many others there are nor the larger ones for seconds, but opened a connection to every target at once; a daemon without a copy read the store after 25 ms, whether or not a peer had one; a peer packed its whole copy anew for each of those who asked; and with more daemons than a target accepts connections everybody kept one to it.

Now: in its first second a daemon gossips at every tick, and opens connections on demand only. A daemon without a copy waits for a peer that has one, else the first ones of each data centre read, the others in waves. A transfer is packed once until something changes.

--- a/cmd/rwfront/daemon.c
+++ b/cmd/rwfront/daemon.c
@@ -73,6 +73,7 @@
 apply_settings (struct frn_daemon *daemon)
 {
   daemon->fleet.settings.dc = rw_hash (rw_str_from (daemon->settings.dc));
+  daemon->fleet.settings.self = rw_hash (rw_str_from (daemon->settings.name));
   daemon->fleet.settings.leave_time
       = daemon->settings.drain_time > 2 * LEAVE_MARGIN
             ? daemon->settings.drain_time - LEAVE_MARGIN
--- a/cmd/rwfront/peers.c
+++ b/cmd/rwfront/peers.c
@@ -4,9 +4,6 @@
 
 #include "front.h"
 
-/* Daemons of a data centre that read the store; the others learn from
-   peers.  */
-#define READERS 2
 /* A copy that was not known to be current for this time is read from the
    store: below the time in which a change must be in force.  */
 #define STALE (2500 * RW_MSEC)
@@ -15,6 +12,10 @@
    configuration comes seconds before the first caller.  */
 #define ASK_PEERS (25 * RW_MSEC)
 #define ASK_PEERS_FIRST (600 * RW_MSEC)
+/* A daemon without a copy that has heard of one reads the store only if it did
+   not get it within this time: a transfer takes a few ms, 100 ms from a peer
+   that many ask.  */
+#define FETCH_FIRST (300 * RW_MSEC)
 #define FETCH_TIMEOUT (600 * RW_MSEC)
 /* Shortest time between two transfers: changes in quick succession are fetched
    together.  */
@@ -211,12 +212,10 @@
   struct frn_daemon *daemon = arg;
   struct h1_reply reply = { .status = 404 };
   struct rw_str prefix = RW_LIT (VIEW_PATH);
-  struct rw_buf body;
   int64_t after = 0;
   h1_conn_set_user (conn, NULL);
   if (frn_relay_serve (daemon, conn, message))
     return;
-  rw_buf_init (&body);
   if (rw_str_starts (message->target, prefix))
     {
       struct rw_str number = { message->target.ptr + prefix.len,
@@ -224,13 +223,11 @@
       reply.status = 400;
       if (rw_str_to_int (number, 0, INT64_MAX, &after) == 0)
         {
-          rep_pack (&daemon->view.replica, after, &body);
           reply.status = 200;
-          reply.body = rw_buf_str (&body);
+          reply.body = rep_pack (&daemon->view.replica, after);
         }
     }
   h1_answer (conn, &reply);
-  rw_buf_finish (&body);
 }
 
 static const struct h1_server_ops view_ops = {
@@ -254,11 +251,13 @@
 {
   struct frn_peers *peers = &daemon->peers;
   bool known = daemon->view.replica.revision > 0;
-  if (!known && now < peers->read_from)
-    return false;
-  if (!known || now - peers->fresh > STALE)
+  if (!known)
+    return now >= peers->read_from
+           && (peers->wanted == 0 || now >= peers->read_from + FETCH_FIRST)
+           && gos_reads_first (&peers->gossip, now - peers->read_from, now);
+  if (now - peers->fresh > STALE)
     return true;
-  return gos_rank (&peers->gossip, now) < READERS;
+  return gos_rank (&peers->gossip, now) < GOS_READERS;
 }
 
 void
@@ -281,6 +280,8 @@
   fetch (daemon, now);
   frn_relay_tick (daemon, now);
   daemon->fleet.settings.daemons = gos_daemons (&peers->gossip, now);
+  daemon->fleet.settings.sharers = frn_sharers (daemon);
+  ste_choose_kept (&daemon->fleet, now);
 }
 
 int
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -370,14 +370,15 @@
     queue_fail (pool, "no connection in time");
 }
 
-/* Opens links in advance, so that a first send or a hedge finds one.  */
+/* Opens links in advance, so that a first send or a hedge finds one; not
+   before this daemon knows how many others do so.  */
 static bool
 wants_link (const struct frn_daemon *daemon, const struct ste_target *target,
             bool relays, rw_time now)
 {
   const struct frn_pool *pool = target->user;
-  if ((relays && target->service->sharded) || target->draining || target->gone
-      || now < target->avoid_until
+  if ((relays && target->service->sharded) || target->spare || target->draining
+      || target->gone || now < target->avoid_until
       || !ste_usable (&daemon->fleet, target, now))
     return false;
   if (pool == NULL || !pool->opened)
@@ -388,7 +389,7 @@
 void
 frn_pool_sweep (struct frn_daemon *daemon, rw_time now)
 {
-  size_t opened = 0;
+  size_t opened = gos_is_young (&daemon->peers.gossip, now) ? OPEN_AT_ONCE : 0;
   bool relays = frn_relay_available (daemon, now);
   for (struct ste_service *s = daemon->fleet.first; s != NULL; s = s->next)
     for (struct ste_target *t = s->targets; t != NULL; t = t->next)
--- a/cmd/rwfront/relay.c
+++ b/cmd/rwfront/relay.c
@@ -143,7 +143,8 @@
   const struct gos_member *member;
   if (now < peers->large_next)
     return;
-  peers->large_next = now + LIST_PAUSE;
+  peers->large_next
+      = gos_is_young (&peers->gossip, now) ? now : now + LIST_PAUSE;
   count_gatherers (daemon, now);
   while ((member = gos_next_large (
               &peers->gossip, own_capacity (daemon) * LARGER, now, &position))
--- a/cmd/rwfront/store.c
+++ b/cmd/rwfront/store.c
@@ -13,6 +13,8 @@
 /* A daemon that leaves the reading to others looks that often whether it is
    needed.  */
 #define IDLE_CHECK (200 * RW_MSEC)
+/* The same for a daemon that has no copy yet.  */
+#define FIRST_CHECK (30 * RW_MSEC)
 
 static void store_run (struct frn_daemon *daemon);
 
@@ -255,7 +257,8 @@
     }
   if (!store->reader.in_call && !frn_peers_reads_store (daemon, now))
     {
-      rw_time next = now + IDLE_CHECK;
+      bool known = daemon->view.replica.revision > 0;
+      rw_time next = now + (known ? IDLE_CHECK : FIRST_CHECK);
       if (daemon->peers.read_from > now && daemon->peers.read_from < next)
         next = daemon->peers.read_from;
       arm (daemon, next);
--- a/lib/gossip/gossip.c
+++ b/lib/gossip/gossip.c
@@ -5,6 +5,8 @@
 
 /* After a start the members are not known yet.  */
 #define START_TIME (8 * RW_SEC)
+/* Mean time between messages while GOS_YOUNG lasts.  */
+#define YOUNG_PERIOD (100 * RW_MSEC)
 /* Of the periodic messages, one in so many goes to another data centre.  */
 #define OTHER_DC_ONE_IN 5
 /* One message in so many goes to a seed, so that parts of the fleet that do
@@ -16,6 +18,11 @@
    cases; this much is added to it.  */
 #define ESTIMATE_MARGIN 1.15
 #define LONELY 10
+/* A copy is read and passed on within 40 ms or so; after each such time
+   without one twice as many daemons read the store.  */
+#define READ_WAVE (40 * RW_MSEC)
+/* Waves until everybody reads: 2^14 readers.  */
+#define READ_WAVES 13
 
 void
 gos_init (struct gos_gossip *gossip, const struct gos_settings *settings,
@@ -163,9 +170,13 @@
   size_t count = 0;
   if (now < gossip->next)
     return 0;
-  gossip->next = now + GOS_PERIOD * 3 / 4
-                 + (rw_time)rw_rng_below (&gossip->rng, GOS_PERIOD / 2);
   bool young = now - gossip->started < START_TIME;
+  if (gos_is_young (gossip, now))
+    gossip->next = now + YOUNG_PERIOD / 2
+                   + (rw_time)rw_rng_below (&gossip->rng, YOUNG_PERIOD);
+  else
+    gossip->next = now + GOS_PERIOD * 3 / 4
+                   + (rw_time)rw_rng_below (&gossip->rng, GOS_PERIOD / 2);
   if (max > 0 && s->seed_count > 0
       && (gossip->count < 3 || young
           || rw_rng_below (&gossip->rng, SEED_ONE_IN) == 0))
@@ -243,10 +254,16 @@
     }
 }
 
+bool
+gos_is_young (const struct gos_gossip *gossip, rw_time now)
+{
+  return now - gossip->started < GOS_YOUNG;
+}
+
 bool
 gos_is_lonely (const struct gos_gossip *gossip, rw_time now)
 {
-  return gos_alive (gossip, now) < LONELY;
+  return gos_is_young (gossip, now) || gos_alive (gossip, now) < LONELY;
 }
 
 const struct gos_member *
@@ -317,6 +334,15 @@
   return rank;
 }
 
+bool
+gos_reads_first (const struct gos_gossip *gossip, rw_time waited, rw_time now)
+{
+  rw_time wave = waited / READ_WAVE;
+  if (wave >= READ_WAVES)
+    return true;
+  return gos_rank (gossip, now) < (size_t)GOS_READERS << wave;
+}
+
 uint32_t
 gos_ahead (struct gos_gossip *gossip, int64_t revision, rw_time now)
 {
--- a/lib/gossip/gossip.h
+++ b/lib/gossip/gossip.h
@@ -10,6 +10,11 @@
 
 /* Interval of a daemon's messages.  */
 #define GOS_PERIOD (500 * RW_MSEC)
+/* In the first second every tick sends, and asks for a reply: after a start of
+   all the daemons must know how many they are before they share anything.  */
+#define GOS_YOUNG (1000 * RW_MSEC)
+/* Daemons of a data centre that read the store for the others.  */
+#define GOS_READERS 2
 /* A member that nobody heard of for this time does not count: news of 140
    members reaches all within about 6 s.  */
 #define GOS_DEAD (12 * RW_SEC)
@@ -96,6 +101,8 @@
                      const struct gos_message *message, rw_time now);
 /* Whether so few members are known that a message should ask for a reply.  */
 bool gos_is_lonely (const struct gos_gossip *gossip, rw_time now);
+/* Whether this daemon has just started and does not know the others yet.  */
+bool gos_is_young (const struct gos_gossip *gossip, rw_time now);
 /* Daemons that share a sum, this one included: counted while all are known,
    estimated from the lowest hashes in a larger fleet, rather too high than too
    low.  */
@@ -103,6 +110,11 @@
 /* This daemon's place among the living of its data centre, 0 is the first.
    Two daemons with the same view agree.  */
 size_t gos_rank (const struct gos_gossip *gossip, rw_time now);
+/* Whether a daemon that has no copy at all reads the store after it has WAITED
+   for one from a peer: the first ones of each data centre that it
+   knows at once, the others in waves, should those fail.  */
+bool gos_reads_first (const struct gos_gossip *gossip, rw_time waited,
+                      rw_time now);
 /* The next living member of at least CAPACITY, or null; *POSITION starts at
    0.  */
 const struct gos_member *gos_next_large (const struct gos_gossip *gossip,
--- a/lib/gossip/test_gossip.c
+++ b/lib/gossip/test_gossip.c
@@ -110,6 +110,40 @@
   check_counts (600);
 }
 
+/* Guards against daemons that take the shares of many others in the seconds
+   after all were restarted: connections above what targets accept, and small
+   daemons that know no larger one.  */
+TEST (members_are_known_a_second_after_a_start_of_all)
+{
+  static const size_t counts[] = { 13, 139, 300, 600 };
+  for (size_t k = 0; k < RW_ARRAY_LEN (counts); k++)
+    {
+      start_all (counts[k], 4);
+      world.up[1] = false;
+      run (0, RW_SEC);
+      for (size_t i = 0; i < world.count; i++)
+        if (world.up[i])
+          assert_in_range (gos_daemons (&world.daemons[i], RW_SEC),
+                           counts[k] * 8 / 10, counts[k] * 2);
+      stop_all ();
+    }
+}
+
+/* Guards against a store that turns everybody away because all daemons read it
+   at once after a start of all, and against a fleet that nobody reads for.  */
+TEST (few_daemons_read_the_store_after_a_start_of_all)
+{
+  size_t readers = 0;
+  start_all (600, 4);
+  run (0, 200 * RW_MSEC);
+  for (size_t i = 0; i < world.count; i++)
+    readers += gos_reads_first (&world.daemons[i], 0, 200 * RW_MSEC);
+  assert_in_range (readers, 4, 60);
+  for (size_t i = 0; i < world.count; i++)
+    assert_true (gos_reads_first (&world.daemons[i], RW_SEC, 200 * RW_MSEC));
+  stop_all ();
+}
+
 /* Guards against a count that never falls after daemons are gone, and one that
    falls at once, so that a daemon that is cut off takes the shares of all.  */
 TEST (the_count_is_held_for_a_while)
--- a/lib/replica/replica.c
+++ b/lib/replica/replica.c
@@ -8,6 +8,8 @@
 {
   memset (replica, 0, sizeof *replica);
   rw_map_init (&replica->items);
+  rw_buf_init (&replica->packed);
+  replica->changes = 1;
 }
 
 void
@@ -18,6 +20,7 @@
   while ((item = rw_map_next (&replica->items, &position)) != NULL)
     free (item);
   rw_map_finish (&replica->items);
+  rw_buf_finish (&replica->packed);
 }
 
 /* One allocation: the item, its key and its value.  */
@@ -74,6 +77,7 @@
     return false;
   if (known != NULL && known->removed)
     replica->removed_count--;
+  replica->changes++;
   rw_map_put (&replica->items, key, copy_item (item));
   free (known);
   if (item->removed && ++replica->removed_count > REP_MAX_REMOVED)
@@ -84,8 +88,10 @@
 void
 rep_advance (struct rep_replica *replica, int64_t revision)
 {
-  if (revision > replica->revision)
-    replica->revision = revision;
+  if (revision <= replica->revision)
+    return;
+  replica->revision = revision;
+  replica->changes++;
 }
 
 const struct rep_item *
@@ -121,6 +127,7 @@
       item->revision = revision;
       item->value.len = 0;
       replica->removed_count++;
+      replica->changes++;
       gone (arg, item);
     }
 }
--- a/lib/replica/replica.h
+++ b/lib/replica/replica.h
@@ -21,6 +21,11 @@
   int64_t revision;    /* 0: nothing was read yet */
   int64_t forgotten;   /* removals up to it may have been dropped */
   size_t removed_count;
+  uint64_t changes;     /* counts them */
+  struct rw_buf packed; /* the last transfer, for those who ask the same */
+  int64_t packed_after;
+  uint64_t packed_changes; /* 0: none was packed */
+  uint64_t packed_count;
 };
 
 /* Removed items that are remembered, so that a copy which is behind learns of
@@ -54,9 +59,9 @@
   size_t count;
 };
 
-/* Appends the changes after revision AFTER, packed.  */
-void rep_pack (const struct rep_replica *replica, int64_t after,
-               struct rw_buf *out);
+/* The changes after revision AFTER, packed; valid until the next call and the
+   next change.  */
+struct rw_str rep_pack (struct rep_replica *replica, int64_t after);
 int rep_unpack (struct rw_arena *arena, struct rw_str data,
                 struct rep_transfer *transfer, struct rw_err *err);
 
--- a/lib/replica/test_replica.c
+++ b/lib/replica/test_replica.c
@@ -46,16 +46,14 @@
 static void
 transfer (struct fixture *f, struct rep_replica *from, struct rep_replica *to)
 {
-  struct rw_buf packed;
   struct rep_transfer changes;
   struct rw_err err;
   struct rw_map listed;
   size_t gone = 0;
-  rw_buf_init (&packed);
   rw_map_init (&listed);
-  rep_pack (from, to->revision, &packed);
   assert_int_equal (
-      rep_unpack (&f->arena, rw_buf_str (&packed), &changes, &err), 0);
+      rep_unpack (&f->arena, rep_pack (from, to->revision), &changes, &err),
+      0);
   for (size_t i = 0; i < changes.count; i++)
     {
       rep_put (to, &changes.items[i]);
@@ -65,7 +63,6 @@
     rep_retain (to, changes.revision, &listed, on_gone, &gone);
   rep_advance (to, changes.revision);
   rw_map_finish (&listed);
-  rw_buf_finish (&packed);
 }
 
 static bool
@@ -142,15 +139,13 @@
 /* Guards against a transfer from a peer that crashes the daemon.  */
 TEST_WITH_FIXTURE (broken_transfers_are_refused)
 {
-  struct rw_buf packed;
   struct rep_transfer changes;
   struct rw_err err;
   struct rw_rng rng;
   rw_rng_init (&rng, 5);
-  rw_buf_init (&packed);
   put (&f->a, "k", 1, "some value that compresses compresses compresses");
   rep_advance (&f->a, 1);
-  rep_pack (&f->a, 0, &packed);
+  struct rw_str packed = rep_pack (&f->a, 0);
   for (size_t len = 0; len < packed.len; len++)
     assert_int_not_equal (rep_unpack (&f->arena,
                                       (struct rw_str){ packed.ptr, len },
@@ -164,5 +159,25 @@
       (void)rep_unpack (&f->arena, (struct rw_str){ copy, packed.len },
                         &changes, &err);
     }
-  rw_buf_finish (&packed);
+}
+
+/* Guards against a daemon that packs its whole copy for each of many others,
+   and against one that passes on an old copy.  */
+TEST_WITH_FIXTURE (a_transfer_is_packed_once_until_something_changes)
+{
+  put (&f->a, "k", 5, "value");
+  rep_advance (&f->a, 5);
+  uint64_t packed = f->a.packed_count;
+  for (int i = 0; i < 300; i++)
+    (void)rep_pack (&f->a, 0);
+  assert_int_equal (f->a.packed_count, packed + 1);
+  put (&f->a, "k", 6, "other");
+  rep_advance (&f->a, 6);
+  transfer (f, &f->a, &f->b);
+  assert_true (same_content (&f->a, &f->b));
+  put (&f->a, "l", 7, "more");
+  rep_advance (&f->a, 7);
+  transfer (f, &f->a, &f->b);
+  assert_true (same_content (&f->a, &f->b));
+  assert_int_equal (f->b.revision, 7);
 }
--- a/lib/replica/transfer.c
+++ b/lib/replica/transfer.c
@@ -81,8 +81,8 @@
   free (packed);
 }
 
-void
-rep_pack (const struct rep_replica *replica, int64_t after, struct rw_buf *out)
+static void
+pack (const struct rep_replica *replica, int64_t after, struct rw_buf *out)
 {
   bool full = after < replica->forgotten || after <= 0;
   int64_t revision = replica->revision;
@@ -110,6 +110,24 @@
   free (data);
 }
 
+/* After a start of all many daemons ask for the same.  */
+struct rw_str
+rep_pack (struct rep_replica *replica, int64_t after)
+{
+  if (after < replica->forgotten || after < 0)
+    after = 0;
+  if (replica->packed_changes != replica->changes
+      || replica->packed_after != after)
+    {
+      replica->packed_count++;
+      replica->packed.len = 0;
+      pack (replica, after, &replica->packed);
+      replica->packed_after = after;
+      replica->packed_changes = replica->changes;
+    }
+  return rw_buf_str (&replica->packed);
+}
+
 static int
 malformed (struct rw_err *err, const char *what)
 {
--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -23,6 +23,8 @@
    about 1.5 ms, and the cost of the bytes between data centres.  */
 #define OTHER_DC_COST (8 * RW_MSEC)
 #define COLD_COST (25 * RW_MSEC)
+/* A new connection of 6 ms, and the risk that the target has too many.  */
+#define SPARE_COST (15 * RW_MSEC)
 /* A target that stopped answering is expected back after a pause of about
    this length.  */
 #define STALL_COST (150 * RW_MSEC)
@@ -90,8 +92,6 @@
   return !dc_is_out (fleet, target->dc);
 }
 
-/* A target is stalled if a send is overdue and nothing at all arrived from the
-   target since that send.  */
 enum ste_state
 ste_state_of (const struct ste_target *target, rw_time now)
 {
@@ -131,6 +131,8 @@
   return target != NULL;
 }
 
+/* A target is stalled if a send is overdue and nothing at all arrived from the
+   target since that send.  */
 bool
 ste_stalled (const struct ste_target *target, rw_time now)
 {
@@ -162,6 +164,8 @@
   cost += work * 0.5 * queued / target->slots;
   if (target->dc != fleet->settings.dc)
     cost += OTHER_DC_COST;
+  if (target->spare)
+    cost += SPARE_COST;
   if (is_cold (target, now))
     cost += COLD_COST;
   if (ste_stalled (target, now))
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -35,6 +35,7 @@
   int64_t revision; /* of the list entry */
   bool draining;
   bool gone;            /* not on the list any more */
+  bool spare;           /* this daemon keeps no connection to it */
   rw_time usable_until; /* draining or gone: last time to send */
   rw_time cold_until;
   double cold_tokens;
@@ -86,7 +87,9 @@
 struct ste_settings
 {
   uint64_t dc;        /* of this daemon */
+  uint64_t self;      /* of this daemon, different for each */
   size_t daemons;     /* estimate, at least 1 */
+  size_t sharers;     /* those that share what the shards bear */
   rw_time leave_time; /* a leaving target may still be used this long */
 };
 
@@ -127,6 +130,9 @@
 void ste_sweep (struct ste_fleet *fleet,
                 bool (*release) (void *arg, struct ste_target *target),
                 void *arg, rw_time now);
+/* Chooses the targets that this daemon keeps connections to: all, or as many
+   as the daemons together may.  The others are used where these are unwell. */
+void ste_choose_kept (struct ste_fleet *fleet, rw_time now);
 void ste_dcs_out (struct ste_fleet *fleet, const uint64_t *dcs, size_t count);
 
 /* Whether a request may be sent to the target at all.  */
--- a/lib/steer/test_steer.c
+++ b/lib/steer/test_steer.c
@@ -182,6 +182,64 @@
   assert_true (f->a->gone);
 }
 
+/* Chooses for each of DAEMONS daemons in four data centres, of which three
+   have a target; returns the most that keep one target.  */
+static size_t
+most_kept (size_t daemons, unsigned int connections, size_t moved_by)
+{
+  static const char *const dcs[] = { "dc0", "dc1", "dc2", "dc3" };
+  size_t kept[3] = { 0 };
+  size_t most = 0;
+  for (size_t i = 0; i < daemons; i++)
+    {
+      struct ste_settings settings
+          = { .self = rw_hash_u64 (i + moved_by, 3),
+              .dc = rw_hash (rw_str_from (dcs[i % 4])),
+              .daemons = daemons,
+              .sharers = daemons };
+      struct ste_fleet fleet;
+      struct ste_target *targets[3];
+      size_t own = 0;
+      ste_init (&fleet, &settings, i + 1);
+      for (size_t k = 0; k < 3; k++)
+        targets[k] = put (&fleet, dcs[k], dcs[k], (int64_t)k + 1, 0);
+      targets[0]->service->connections = connections;
+      ste_choose_kept (&fleet, 0);
+      for (size_t k = 0; k < 3; k++)
+        {
+          own += !targets[k]->spare;
+          kept[k] += !targets[k]->spare;
+        }
+      assert_true (own >= 1);
+      ste_finish (&fleet);
+    }
+  for (size_t k = 0; k < 3; k++)
+    most = kept[k] > most ? kept[k] : most;
+  return most;
+}
+
+/* Guards against daemons that together open more connections than a target
+   accepts, which resets what is above, with requests in it; and against small
+   fleets that do not use what they may.  */
+TEST (all_daemons_together_keep_fewer_connections_than_targets_accept)
+{
+  for (size_t seed = 0; seed < 50; seed++)
+    assert_in_range (most_kept (139, 105, seed * 1000), 1, 84);
+  assert_int_equal (most_kept (15, 50, 0), 15);
+}
+
+/* Guards against a daemon that has no target when those it keeps are
+   unwell.  */
+TEST_WITH_FIXTURE (a_spare_target_is_used_when_the_others_are_unwell)
+{
+  warm_up (f);
+  f->b->spare = true;
+  for (int i = 0; i < 50; i++)
+    assert_ptr_equal (pick (f, WARM), f->a);
+  ste_avoid (f->a, WARM);
+  assert_ptr_equal (pick (f, WARM), f->b);
+}
+
 /* Guards against an admission that is counted for another kind of target.  */
 TEST_WITH_FIXTURE (the_state_of_a_target_is_what_it_is_counted_as)
 {
