--- a/lib/steer/keep.c
+++ b/lib/steer/keep.c
@@ -4,6 +4,9 @@
    keep open: after a loss of power the target counts the old ones for some
    seconds beside the new ones.  */
 #define KEPT_PART 0.4
+/* Shortest time between two choices: at every tick of 100 ms they took a sixth
+   of the processor time on a quiet day of 139 daemons and 278 targets.  */
+#define CHOICE_PAUSE (500 * RW_MSEC)
 /* Part of them that the daemons of one data centre may use when all of these
    prefer its targets.  */
 #define LOCAL_PART 0.8
@@ -74,6 +77,9 @@
 void
 ste_choose_kept (struct ste_fleet *fleet, rw_time now)
 {
+  if (now < fleet->choice_next)
+    return;
+  fleet->choice_next = now + CHOICE_PAUSE;
   for (struct ste_service *s = fleet->first; s != NULL; s = s->next)
     choose (fleet, s, now);
 }
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -104,6 +104,7 @@
   struct rw_map targets;         /* by key */
   uint64_t out[STE_MAX_DCS_OUT]; /* data centres taken out of service */
   size_t out_count;
+  rw_time choice_next; /* of the targets to keep connections to */
 };
 
 void ste_init (struct ste_fleet *fleet, const struct ste_settings *settings,
