rwfront: drop larger peers that are gone without comparing all with all

The list of larger peers is renewed at every tick in the first second, and each listed one was compared with every known one by its text. An entry that the present round did not renew is dropped.

--- a/cmd/rwfront/relay.c
+++ b/cmd/rwfront/relay.c
@@ -76,24 +76,6 @@
     target->dc = daemon->fleet.settings.dc;
 }
 
-static bool
-is_large (const struct frn_daemon *daemon, const char *id, rw_time now)
-{
-  size_t position = 0;
-  const struct gos_member *member;
-  char other[32];
-  while ((member
-          = gos_next_large (&daemon->peers.gossip,
-                            own_capacity (daemon) * LARGER, now, &position))
-         != NULL)
-    {
-      peer_id (other, sizeof other, member->ip);
-      if (strcmp (other, id) == 0)
-        return true;
-    }
-  return false;
-}
-
 /* Finds out whether few larger daemons gather for all others, and whether this
    is one of them.  */
 static void
@@ -140,6 +122,7 @@
 {
   struct frn_peers *peers = &daemon->peers;
   size_t position = 0;
+  int64_t before = peers->large_revision;
   const struct gos_member *member;
   if (now < peers->large_next)
     return;
@@ -151,7 +134,7 @@
          != NULL)
     list_peer (daemon, member, now);
   for (struct ste_target *t = peers->large->targets; t != NULL; t = t->next)
-    if (!t->gone && !is_large (daemon, t->id, now))
+    if (!t->gone && t->revision <= before)
       ste_remove (&daemon->fleet, rw_str_from (t->id), ++peers->large_revision,
                   now);
 }
--- a/cmd/rwfront/test_relay.c
+++ b/cmd/rwfront/test_relay.c
@@ -75,3 +75,16 @@
   assert_true (frn_relay_available (&f->daemon, RW_SEC));
   assert_int_equal (f->daemon.peers.large->target_count, 2);
 }
+
+/* Guards against queries that are left to a larger peer that is gone.  */
+TEST_WITH_FIXTURE (a_larger_peer_that_is_gone_is_dropped)
+{
+  struct gos_message leaving = { .leaving = true };
+  set_fleet (f, 0.084, 2, 30);
+  gos_on_message (&f->daemon.peers.gossip, 2, &leaving, 2 * RW_SEC);
+  frn_relay_tick (&f->daemon, 2 * RW_SEC);
+  assert_true (frn_relay_available (&f->daemon, 2 * RW_SEC));
+  gos_on_message (&f->daemon.peers.gossip, 3, &leaving, 3 * RW_SEC);
+  frn_relay_tick (&f->daemon, 3 * RW_SEC);
+  assert_false (frn_relay_available (&f->daemon, 3 * RW_SEC));
+}
