--- a/lib/query/query.c
+++ b/lib/query/query.c
@@ -8,7 +8,6 @@
 #define REUSE_DELAY (2 * RW_MSEC)
 /* A restart repeats every part, so that one is allowed for each query.  */
 #define MAX_RESTARTS 1
-#define ARENA_BLOCK (16 * 1024)
 #define MAX_TRIED (QRY_MAX_ATTEMPTS + QRY_MAX_REDIRECTS)
 
 /* Returns whether A and B name the same request.  */
@@ -18,14 +17,14 @@
   return a.incarnation == b.incarnation && a.sequence == b.sequence;
 }
 
-static bool
-enabled (const struct qry_query *query, enum qry_mechanism mechanism)
+bool
+qry_enabled (const struct qry_query *query, enum qry_mechanism mechanism)
 {
   return (query->env->disabled & mechanism) == 0;
 }
 
-static struct rte_estimate *
-estimate_of (const struct qry_query *query, uint32_t target)
+struct rte_estimate *
+qry_estimate_of (const struct qry_query *query, uint32_t target)
 {
   return query->map->view->targets[target].estimate;
 }
@@ -81,12 +80,13 @@
 
 /* Ends PART.  Test only: without the coverage count, every part that ended
    counts as covered.  */
-static void
-close_part (struct qry_query *query, struct qry_part *part,
-            enum qry_part_state state)
+void
+qry_close_part (struct qry_query *query, struct qry_part *part,
+                enum qry_part_state state)
 {
   set_starved (query, part, false);
-  if (state == QRY_PART_UNCOVERED && !enabled (query, QRY_MECH_TRUE_COVERAGE))
+  if (state == QRY_PART_UNCOVERED
+      && !qry_enabled (query, QRY_MECH_TRUE_COVERAGE))
     {
       state = QRY_PART_COVERED;
       query->covered++;
@@ -99,7 +99,7 @@
 static bool
 take_token (struct qry_query *query)
 {
-  return !enabled (query, QRY_MECH_BUDGET)
+  return !qry_enabled (query, QRY_MECH_BUDGET)
          || qry_budget_take (query->env->budget);
 }
 
@@ -123,9 +123,9 @@
     }
 }
 
-static void
-send_part (struct qry_query *query, uint32_t shard, uint32_t target,
-           enum qry_reason reason, rw_time now)
+void
+qry_send_part (struct qry_query *query, uint32_t shard, uint32_t target,
+               enum qry_reason reason, rw_time now)
 {
   struct qry_part *part = &query->parts[shard];
   uint32_t number = (uint32_t)query->attempt_count;
@@ -148,24 +148,24 @@
     part->sends++;
   query->running++;
   count_send (&query->counts, reason);
-  rte_on_send (estimate_of (query, target));
+  rte_on_send (qry_estimate_of (query, target));
   enqueue (query, QRY_SEND_PART, number);
   set_starved (query, part, false);
   set_due (query, part,
-           enabled (query, QRY_MECH_HEDGE)
+           qry_enabled (query, QRY_MECH_HEDGE)
                ? now + qry_hedge_delay (query->env->latency, now)
                : RW_TIME_NEVER);
 }
 
 /* Ends the running ATTEMPT with OUTCOME.  */
-static void
-end_attempt (struct qry_query *query, struct qry_attempt *attempt,
-             enum qry_outcome outcome)
+void
+qry_end_attempt (struct qry_query *query, struct qry_attempt *attempt,
+                 enum qry_outcome outcome)
 {
   attempt->outcome = outcome;
   query->parts[attempt->shard].running--;
   query->running--;
-  rte_on_end (estimate_of (query, attempt->target));
+  rte_on_end (qry_estimate_of (query, attempt->target));
 }
 
 /* Notes the time that an attempt without result has taken so far.  A sample
@@ -177,7 +177,7 @@
 {
   rw_time elapsed = now - attempt->sent;
 
-  rte_on_slow (estimate_of (query, attempt->target), elapsed, now);
+  rte_on_slow (qry_estimate_of (query, attempt->target), elapsed, now);
   if (elapsed >= qry_latency_p95 (query->env->latency, now)
       && elapsed >= QRY_HEDGE_MIN)
     qry_latency_add (query->env->latency, elapsed, now);
@@ -189,15 +189,16 @@
   struct qry_attempt *attempt = &query->attempts[number];
 
   note_unfinished (query, attempt, now);
-  end_attempt (query, attempt, QRY_ATTEMPT_STOPPED);
+  qry_end_attempt (query, attempt, QRY_ATTEMPT_STOPPED);
   query->ran = true;
   query->counts.cancelled++;
   enqueue (query, QRY_CANCEL_ATTEMPT, number);
 }
 
 /* Cancels what still runs of PART.  */
-static void
-cancel_part (struct qry_query *query, const struct qry_part *part, rw_time now)
+void
+qry_cancel_part (struct qry_query *query, const struct qry_part *part,
+                 rw_time now)
 {
   uint32_t number = part->newest;
 
@@ -296,7 +297,7 @@
       set_due (query, part, now + RECHECK);
       return;
     }
-  send_part (query, shard, target, QRY_HEDGE, now);
+  qry_send_part (query, shard, target, QRY_HEDGE, now);
 }
 
 /* Whether a target that was asked for PART serves another snapshot.  */
@@ -313,8 +314,8 @@
 
 /* Sends a part again of which no attempt is running, or plans that, or gives
    the part up.  */
-static void
-retry (struct qry_query *query, uint32_t shard, rw_time now)
+void
+qry_retry (struct qry_query *query, uint32_t shard, rw_time now)
 {
   struct qry_part *part = &query->parts[shard];
   struct rte_tried tried[MAX_TRIED];
@@ -328,19 +329,19 @@
   if (target == RTE_NONE)
     {
       query->has_moved = query->has_moved || has_moved_on (query, part);
-      close_part (query, part, QRY_PART_UNCOVERED);
+      qry_close_part (query, part, QRY_PART_UNCOVERED);
       return;
     }
   if (was_tried (tried, count, target))
     {
-      const struct rte_estimate *e = estimate_of (query, target);
+      const struct rte_estimate *e = qry_estimate_of (query, target);
 
       from = query->attempts[part->newest].sent + REUSE_DELAY;
       if (e->refused_until > from)
         from = e->refused_until;
     }
   if (from >= query->deadline)
-    close_part (query, part, QRY_PART_UNCOVERED);
+    qry_close_part (query, part, QRY_PART_UNCOVERED);
   else if (from > now)
     {
       set_starved (query, part, false);
@@ -352,7 +353,7 @@
       set_due (query, part, now + RECHECK);
     }
   else
-    send_part (query, shard, target, QRY_RETRY, now);
+    qry_send_part (query, shard, target, QRY_RETRY, now);
 }
 
 /* Sends every part of the pinned map for the first time.  */
@@ -378,12 +379,12 @@
       part->newest = QRY_NO_ATTEMPT;
       if (target == RTE_NONE)
         {
-          close_part (query, part, QRY_PART_UNCOVERED);
+          qry_close_part (query, part, QRY_PART_UNCOVERED);
           rw_err_set (&query->why, RW_E_OUT, "route", query->env->service,
                       "no replica of shard %zu is in service", i);
           continue;
         }
-      send_part (query, (uint32_t)i, target, QRY_FIRST, now);
+      qry_send_part (query, (uint32_t)i, target, QRY_FIRST, now);
       sent++;
     }
   qry_budget_earn (query->env->budget, sent, query->env->hedge_percent);
@@ -412,8 +413,8 @@
 /* Whether the query may start again on the newest map: a target just refused
    for that map, or a part was lost so, and more than half of the time remains.
  */
-static bool
-may_restart (const struct qry_query *query, rw_time now)
+bool
+qry_may_restart (const struct qry_query *query, rw_time now)
 {
   const struct qry_map *newest = query->env->newest;
 
@@ -440,12 +441,12 @@
 
 /* Restarts or answers if it is time to.  Parts that only wait for a token do
    not keep the query open: no token may ever come.  */
-static void
-settle (struct qry_query *query, rw_time now)
+void
+qry_settle (struct qry_query *query, rw_time now)
 {
   if (query->done)
     return;
-  if (may_restart (query, now))
+  if (qry_may_restart (query, now))
     restart (query, now);
   if (query->open == 0
       || (query->running == 0 && query->open == query->starved))
@@ -469,7 +470,7 @@
                                .next_due = RW_TIME_NEVER,
                                .top_cap = env->top,
                                .retry_after = -1 };
-  rw_arena_init (&query->arena, ARENA_BLOCK);
+  rw_arena_init (&query->arena, QRY_ARENA_BLOCK);
   query->top
       = rw_arena_alloc (&query->arena, query->top_cap * sizeof *query->top);
   pin (query, env->newest);
@@ -480,7 +481,7 @@
           &query->arena, query->attempt_cap * sizeof *query->attempts);
       send_first (query, now);
     }
-  settle (query, now);
+  qry_settle (query, now);
 }
 
 static void
@@ -497,7 +498,7 @@
 {
   for (size_t i = query->first_attempt; i < query->attempt_count; i++)
     if (query->attempts[i].outcome == QRY_ATTEMPT_RUNNING)
-      end_attempt (query, &query->attempts[i], QRY_ATTEMPT_STOPPED);
+      qry_end_attempt (query, &query->attempts[i], QRY_ATTEMPT_STOPPED);
   unpin (query->map);
   unpin (query->map_was);
   rw_arena_finish (&query->arena);
@@ -577,7 +578,7 @@
   else if (part->running > 0)
     hedge (query, shard, now);
   else
-    retry (query, shard, now);
+    qry_retry (query, shard, now);
 }
 
 /* Hedges, retries and answers that are due at NOW.  Every query begins with
@@ -596,287 +597,7 @@
       for (size_t i = 0; i < query->part_count; i++)
         tick_part (query, (uint32_t)((first + i) % query->part_count), now);
     }
-  settle (query, now);
-}
-
-/* Refuses a result that does not belong to a running attempt.  */
-static int
-refuse (struct qry_query *query, const struct qry_result *result,
-        struct rw_err *err, const char *detail)
-{
-  query->counts.refused_results++;
-  return rw_err_set (err, RW_E_MISMATCH, "result", query->env->service,
-                     "attempt %u, shard %u: %s", result->attempt,
-                     result->shard, detail);
-}
-
-static void
-note_why (struct qry_query *query, const struct qry_result *result, int code,
-          const char *detail)
-{
-  if (result->why != NULL && result->why->code != 0)
-    query->why = *result->why;
-  else
-    rw_err_set (&query->why, code, "part", query->env->service, "shard %u: %s",
-                result->shard, detail);
-}
-
-/* Goes on with a part after an attempt ended without result.  */
-static void
-after_loss (struct qry_query *query, uint32_t shard, rw_time now)
-{
-  struct qry_part *part = &query->parts[shard];
-
-  if (part->state == QRY_PART_OPEN && part->running == 0)
-    retry (query, shard, now);
-}
-
-/* Keeps parts from a target that refuses.  Without a time to retry at, the
-   refusal counts as a failure, so that the next queries do not spend their
-   tokens on the same target.  */
-static void
-note_refusal (struct qry_query *query, const struct qry_attempt *attempt,
-              rw_time retry_after, rw_time now)
-{
-  struct rte_estimate *estimate = estimate_of (query, attempt->target);
-
-  if (retry_after > 0)
-    rte_on_refusal (estimate, retry_after, now);
-  else
-    rte_on_failure (estimate, now);
-}
-
-static void
-on_not_run (struct qry_query *query, struct qry_attempt *attempt,
-            const struct qry_result *result, rw_time now)
-{
-  note_why (query, result, RW_E_SHED, "refused");
-  note_refusal (query, attempt, result->retry_after, now);
-  if (result->retry_after > 0
-      && (query->retry_after < 0 || result->retry_after < query->retry_after))
-    query->retry_after = result->retry_after;
-  end_attempt (query, attempt, QRY_ATTEMPT_REFUSED);
-  after_loss (query, attempt->shard, now);
-}
-
-/* Sends the part to another holder of the same target.  This costs no token,
-   because no target got it.  */
-static void
-on_not_holder (struct qry_query *query, struct qry_attempt *attempt,
-               const struct qry_result *result, rw_time now)
-{
-  const struct qry_part *part = &query->parts[attempt->shard];
-  uint32_t shard = attempt->shard;
-  uint32_t target = attempt->target;
-
-  note_why (query, result, RW_E_NOT_HOLDER, "not the holder");
-  end_attempt (query, attempt, QRY_ATTEMPT_REDIRECTED);
-  if (part->redirects < QRY_MAX_REDIRECTS
-      && rte_usable (query->map->view, target))
-    send_part (query, shard, target, QRY_REDIRECT, now);
-  else
-    {
-      note_refusal (query, attempt, result->retry_after, now);
-      after_loss (query, shard, now);
-    }
-}
-
-static void
-on_moved (struct qry_query *query, struct qry_attempt *attempt,
-          const struct qry_result *result, rw_time now)
-{
-  note_why (query, result, RW_E_SNAPSHOT, "the target has another snapshot");
-  query->moved = rw_arena_str (&query->arena, result->snapshot);
-  query->has_moved = true;
-  end_attempt (query, attempt, QRY_ATTEMPT_MOVED);
-  if (may_restart (query, now))
-    return;
-  query->has_moved = false;
-  after_loss (query, attempt->shard, now);
-}
-
-static void
-on_failed (struct qry_query *query, struct qry_attempt *attempt,
-           const struct qry_result *result, rw_time now)
-{
-  note_why (query, result, RW_E_RESET, "failed");
-  query->ran = true;
-  rte_on_failure (estimate_of (query, attempt->target), now);
-  end_attempt (query, attempt, QRY_ATTEMPT_FAILED);
-  after_loss (query, attempt->shard, now);
-}
-
-/* Decodes the records of RESULT into SCRATCH and merges them.  */
-static int
-merge_result (struct qry_query *query, const struct qry_result *result,
-              struct rw_arena *scratch, struct rw_err *err)
-{
-  struct qry_record *decoded = NULL;
-  size_t count = result->record_count;
-  int code;
-
-  if (result->json.len != 0)
-    {
-      code = qry_parse_records (result->json, scratch, &decoded, &count, err);
-      if (code != 0)
-        return code;
-      qry_merge (query, decoded, count);
-      return 0;
-    }
-  code = qry_check_records (result->records, count);
-  if (code != 0)
-    return rw_err_set (err, code, "result", query->env->service,
-                       "shard %u: record without id or score", result->shard);
-  qry_merge (query, result->records, count);
-  return 0;
-}
-
-/* Closes the part that ATTEMPT answered.  */
-static void
-cover (struct qry_query *query, struct qry_attempt *attempt, rw_time now)
-{
-  struct qry_part *part = &query->parts[attempt->shard];
-  rw_time latency = now - attempt->sent;
-
-  rte_on_latency (estimate_of (query, attempt->target), latency, now);
-  qry_latency_add (query->env->latency, latency, now);
-  if (attempt->reason == QRY_HEDGE && part->running > 1)
-    query->counts.hedge_wins++;
-  query->ran = true;
-  end_attempt (query, attempt, QRY_ATTEMPT_DONE);
-  cancel_part (query, part, now);
-  close_part (query, part, QRY_PART_COVERED);
-  query->covered++;
-}
-
-static int
-on_ok (struct qry_query *query, struct qry_attempt *attempt,
-       const struct qry_result *result, rw_time now, struct rw_err *err)
-{
-  struct rw_arena scratch;
-  int code;
-
-  if (enabled (query, QRY_MECH_SNAPSHOT)
-      && !rw_str_eq (result->snapshot, query->map->snapshot))
-    {
-      query->ran = true;
-      on_moved (query, attempt, result, now);
-      return rw_err_set (err, RW_E_SNAPSHOT, "result", query->env->service,
-                         "shard %u was searched on another snapshot",
-                         result->shard);
-    }
-  rw_arena_init (&scratch, ARENA_BLOCK);
-  code = merge_result (query, result, &scratch, err);
-  rw_arena_finish (&scratch);
-  if (code != 0)
-    on_failed (query, attempt, result, now);
-  else
-    cover (query, attempt, now);
-  return code;
-}
-
-static int
-dispatch (struct qry_query *query, struct qry_attempt *attempt,
-          const struct qry_result *result, rw_time now, struct rw_err *err)
-{
-  switch (result->status)
-    {
-    case QRY_OK:
-      return on_ok (query, attempt, result, now, err);
-    case QRY_NOT_RUN:
-      on_not_run (query, attempt, result, now);
-      break;
-    case QRY_NOT_HOLDER:
-      on_not_holder (query, attempt, result, now);
-      break;
-    case QRY_OTHER_SNAPSHOT:
-      on_moved (query, attempt, result, now);
-      break;
-    case QRY_FAILED:
-      on_failed (query, attempt, result, now);
-      break;
-    }
-  return 0;
-}
-
-/* Test only: with a mechanism off, takes results that are refused otherwise.
-   Returns whether RESULT was taken.  */
-static bool
-take_unchecked (struct qry_query *query, const struct qry_result *result,
-                struct rw_err *err)
-{
-  struct rw_arena scratch;
-  struct qry_part *part;
-
-  if (result->status != QRY_OK || result->shard >= query->part_count)
-    return false;
-  part = &query->parts[result->shard];
-  if (enabled (query, QRY_MECH_IDENTITY)
-      && (enabled (query, QRY_MECH_TRUE_COVERAGE)
-          || part->state != QRY_PART_COVERED))
-    return false;
-  rw_arena_init (&scratch, ARENA_BLOCK);
-  merge_result (query, result, &scratch, err);
-  rw_arena_finish (&scratch);
-  if (part->state == QRY_PART_COVERED
-      && enabled (query, QRY_MECH_TRUE_COVERAGE))
-    return true;
-  if (part->state == QRY_PART_OPEN)
-    close_part (query, part, QRY_PART_COVERED);
-  part->state = QRY_PART_COVERED;
-  query->covered++;
-  return true;
-}
-
-/* Returns why RESULT does not belong to a running attempt, or null.  */
-static const char *
-mismatch (const struct qry_query *query, const struct qry_result *result)
-{
-  if (!qry_id_eq (result->id, query->id))
-    return "answers another query";
-  if (result->attempt >= query->attempt_count)
-    return "no such attempt";
-  if (result->attempt < query->first_attempt)
-    return "attempt on an older snapshot";
-  if (query->attempts[result->attempt].outcome != QRY_ATTEMPT_RUNNING)
-    return "the attempt has ended";
-  return NULL;
-}
-
-/* Takes the outcome of an attempt.  Returns 0; RW_E_MISMATCH if it answers
-   something else than a running attempt, and is ignored, or another shard;
-   RW_E_SNAPSHOT, RW_E_PARSE or RW_E_RANGE if the answer is not usable.  ERR
-   then says why.  An unusable answer counts as a failure of its attempt.  */
-int
-qry_on_result (struct qry_query *query, const struct qry_result *result,
-               rw_time now, struct rw_err *err)
-{
-  const char *why;
-  int code = 0;
-
-  if (query->done)
-    return refuse (query, result, err, "the query was answered");
-  why = mismatch (query, result);
-  if (why != NULL || query->attempts[result->attempt].shard != result->shard)
-    {
-      if (query->env->disabled != 0 && take_unchecked (query, result, err))
-        {
-          settle (query, now);
-          return 0;
-        }
-      code = refuse (query, result, err, why != NULL ? why : "wrong shard");
-    }
-  if (why == NULL && code != 0)
-    on_failed (query, &query->attempts[result->attempt], result, now);
-  else if (why == NULL)
-    {
-      code = dispatch (query, &query->attempts[result->attempt], result, now,
-                       err);
-      if (code != 0)
-        query->counts.refused_results++;
-    }
-  settle (query, now);
-  return code;
+  qry_settle (query, now);
 }
 
 /* Cancels everything without an answer: the caller has closed its connection.
--- /dev/null
+++ b/lib/query/result.c
@@ -0,0 +1,281 @@
+#include "query_impl.h"
+
+/* Refuses a result that does not belong to a running attempt.  */
+static int
+refuse (struct qry_query *query, const struct qry_result *result,
+        struct rw_err *err, const char *detail)
+{
+  query->counts.refused_results++;
+  return rw_err_set (err, RW_E_MISMATCH, "result", query->env->service,
+                     "attempt %u, shard %u: %s", result->attempt,
+                     result->shard, detail);
+}
+
+static void
+note_why (struct qry_query *query, const struct qry_result *result, int code,
+          const char *detail)
+{
+  if (result->why != NULL && result->why->code != 0)
+    query->why = *result->why;
+  else
+    rw_err_set (&query->why, code, "part", query->env->service, "shard %u: %s",
+                result->shard, detail);
+}
+
+/* Goes on with a part after an attempt ended without result.  */
+static void
+after_loss (struct qry_query *query, uint32_t shard, rw_time now)
+{
+  struct qry_part *part = &query->parts[shard];
+
+  if (part->state == QRY_PART_OPEN && part->running == 0)
+    qry_retry (query, shard, now);
+}
+
+/* Keeps parts from a target that refuses.  Without a time to retry at, the
+   refusal counts as a failure, so that the next queries do not spend their
+   tokens on the same target.  */
+static void
+note_refusal (struct qry_query *query, const struct qry_attempt *attempt,
+              rw_time retry_after, rw_time now)
+{
+  struct rte_estimate *estimate = qry_estimate_of (query, attempt->target);
+
+  if (retry_after > 0)
+    rte_on_refusal (estimate, retry_after, now);
+  else
+    rte_on_failure (estimate, now);
+}
+
+static void
+on_not_run (struct qry_query *query, struct qry_attempt *attempt,
+            const struct qry_result *result, rw_time now)
+{
+  note_why (query, result, RW_E_SHED, "refused");
+  note_refusal (query, attempt, result->retry_after, now);
+  if (result->retry_after > 0
+      && (query->retry_after < 0 || result->retry_after < query->retry_after))
+    query->retry_after = result->retry_after;
+  qry_end_attempt (query, attempt, QRY_ATTEMPT_REFUSED);
+  after_loss (query, attempt->shard, now);
+}
+
+/* Sends the part to another holder of the same target.  This costs no token,
+   because no target got it.  */
+static void
+on_not_holder (struct qry_query *query, struct qry_attempt *attempt,
+               const struct qry_result *result, rw_time now)
+{
+  const struct qry_part *part = &query->parts[attempt->shard];
+  uint32_t shard = attempt->shard;
+  uint32_t target = attempt->target;
+
+  note_why (query, result, RW_E_NOT_HOLDER, "not the holder");
+  qry_end_attempt (query, attempt, QRY_ATTEMPT_REDIRECTED);
+  if (part->redirects < QRY_MAX_REDIRECTS
+      && rte_usable (query->map->view, target))
+    qry_send_part (query, shard, target, QRY_REDIRECT, now);
+  else
+    {
+      note_refusal (query, attempt, result->retry_after, now);
+      after_loss (query, shard, now);
+    }
+}
+
+static void
+on_moved (struct qry_query *query, struct qry_attempt *attempt,
+          const struct qry_result *result, rw_time now)
+{
+  note_why (query, result, RW_E_SNAPSHOT, "the target has another snapshot");
+  query->moved = rw_arena_str (&query->arena, result->snapshot);
+  query->has_moved = true;
+  qry_end_attempt (query, attempt, QRY_ATTEMPT_MOVED);
+  if (qry_may_restart (query, now))
+    return;
+  query->has_moved = false;
+  after_loss (query, attempt->shard, now);
+}
+
+static void
+on_failed (struct qry_query *query, struct qry_attempt *attempt,
+           const struct qry_result *result, rw_time now)
+{
+  note_why (query, result, RW_E_RESET, "failed");
+  query->ran = true;
+  rte_on_failure (qry_estimate_of (query, attempt->target), now);
+  qry_end_attempt (query, attempt, QRY_ATTEMPT_FAILED);
+  after_loss (query, attempt->shard, now);
+}
+
+/* Decodes the records of RESULT into SCRATCH and merges them.  */
+static int
+merge_result (struct qry_query *query, const struct qry_result *result,
+              struct rw_arena *scratch, struct rw_err *err)
+{
+  struct qry_record *decoded = NULL;
+  size_t count = result->record_count;
+  int code;
+
+  if (result->json.len != 0)
+    {
+      code = qry_parse_records (result->json, scratch, &decoded, &count, err);
+      if (code != 0)
+        return code;
+      qry_merge (query, decoded, count);
+      return 0;
+    }
+  code = qry_check_records (result->records, count);
+  if (code != 0)
+    return rw_err_set (err, code, "result", query->env->service,
+                       "shard %u: record without id or score", result->shard);
+  qry_merge (query, result->records, count);
+  return 0;
+}
+
+/* Closes the part that ATTEMPT answered.  */
+static void
+cover (struct qry_query *query, struct qry_attempt *attempt, rw_time now)
+{
+  struct qry_part *part = &query->parts[attempt->shard];
+  rw_time latency = now - attempt->sent;
+
+  rte_on_latency (qry_estimate_of (query, attempt->target), latency, now);
+  qry_latency_add (query->env->latency, latency, now);
+  if (attempt->reason == QRY_HEDGE && part->running > 1)
+    query->counts.hedge_wins++;
+  query->ran = true;
+  qry_end_attempt (query, attempt, QRY_ATTEMPT_DONE);
+  qry_cancel_part (query, part, now);
+  qry_close_part (query, part, QRY_PART_COVERED);
+  query->covered++;
+}
+
+static int
+on_ok (struct qry_query *query, struct qry_attempt *attempt,
+       const struct qry_result *result, rw_time now, struct rw_err *err)
+{
+  struct rw_arena scratch;
+  int code;
+
+  if (qry_enabled (query, QRY_MECH_SNAPSHOT)
+      && !rw_str_eq (result->snapshot, query->map->snapshot))
+    {
+      query->ran = true;
+      on_moved (query, attempt, result, now);
+      return rw_err_set (err, RW_E_SNAPSHOT, "result", query->env->service,
+                         "shard %u was searched on another snapshot",
+                         result->shard);
+    }
+  rw_arena_init (&scratch, QRY_ARENA_BLOCK);
+  code = merge_result (query, result, &scratch, err);
+  rw_arena_finish (&scratch);
+  if (code != 0)
+    on_failed (query, attempt, result, now);
+  else
+    cover (query, attempt, now);
+  return code;
+}
+
+static int
+dispatch (struct qry_query *query, struct qry_attempt *attempt,
+          const struct qry_result *result, rw_time now, struct rw_err *err)
+{
+  switch (result->status)
+    {
+    case QRY_OK:
+      return on_ok (query, attempt, result, now, err);
+    case QRY_NOT_RUN:
+      on_not_run (query, attempt, result, now);
+      break;
+    case QRY_NOT_HOLDER:
+      on_not_holder (query, attempt, result, now);
+      break;
+    case QRY_OTHER_SNAPSHOT:
+      on_moved (query, attempt, result, now);
+      break;
+    case QRY_FAILED:
+      on_failed (query, attempt, result, now);
+      break;
+    }
+  return 0;
+}
+
+/* Test only: with a mechanism off, takes results that are refused otherwise.
+   Returns whether RESULT was taken.  */
+static bool
+take_unchecked (struct qry_query *query, const struct qry_result *result,
+                struct rw_err *err)
+{
+  struct rw_arena scratch;
+  struct qry_part *part;
+
+  if (result->status != QRY_OK || result->shard >= query->part_count)
+    return false;
+  part = &query->parts[result->shard];
+  if (qry_enabled (query, QRY_MECH_IDENTITY)
+      && (qry_enabled (query, QRY_MECH_TRUE_COVERAGE)
+          || part->state != QRY_PART_COVERED))
+    return false;
+  rw_arena_init (&scratch, QRY_ARENA_BLOCK);
+  merge_result (query, result, &scratch, err);
+  rw_arena_finish (&scratch);
+  if (part->state == QRY_PART_COVERED
+      && qry_enabled (query, QRY_MECH_TRUE_COVERAGE))
+    return true;
+  if (part->state == QRY_PART_OPEN)
+    qry_close_part (query, part, QRY_PART_COVERED);
+  part->state = QRY_PART_COVERED;
+  query->covered++;
+  return true;
+}
+
+/* Returns why RESULT does not belong to a running attempt, or null.  */
+static const char *
+mismatch (const struct qry_query *query, const struct qry_result *result)
+{
+  if (!qry_id_eq (result->id, query->id))
+    return "answers another query";
+  if (result->attempt >= query->attempt_count)
+    return "no such attempt";
+  if (result->attempt < query->first_attempt)
+    return "attempt on an older snapshot";
+  if (query->attempts[result->attempt].outcome != QRY_ATTEMPT_RUNNING)
+    return "the attempt has ended";
+  return NULL;
+}
+
+/* Takes the outcome of an attempt.  Returns 0; RW_E_MISMATCH if it answers
+   something else than a running attempt, and is ignored, or another shard;
+   RW_E_SNAPSHOT, RW_E_PARSE or RW_E_RANGE if the answer is not usable.  ERR
+   then says why.  An unusable answer counts as a failure of its attempt.  */
+int
+qry_on_result (struct qry_query *query, const struct qry_result *result,
+               rw_time now, struct rw_err *err)
+{
+  const char *why;
+  int code = 0;
+
+  if (query->done)
+    return refuse (query, result, err, "the query was answered");
+  why = mismatch (query, result);
+  if (why != NULL || query->attempts[result->attempt].shard != result->shard)
+    {
+      if (query->env->disabled != 0 && take_unchecked (query, result, err))
+        {
+          qry_settle (query, now);
+          return 0;
+        }
+      code = refuse (query, result, err, why != NULL ? why : "wrong shard");
+    }
+  if (why == NULL && code != 0)
+    on_failed (query, &query->attempts[result->attempt], result, now);
+  else if (why == NULL)
+    {
+      code = dispatch (query, &query->attempts[result->attempt], result, now,
+                       err);
+      if (code != 0)
+        query->counts.refused_results++;
+    }
+  qry_settle (query, now);
+  return code;
+}
