--- a/cmd/rwfload/sim.c
+++ b/cmd/rwfload/sim.c
@@ -1,4 +1,4 @@
-#include "sim.h"
+#include "sim_impl.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -14,145 +14,14 @@
 #define BUDGET_SHARE 0.05
 #define BUDGET_MAX 50.0
 
-struct query;
-
-/* One try of a part at one replica.  */
-struct attempt
-{
-  struct adm_part part; /* first member */
-  struct query *query;
-  struct holder *holder; /* null: not sent, or over */
-  int shard;
-};
-
-struct query
-{
-  struct adm_query gate; /* first member */
-  struct entry *entry;
-  size_t class_id;
-  rw_time arrived;
-  int refs; /* events and attempts that name it */
-  int unresolved;
-  int covered;
-  bool over;
-  struct query *next_dead;
-  struct shard
-  {
-    struct attempt attempt[2];
-    int tries;
-    int live;
-    int first; /* replica of the first try */
-    bool answered;
-  } shards[];
-};
-
-/* An entry daemon.  */
-struct entry
-{
-  int number;
-  struct adm_gate gate;
-  rw_time wake_at;
-  double budget;
-  struct rw_hist part_latency;
-  rw_time hedge_after;
-};
-
-/* A searcher with the time of its next event.  */
-struct searcher
-{
-  struct mdl_searcher model;
-  rw_time wake_at;
-};
-
-/* Admission of one target by one daemon, with its connections.  */
-struct holder
-{
-  struct adm_target target;
-  struct searcher *searcher;
-  struct entry *entry; /* SIM_INDEPENDENT: the daemon */
-  rw_time wake_at;
-};
-
-struct exchange
-{
-  struct adm_exchange adm; /* first member */
-  struct mdl_request request;
-  struct holder *holder;
-  struct entry *entry; /* the daemon that dispatches it, null: the holder's */
-  struct adm_outcome outcome;
-  uint64_t incarnation; /* of the searcher that accepted the connection */
-  bool connected;
-  bool cancel;
-  bool cancel_pending; /* an event of a cancellation names it */
-  bool at_searcher;
-  bool done;
-};
-
-enum event_kind
-{
-  EV_ARRIVAL,
-  EV_CHANGE,
-  EV_RESTART,
-  EV_GATE,
-  EV_HEDGE,
-  EV_DEADLINE,
-  EV_PART_AT_HOLDER,
-  EV_RESULT_AT_ENTRY,
-  EV_CANCEL_AT_HOLDER,
-  EV_HOLDER,
-  EV_DISPATCH,
-  EV_AT_SEARCHER,
-  EV_SEARCHER,
-  EV_CANCEL_AT_SEARCHER,
-  EV_ANSWERED,
-  EV_DONE
-};
-struct event
-{
-  enum event_kind kind;
-  union
-  {
-    size_t index;
-    struct entry *entry;
-    struct query *query;
-    struct attempt *attempt;
-    struct holder *holder;
-    struct searcher *searcher;
-    struct exchange *exchange;
-  } u;
-  int shard; /* EV_HEDGE */
-  bool ok;   /* EV_RESULT_AT_ENTRY */
-  struct event *next_free;
-};
-
-struct sim
-{
-  const struct sim_config *config;
-  struct sim_result *result;
-  struct rw_heap heap;
-  struct event *free_events;
-  struct rw_arena arena; /* of events */
-  struct query *dead;    /* to be freed after the event */
-  struct rw_rng rng;
-  rw_time now;
-  struct adm_classes classes;
-  struct mdl_arrivals arrivals;
-  rw_time arrival_at; /* of the scheduled event */
-  struct entry *entries;
-  struct searcher *searchers;
-  struct holder *holders;
-  /* Idle connections by daemon and searcher; the last daemon is the holder. */
-  int *idle;
-};
-
-static int
-targets_of (const struct sim *sim)
+int
+sim_targets_of (const struct sim *sim)
 {
   return sim->config->shards * sim->config->replicas;
 }
 
-static struct event *
-schedule (struct sim *sim, rw_time at, enum event_kind kind)
+struct event *
+sim_schedule (struct sim *sim, rw_time at, enum event_kind kind)
 {
   struct event *event = sim->free_events;
 
@@ -192,8 +61,8 @@
   sim->dead = query;
 }
 
-static void
-free_dead (struct sim *sim)
+void
+sim_free_dead (struct sim *sim)
 {
   while (sim->dead != NULL)
     {
@@ -245,7 +114,7 @@
   rw_time way = way_to_holder (sim, attempt->query->entry);
 
   attempt->query->refs++;
-  schedule (sim, sim->now + way, EV_CANCEL_AT_HOLDER)->u.attempt = attempt;
+  sim_schedule (sim, sim->now + way, EV_CANCEL_AT_HOLDER)->u.attempt = attempt;
 }
 
 /* Cancels the attempts of SHARD that still run.  */
@@ -293,7 +162,7 @@
   rw_time way = way_to_holder (sim, query->entry);
 
   if (sim->config->design == SIM_INDEPENDENT)
-    target += query->entry->number * targets_of (sim);
+    target += query->entry->number * sim_targets_of (sim);
   attempt->query = query;
   attempt->shard = number;
   attempt->holder = &sim->holders[target];
@@ -307,7 +176,7 @@
   shard->tries++;
   shard->live++;
   query->refs++;
-  schedule (sim, sim->now + way, EV_PART_AT_HOLDER)->u.attempt = attempt;
+  sim_schedule (sim, sim->now + way, EV_PART_AT_HOLDER)->u.attempt = attempt;
 }
 
 static void
@@ -318,7 +187,7 @@
   if (!sim->config->hedge || sim->config->replicas < 2)
     return;
   query->refs++;
-  event = schedule (sim, sim->now + query->entry->hedge_after, EV_HEDGE);
+  event = sim_schedule (sim, sim->now + query->entry->hedge_after, EV_HEDGE);
   event->u.query = query;
   event->shard = number;
 }
@@ -339,7 +208,8 @@
   if (entry->budget > BUDGET_MAX)
     entry->budget = BUDGET_MAX;
   query->refs++;
-  schedule (sim, query->gate.item.deadline - MERGE_TIME, EV_DEADLINE)->u.query
+  sim_schedule (sim, query->gate.item.deadline - MERGE_TIME, EV_DEADLINE)
+      ->u.query
       = query;
 }
 
@@ -367,7 +237,7 @@
   if (wake >= entry->wake_at || wake == RW_TIME_NEVER)
     return;
   entry->wake_at = wake;
-  schedule (sim, wake, EV_GATE)->u.entry = entry;
+  sim_schedule (sim, wake, EV_GATE)->u.entry = entry;
 }
 
 /* A query arrives at a random entry daemon.  */
@@ -397,15 +267,15 @@
     run_gate (sim, query->entry);
 }
 
-static void
-schedule_arrival (struct sim *sim)
+void
+sim_schedule_arrival (struct sim *sim)
 {
   rw_time next = mdl_arrivals_next (&sim->arrivals);
 
   if (next >= sim->arrival_at || next >= sim->config->end)
     return;
   sim->arrival_at = next;
-  schedule (sim, next, EV_ARRIVAL);
+  sim_schedule (sim, next, EV_ARRIVAL);
 }
 
 static void
@@ -414,7 +284,7 @@
   sim->arrival_at = RW_TIME_NEVER;
   while (mdl_arrivals_next (&sim->arrivals) <= sim->now)
     arrive (sim);
-  schedule_arrival (sim);
+  sim_schedule_arrival (sim);
 }
 
 static void
@@ -424,7 +294,7 @@
 
   mdl_arrivals_set_rate (&sim->arrivals, change->class_id, change->rate,
                          sim->now);
-  schedule_arrival (sim);
+  sim_schedule_arrival (sim);
 }
 
 static void
@@ -496,7 +366,7 @@
   struct event *event;
 
   attempt->holder = NULL;
-  event = schedule (sim, sim->now + way, EV_RESULT_AT_ENTRY);
+  event = sim_schedule (sim, sim->now + way, EV_RESULT_AT_ENTRY);
   event->u.attempt = attempt;
   event->ok = ok;
 }
@@ -528,7 +398,7 @@
                                        : sim->config->entries;
   int target = (int)(exchange->holder->searcher - sim->searchers);
 
-  return &sim->idle[daemon * targets_of (sim) + target];
+  return &sim->idle[daemon * sim_targets_of (sim) + target];
 }
 
 /* One way between the daemon that dispatches EXCHANGE and the searcher.  */
@@ -554,7 +424,7 @@
     }
   else
     at += sim->config->searcher.connect;
-  schedule (sim, at, EV_AT_SEARCHER)->u.exchange = exchange;
+  sim_schedule (sim, at, EV_AT_SEARCHER)->u.exchange = exchange;
 }
 
 static void
@@ -572,7 +442,7 @@
       exchange->entry = first->query->entry;
       at += one_way (sim, exchange->entry);
     }
-  schedule (sim, at, EV_DISPATCH)->u.exchange = exchange;
+  sim_schedule (sim, at, EV_DISPATCH)->u.exchange = exchange;
 }
 
 /* Starts exchanges and refuses parts of HOLDER.  */
@@ -600,7 +470,7 @@
   if (wake >= holder->wake_at || wake == RW_TIME_NEVER)
     return;
   holder->wake_at = wake;
-  schedule (sim, wake, EV_HOLDER)->u.holder = holder;
+  sim_schedule (sim, wake, EV_HOLDER)->u.holder = holder;
 }
 
 /* The answer, or the break of the connection, leaves the searcher.  */
@@ -634,7 +504,7 @@
     case ADM_ERROR:
       break;
     }
-  schedule (sim, sim->now + way_to_searcher (sim, exchange), EV_ANSWERED)
+  sim_schedule (sim, sim->now + way_to_searcher (sim, exchange), EV_ANSWERED)
       ->u.exchange
       = exchange;
 }
@@ -662,7 +532,7 @@
   if (wake >= searcher->wake_at || wake == RW_TIME_NEVER)
     return;
   searcher->wake_at = wake;
-  schedule (sim, wake, EV_SEARCHER)->u.searcher = searcher;
+  sim_schedule (sim, wake, EV_SEARCHER)->u.searcher = searcher;
 }
 
 /* EXCHANGE reaches the searcher, over a connection of its present process.  */
@@ -735,7 +605,7 @@
                          ? 0
                          : way_to_holder (sim, attempt->query->entry));
       }
-  schedule (sim, sim->now + way, EV_DONE)->u.exchange = exchange;
+  sim_schedule (sim, sim->now + way, EV_DONE)->u.exchange = exchange;
 }
 
 static void
@@ -755,8 +625,8 @@
 cancel_at_searcher (struct sim *sim, struct exchange *exchange)
 {
   exchange->cancel = exchange->cancel_pending = true;
-  schedule (sim, sim->now + way_to_searcher (sim, exchange),
-            EV_CANCEL_AT_SEARCHER)
+  sim_schedule (sim, sim->now + way_to_searcher (sim, exchange),
+                EV_CANCEL_AT_SEARCHER)
       ->u.exchange
       = exchange;
 }
@@ -800,14 +670,14 @@
 static void
 on_restart (struct sim *sim)
 {
-  for (int i = 0; i < targets_of (sim); i++)
+  for (int i = 0; i < sim_targets_of (sim); i++)
     {
       mdl_restart (&sim->searchers[i].model, sim->config->restart_down,
                    sim->now);
       run_searcher (sim, &sim->searchers[i]);
     }
   memset (sim->idle, 0,
-          (size_t)(sim->config->entries + 1) * (size_t)targets_of (sim)
+          (size_t)(sim->config->entries + 1) * (size_t)sim_targets_of (sim)
               * sizeof sim->idle[0]);
 }
 
@@ -819,8 +689,8 @@
   unref (sim, query);
 }
 
-static void
-handle (struct sim *sim, struct event *event)
+void
+sim_handle (struct sim *sim, struct event *event)
 {
   switch (event->kind)
     {
@@ -877,192 +747,3 @@
       break;
     }
 }
-
-static void
-init_entries (struct sim *sim)
-{
-  const struct sim_config *config = sim->config;
-
-  sim->entries = rw_xcalloc ((size_t)config->entries, sizeof *sim->entries);
-  for (int i = 0; i < config->entries; i++)
-    {
-      struct entry *entry = &sim->entries[i];
-
-      entry->number = i;
-      entry->wake_at = RW_TIME_NEVER;
-      entry->hedge_after = 10 * RW_MSEC;
-      rw_hist_init (&entry->part_latency);
-      adm_gate_init (&entry->gate, config->gate, &sim->classes,
-                     config->disabled);
-    }
-}
-
-static void
-init_targets (struct sim *sim)
-{
-  const struct sim_config *config = sim->config;
-  struct adm_rules rules
-      = { config->searcher.slots, config->searcher.connections,
-          config->searcher.cold, config->searcher.warm_step, false };
-  int targets = targets_of (sim);
-  int daemons = config->design == SIM_INDEPENDENT ? config->entries : 1;
-
-  sim->searchers = rw_xcalloc ((size_t)targets, sizeof *sim->searchers);
-  sim->holders
-      = rw_xcalloc ((size_t)daemons * (size_t)targets, sizeof *sim->holders);
-  sim->idle = rw_xcalloc ((size_t)(config->entries + 1) * (size_t)targets,
-                          sizeof *sim->idle);
-  for (int i = 0; i < targets; i++)
-    {
-      mdl_searcher_init (&sim->searchers[i].model, &config->searcher,
-                         rw_rng_next (&sim->rng));
-      if (config->warm)
-        mdl_warm (&sim->searchers[i].model);
-      sim->searchers[i].wake_at = RW_TIME_NEVER;
-    }
-  for (int i = 0; i < daemons * targets; i++)
-    {
-      struct holder *holder = &sim->holders[i];
-
-      holder->searcher = &sim->searchers[i % targets];
-      holder->wake_at = RW_TIME_NEVER;
-      if (config->design == SIM_INDEPENDENT)
-        holder->entry = &sim->entries[i / targets];
-      adm_target_init (&holder->target, &rules, &sim->classes,
-                       config->disabled, 0);
-    }
-}
-
-static void
-init_load (struct sim *sim)
-{
-  const struct sim_config *config = sim->config;
-
-  mdl_arrivals_init (&sim->arrivals, config->classes, rw_rng_next (&sim->rng));
-  for (size_t i = 0; i < config->classes; i++)
-    mdl_arrivals_set_rate (&sim->arrivals, i, config->of[i].rate, 0);
-  schedule_arrival (sim);
-  for (size_t i = 0; i < config->changes; i++)
-    schedule (sim, config->change[i].at, EV_CHANGE)->u.index = i;
-  if (config->restart_at > 0)
-    schedule (sim, config->restart_at, EV_RESTART);
-}
-
-static void
-sim_init (struct sim *sim, const struct sim_config *config,
-          struct sim_result *result)
-{
-  memset (sim, 0, sizeof *sim);
-  memset (result, 0, sizeof *result);
-  sim->config = config;
-  sim->result = result;
-  sim->arrival_at = RW_TIME_NEVER;
-  rw_heap_init (&sim->heap);
-  rw_arena_init (&sim->arena, 65536);
-  rw_rng_init (&sim->rng, config->seed);
-  adm_classes_init (&sim->classes);
-  for (size_t i = 0; i < config->classes; i++)
-    sim->classes.of[i].share = config->of[i].share;
-  init_entries (sim);
-  init_targets (sim);
-  init_load (sim);
-}
-
-static int
-max_int (int a, int b)
-{
-  return a > b ? a : b;
-}
-
-static void
-collect (struct sim *sim)
-{
-  struct sim_result *r = sim->result;
-  int targets = targets_of (sim);
-  int daemons
-      = sim->config->design == SIM_INDEPENDENT ? sim->config->entries : 1;
-
-  for (int i = 0; i < targets; i++)
-    {
-      const struct mdl_stats *stats = &sim->searchers[i].model.stats;
-
-      r->peak_permille = max_int (r->peak_permille, stats->peak_permille);
-      r->peak_permille_unnoticed = max_int (r->peak_permille_unnoticed,
-                                            stats->peak_permille_unnoticed);
-      r->peak_connections
-          = max_int (r->peak_connections, stats->peak_connections);
-      r->falls += stats->falls;
-      r->shed += stats->shed;
-    }
-  for (int i = 0; i < daemons * targets; i++)
-    {
-      const struct adm_counters *c = &sim->holders[i].target.counters;
-
-      r->exchanges += c->exchanges;
-      r->exchange_parts += c->parts;
-      for (int k = 0; k < ADM_COLD_REASONS; k++)
-        r->cold[k] += c->cold[k];
-    }
-}
-
-static void
-sim_finish (struct sim *sim)
-{
-  free (sim->entries);
-  free (sim->searchers);
-  free (sim->holders);
-  free (sim->idle);
-  rw_heap_finish (&sim->heap);
-  rw_arena_finish (&sim->arena);
-}
-
-/* Runs CONFIG until everything that arrived before its end has ended.  The
-   same configuration and seed give the same RESULT.  */
-void
-sim_run (const struct sim_config *config, struct sim_result *result)
-{
-  struct sim sim;
-  struct event *event;
-
-  sim_init (&sim, config, result);
-  while ((event = rw_heap_pop (&sim.heap, &sim.now)) != NULL)
-    {
-      handle (&sim, event);
-      free_dead (&sim);
-      event->next_free = sim.free_events;
-      sim.free_events = event;
-    }
-  collect (&sim);
-  sim_finish (&sim);
-}
-
-/* Fills CONFIG for one search service of a deployment: its sizes, delays and
-   searchers, one class, no load yet.  */
-void
-sim_config_init (struct sim_config *config, const struct mdl_profile *profile,
-                 const struct mdl_service *service)
-{
-  memset (config, 0, sizeof *config);
-  config->searcher = service->config;
-  config->one_way_local = profile->one_way_local;
-  config->one_way_dc = profile->one_way_dc;
-  config->entries = profile->entry_vms;
-  config->gate = 256;
-  config->replicas = service->replicas;
-  config->shards = service->instances * service->searchers / service->replicas;
-  config->classes = 1;
-  for (size_t i = 0; i < MDL_CLASSES; i++)
-    config->of[i] = (struct sim_class){ 0, 10, service->deadline };
-  config->hedge = true;
-  config->seed = 1;
-  config->measure_from = RW_SEC;
-  config->end = 5 * RW_SEC;
-}
-
-double
-sim_goodput (const struct sim_config *config, const struct sim_result *result,
-             size_t class_id)
-{
-  return (double)result->of[class_id].complete * (double)RW_SEC
-         / (double)(config->end - config->measure_from);
-}
