--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -97,6 +97,8 @@
 {
   struct frn_daemon *daemon = pool->daemon;
   struct ste_target *target = pool->target;
+  if (!ste_usable (&daemon->fleet, target, now))
+    return;
   evt_line (&daemon->log, EVT_STATE, "target", now,
             "replaced: id=%s at=%s:%u revision=%lld", target->id, target->host,
             target->port, (long long)target->revision);
