--- a/lib/admit/queue.c
+++ b/lib/admit/queue.c
@@ -126,6 +126,19 @@
   return queue->of[index].len >= (size_t)queue->classes->of[rule].queue;
 }
 
+/* Counts ITEM, which was put into list INDEX.  */
+static void
+count_item (struct adm_queue *queue, unsigned int index,
+            const struct adm_item *item)
+{
+  queue->of[index].len++;
+  queue->len++;
+  if (item->deadline < queue->earliest)
+    queue->earliest = item->deadline;
+  if (!queue->of[index].in_ring)
+    ring_add_first (queue, index);
+}
+
 /* Appends ITEM to the queue of its class.  A class that was not in the ring
    comes first, so that a class with little load does not wait for a round of
    the others; it stays in the ring until its turn comes again without items
@@ -135,6 +148,7 @@
 {
   unsigned int index = adm_queue_index (queue, item->class_id);
   struct adm_class_queue *class_queue = &queue->of[index];
+  bool was_in_ring = class_queue->in_ring;
 
   item->state = ADM_ITEM_QUEUED;
   item->refusal = (struct adm_refusal){ 0, 0 };
@@ -146,14 +160,9 @@
   else
     class_queue->head = item;
   class_queue->tail = item;
-  class_queue->len++;
-  queue->len++;
-  if (item->deadline < queue->earliest)
-    queue->earliest = item->deadline;
-  if (!class_queue->in_ring)
-    ring_add_first (queue, index);
-  else if (class_queue->len == 1 && !class_queue->granted
-           && class_queue->deficit > 0)
+  count_item (queue, index, item);
+  if (was_in_ring && class_queue->len == 1 && !class_queue->granted
+      && class_queue->deficit > 0)
     ring_resume (queue, index);
 }
 
@@ -173,12 +182,7 @@
   else
     class_queue->tail = item;
   class_queue->head = item;
-  class_queue->len++;
-  queue->len++;
-  if (item->deadline < queue->earliest)
-    queue->earliest = item->deadline;
-  if (!class_queue->in_ring)
-    ring_add_first (queue, index);
+  count_item (queue, index, item);
 }
 
 /* Removes a queued ITEM without charging its class.  */
