rwfront: one place for what was decided or counted twice

Who shares the connections of a service was decided in the pool and in lib/steer (ste_sharers), the assumed number of daemons stood in two files, a refusal was logged, counted and answered in two places (frn_refuse_request), and the state of a target compared its cold time beside is_cold. adm_recall looked at the parts of an exchange twice. Behaviour is the same.

--- a/cmd/rwfront/answer.c
+++ b/cmd/rwfront/answer.c
@@ -110,6 +110,16 @@
   h1_answer (conn, &reply);
 }
 
+/* Refuses a request of which nothing has run.  */
+void
+frn_refuse_request (struct frn_request *request, enum frn_refusal reason,
+                    rw_time retry_after)
+{
+  frn_log_outcome (request, FRN_REFUSED, 503);
+  sta_inc (request->daemon->metrics.refusal[reason]);
+  frn_answer_refusal (request->conn, 503, retry_after);
+}
+
 static void
 answer_parts (struct frn_request *request)
 {
@@ -169,9 +179,7 @@
     }
   if (!may_have_run (request))
     {
-      frn_log_outcome (request, FRN_REFUSED, 503);
-      sta_inc (request->daemon->metrics.refusal[FRN_REFUSE_BUSY]);
-      frn_answer_refusal (request->conn, 503, RETRY_BUSY);
+      frn_refuse_request (request, FRN_REFUSE_BUSY, RETRY_BUSY);
       return;
     }
   frn_log_outcome (request, FRN_FAILED, late ? 504 : 502);
--- a/cmd/rwfront/daemon.c
+++ b/cmd/rwfront/daemon.c
@@ -12,9 +12,6 @@
 #define SETTINGS_TICKS 20
 /* Descriptors kept for listeners, files and links.  */
 #define FILES_KEPT 600
-/* Daemons that share the sums over all daemons, until their number is
-   known.  */
-#define DAEMONS_GUESS 20
 /* A leaving target stops that much before its drain time ends.  */
 #define LEAVE_MARGIN (1 * RW_SEC)
 /* After SIGTERM the readiness check fails; two misses a second apart take the
@@ -168,7 +165,8 @@
 frn_daemon_init (struct frn_daemon *daemon, uv_loop_t *loop,
                  const char *settings_path, struct rw_err *err)
 {
-  struct ste_settings steer = { .daemons = DAEMONS_GUESS };
+  struct ste_settings steer
+      = { .daemons = FRN_LEAST_DAEMONS, .sharers = FRN_LEAST_DAEMONS };
   int r;
 
   memset (daemon, 0, sizeof *daemon);
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -21,6 +21,8 @@
 #include "stat.h"
 #include "steer.h"
 
+/* Daemons assumed to share the sums until their number is known.  */
+#define FRN_LEAST_DAEMONS 20
 #define FRN_MAX_SEEDS 8
 
 /* The settings of a daemon, from its settings file.  */
@@ -339,6 +341,8 @@
 void frn_answer_query (struct frn_request *request, bool success);
 void frn_answer_refusal (struct h1_conn *conn, int status,
                          rw_time retry_after);
+void frn_refuse_request (struct frn_request *request, enum frn_refusal reason,
+                         rw_time retry_after);
 const char *frn_outcome_name (enum frn_outcome outcome);
 void frn_log_outcome (struct frn_request *request, enum frn_outcome outcome,
                       int status);
--- a/cmd/rwfront/peers.c
+++ b/cmd/rwfront/peers.c
@@ -24,8 +24,6 @@
    each.  */
 #define TELL_PAUSE (100 * RW_MSEC)
 #define TELL_COUNT 5
-/* Members assumed in the first seconds.  */
-#define LEAST_DAEMONS 20
 #define MAX_VIEW_CONNS 256
 #define VIEW_PATH "/view?after="
 
@@ -294,7 +292,7 @@
     .ip = ntohl (settings->peers.sin_addr.s_addr),
     .dc = (uint32_t)rw_hash (rw_str_from (settings->dc)),
     .capacity = (uint32_t)(settings->cores * 1000),
-    .least = LEAST_DAEMONS,
+    .least = FRN_LEAST_DAEMONS,
     .seed = rw_rng_next (&daemon->fleet.rng),
   };
   for (size_t i = 0; i < settings->seed_count && i < GOS_MAX_SEEDS; i++)
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -110,8 +110,7 @@
 link_limit (const struct frn_pool *pool)
 {
   const struct ste_service *service = pool->target->service;
-  size_t daemons = service->sharded ? frn_sharers (pool->daemon)
-                                    : pool->daemon->fleet.settings.daemons;
+  size_t daemons = ste_sharers (&pool->daemon->fleet, service);
   if (service->connections == 0)
     return MAX_LINKS;
   size_t share
@@ -391,17 +390,17 @@
 void
 frn_pool_sweep (struct frn_daemon *daemon, rw_time now)
 {
-  size_t opened = gos_is_young (&daemon->peers.gossip, now) ? OPEN_AT_ONCE : 0;
+  size_t left = gos_is_young (&daemon->peers.gossip, now) ? 0 : OPEN_AT_ONCE;
   bool relays = frn_relay_available (daemon, now);
   for (struct ste_service *s = daemon->fleet.first; s != NULL; s = s->next)
     for (struct ste_target *t = s->targets; t != NULL; t = t->next)
       {
         if (t->user != NULL)
           sweep_pool (t->user, now);
-        if (opened < OPEN_AT_ONCE && wants_link (daemon, t, relays, now))
+        if (left > 0 && wants_link (daemon, t, relays, now))
           {
             link_open (pool_of (daemon, t));
-            opened++;
+            left--;
           }
       }
 }
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -337,7 +337,7 @@
   struct ste_latency *latency = latency_of (request);
   struct ext_limits limits
       = { daemon->settings.extra_ratio, daemon->settings.extra_slack,
-          daemon->settings.extra_window, frn_sharers (daemon) };
+          daemon->settings.extra_window, daemon->fleet.settings.sharers };
   size_t tried_n = request->query.parts[part].sends;
   struct ste_target *target
       = ste_pick (&daemon->fleet, service, latency, tried_of (request, part),
@@ -583,9 +583,7 @@
       return;
     }
   request->last_error = "no target";
-  frn_log_outcome (request, FRN_REFUSED, 503);
-  sta_inc (request->daemon->metrics.refusal[FRN_REFUSE_NO_TARGET]);
-  frn_answer_refusal (request->conn, 503, RETRY_NO_TARGET);
+  frn_refuse_request (request, FRN_REFUSE_NO_TARGET, RETRY_NO_TARGET);
   frn_request_end (request);
 }
 
--- a/lib/admit/recall.c
+++ b/lib/admit/recall.c
@@ -5,47 +5,30 @@
    class with much work hold both for 3% of the time, and the parts of every
    other class wait.  */
 
-/* Returns the class of the parts that EXCHANGE still carries.  PARTS get the
-   number of them.  */
-static unsigned int
-class_of (const struct adm_exchange *exchange, size_t *parts)
+/* Returns when EXCHANGE is to be recalled, or RW_TIME_NEVER: it holds up no
+   other class, or carries no part or one that was recalled.  A part is
+   recalled once, so that a target which is slow for all is not asked without
+   end.  */
+static rw_time
+recall_at (const struct adm_target *target,
+           const struct adm_exchange *exchange)
 {
-  unsigned int class_id = 0;
+  const struct adm_part *part = NULL;
+  unsigned int index;
 
-  *parts = 0;
+  if (exchange->once || !exchange->counted)
+    return RW_TIME_NEVER;
   for (size_t i = 0; i < exchange->count; i++)
     if (exchange->parts[i] != NULL)
       {
-        class_id = exchange->parts[i]->item.class_id;
-        (*parts)++;
+        part = exchange->parts[i];
+        if (part->recalled)
+          return RW_TIME_NEVER;
       }
-  return class_id;
-}
-
-/* A part is recalled once, so that a target which is slow for all of them is
-   not asked again and again.  */
-static bool
-recalled_before (const struct adm_exchange *exchange)
-{
-  for (size_t i = 0; i < exchange->count; i++)
-    if (exchange->parts[i] != NULL && exchange->parts[i]->recalled)
-      return true;
-  return false;
-}
-
-/* Returns when EXCHANGE is to be recalled, or RW_TIME_NEVER: it runs for its
-   last part's deadline, was recalled, or holds up no other class.  */
-static rw_time
-recall_at (const struct adm_target *target,
-           const struct adm_exchange *exchange)
-{
-  size_t parts;
-  unsigned int class_id = class_of (exchange, &parts);
-  unsigned int index = adm_queue_index (&target->queue, class_id);
-
-  if (exchange->once || parts == 0 || !exchange->counted
-      || target->queue.len == target->queue.of[index].len
-      || recalled_before (exchange))
+  if (part == NULL)
+    return RW_TIME_NEVER;
+  index = adm_queue_index (&target->queue, part->item.class_id);
+  if (target->queue.len == target->queue.of[index].len)
     return RW_TIME_NEVER;
   return exchange->started + adm_overdue_after (target, exchange->count);
 }
--- a/lib/cat/cat.h
+++ b/lib/cat/cat.h
@@ -28,7 +28,6 @@
   bool repeatable;       /* may run more than once */
   rw_time timeout;       /* the longest time to an answer */
   rw_time aim;           /* the time within which an answer has full value */
-  unsigned int rank;     /* 0 is the most urgent */
   unsigned int attempts; /* targets that may run one request, per shard */
   enum cat_route_kind kind;
   union
--- a/lib/steer/fleet.c
+++ b/lib/steer/fleet.c
@@ -162,6 +162,12 @@
     }
 }
 
+size_t
+ste_sharers (const struct ste_fleet *fleet, const struct ste_service *service)
+{
+  return service->sharded ? fleet->settings.sharers : fleet->settings.daemons;
+}
+
 void
 ste_dcs_out (struct ste_fleet *fleet, const uint64_t *dcs, size_t count)
 {
--- a/lib/steer/keep.c
+++ b/lib/steer/keep.c
@@ -51,8 +51,7 @@
 choose (const struct ste_fleet *fleet, struct ste_service *service,
         rw_time now)
 {
-  size_t daemons
-      = service->sharded ? fleet->settings.sharers : fleet->settings.daemons;
+  size_t daemons = ste_sharers (fleet, service);
   double each = service->connections * KEPT_PART;
   size_t usable = 0;
   size_t local = 0;
--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -92,12 +92,18 @@
   return !dc_is_out (fleet, target->dc);
 }
 
+static bool
+is_cold (const struct ste_target *target, rw_time now)
+{
+  return now < target->cold_until;
+}
+
 enum ste_state
 ste_state_of (const struct ste_target *target, rw_time now)
 {
   if (target->draining || target->gone)
     return STE_LEAVING;
-  if (now < target->cold_until)
+  if (is_cold (target, now))
     return STE_COLD;
   return ste_stalled (target, now) ? STE_STALLED : STE_WELL;
 }
@@ -142,12 +148,6 @@
   return false;
 }
 
-static bool
-is_cold (const struct ste_target *target, rw_time now)
-{
-  return now < target->cold_until;
-}
-
 double
 ste_expected (const struct ste_fleet *fleet, const struct ste_target *target,
               const struct ste_latency *latency, rw_time now)
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -131,6 +131,9 @@
 void ste_sweep (struct ste_fleet *fleet,
                 bool (*release) (void *arg, struct ste_target *target),
                 void *arg, rw_time now);
+/* Daemons that share the connections to the targets of SERVICE.  */
+size_t ste_sharers (const struct ste_fleet *fleet,
+                    const struct ste_service *service);
 /* Chooses the targets that this daemon keeps connections to: all, or as many
    as the daemons together may.  The others are used where these are unwell. */
 void ste_choose_kept (struct ste_fleet *fleet, rw_time now);
