--- a/cmd/rwfload/tiers.c
+++ b/cmd/rwfload/tiers.c
@@ -1,135 +1,11 @@
-#include "tiers.h"
+#include "tiers_impl.h"
 
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "admit.h"
-#include "query.h"
-
-#define MAX_VMS 32
-#define MAX_SEARCHERS 128
-#define MAX_REPLICAS 4
-#define DATA_CENTRES 3
-/* What is left of a tenure when a part arrives (section 5).  */
-#define TENURE_LEFT (900 * RW_MSEC)
-#define TOP_RECORDS 100
-
-struct query;
-
-/* One send of a part.  It lives until its last event.  */
-struct part
-{
-  struct adm_part adm; /* first member */
-  struct query *query;
-  uint32_t attempt;
-  uint32_t shard;
-  uint32_t target;
-  int refs;
-  bool at_holder;
-  enum qry_status status;
-  rw_time retry_after;
-};
-
-/* One exchange with a searcher.  */
-struct exchange
-{
-  struct mdl_request request;
-  struct adm_exchange adm; /* ours */
-  struct part *naive;      /* the naive tier */
-  uint32_t target;
-  struct adm_outcome outcome;
-  bool in_model;
-  bool ended;
-  int refs;
-};
-
-struct query
-{
-  struct qry_query qry;
-  uint32_t vm;
-  rw_time arrived;
-  rw_time timer;       /* earliest timer event that is queued */
-  struct part **parts; /* by attempt */
-  size_t part_cap;
-  size_t open;    /* parts of the naive tier without answer */
-  size_t covered; /* of those */
-  bool done;
-  int refs;
-};
-
-enum event_kind
-{
-  EV_ARRIVAL,
-  EV_SLOW,
-  EV_QUERY_TIMER,
-  EV_PART_AT_HOLDER,
-  EV_CANCEL_AT_HOLDER,
-  EV_HOLDER_TIMER,
-  EV_EXCHANGE_AT_TARGET,
-  EV_TARGET_TIMER,
-  EV_REPLY_AT_HOLDER,
-  EV_CANCEL_AT_TARGET,
-  EV_RESULT_AT_ENTRY
-};
-
-struct event
-{
-  enum event_kind kind;
-  uint32_t target;
-  union
-  {
-    struct query *query;
-    struct part *part;
-    struct exchange *exchange;
-  } u;
-};
-
-struct searcher
-{
-  struct mdl_searcher model;
-  struct adm_target adm;
-  uint32_t dc;
-  uint32_t holder; /* VM */
-  rw_time timer;   /* earliest queued event of the model */
-  rw_time adm_timer;
-};
-
-struct vm
-{
-  uint32_t dc;
-  struct rte_estimate estimates[MAX_SEARCHERS];
-  struct rte_target targets[MAX_SEARCHERS];
-  struct rte_view view;
-  struct qry_map map;
-  struct qry_latency latency;
-  struct qry_budget budget;
-  struct qry_env env;
-};
-
-struct sim
-{
-  const struct tie_config *config;
-  enum tie_kind kind;
-  struct tie_result *result;
-  rw_time now;
-  rw_time end; /* of the arrivals */
-  struct rw_rng rng;
-  struct rw_heap heap;
-  struct mdl_arrivals arrivals;
-  struct adm_classes classes;
-  uint64_t sequence;
-  size_t vm_count;
-  size_t searcher_count;
-  size_t shard_count;
-  uint32_t replicas[MAX_SEARCHERS][MAX_REPLICAS];
-  struct rte_shard shards[MAX_SEARCHERS];
-  struct searcher searchers[MAX_SEARCHERS];
-  struct vm vms[MAX_VMS];
-};
-
-static struct event *
-push (struct sim *sim, rw_time at, enum event_kind kind)
+struct event *
+tie_push (struct sim *sim, rw_time at, enum event_kind kind)
 {
   struct event *event = rw_xcalloc (1, sizeof *event);
 
@@ -138,8 +14,8 @@
   return event;
 }
 
-static rw_time
-one_way (const struct sim *sim, uint32_t dc_a, uint32_t dc_b)
+rw_time
+tie_one_way (const struct sim *sim, uint32_t dc_a, uint32_t dc_b)
 {
   return dc_a == dc_b ? sim->config->profile->one_way_local
                       : sim->config->profile->one_way_dc;
@@ -148,13 +24,13 @@
 static rw_time
 vm_to_vm (const struct sim *sim, uint32_t a, uint32_t b)
 {
-  return a == b ? 0 : one_way (sim, sim->vms[a].dc, sim->vms[b].dc);
+  return a == b ? 0 : tie_one_way (sim, sim->vms[a].dc, sim->vms[b].dc);
 }
 
 static rw_time
 vm_to_target (const struct sim *sim, uint32_t vm, uint32_t target)
 {
-  return one_way (sim, sim->vms[vm].dc, sim->searchers[target].dc);
+  return tie_one_way (sim, sim->vms[vm].dc, sim->searchers[target].dc);
 }
 
 /* Every running query has a part or a timer that holds it.  */
@@ -231,7 +107,7 @@
 push_part (struct sim *sim, rw_time delay, enum event_kind kind,
            struct part *part)
 {
-  struct event *event = push (sim, sim->now + delay, kind);
+  struct event *event = tie_push (sim, sim->now + delay, kind);
 
   event->target = part->target;
   event->u.part = part;
@@ -241,7 +117,7 @@
 push_exchange (struct sim *sim, rw_time delay, enum event_kind kind,
                struct exchange *exchange)
 {
-  struct event *event = push (sim, sim->now + delay, kind);
+  struct event *event = tie_push (sim, sim->now + delay, kind);
 
   event->target = exchange->target;
   event->u.exchange = exchange;
@@ -257,7 +133,7 @@
   if (at >= s->timer)
     return;
   s->timer = at;
-  push (sim, at, EV_TARGET_TIMER)->target = target;
+  tie_push (sim, at, EV_TARGET_TIMER)->target = target;
 }
 
 /* The holder reports the end of PART to its entry daemon.  */
@@ -309,7 +185,7 @@
   if (next < s->adm_timer)
     {
       s->adm_timer = next > sim->now ? next : sim->now;
-      push (sim, s->adm_timer, EV_HOLDER_TIMER)->target = target;
+      tie_push (sim, s->adm_timer, EV_HOLDER_TIMER)->target = target;
     }
 }
 
@@ -509,8 +385,8 @@
   if (sim->kind == TIE_NAIVE_DEADLINE)
     {
       query->refs++;
-      push (sim, query->arrived + sim->config->service->deadline,
-            EV_QUERY_TIMER)
+      tie_push (sim, query->arrived + sim->config->service->deadline,
+                EV_QUERY_TIMER)
           ->u.query
           = query;
     }
@@ -594,7 +470,7 @@
     {
       query->timer = next;
       query->refs++;
-      push (sim, next, EV_QUERY_TIMER)->u.query = query;
+      tie_push (sim, next, EV_QUERY_TIMER)->u.query = query;
     }
 }
 
@@ -633,13 +509,13 @@
   part_unref (part);
 }
 
-static void
-schedule_arrival (struct sim *sim)
+void
+tie_schedule_arrival (struct sim *sim)
 {
   rw_time at = mdl_arrivals_next (&sim->arrivals);
 
   if (at < sim->end)
-    push (sim, at, EV_ARRIVAL);
+    tie_push (sim, at, EV_ARRIVAL);
 }
 
 static void
@@ -649,7 +525,7 @@
   rw_time at;
 
   mdl_arrivals_take (&sim->arrivals, &at);
-  schedule_arrival (sim);
+  tie_schedule_arrival (sim);
   query->vm = (uint32_t)(sim->sequence++ % sim->vm_count);
   query->arrived = sim->now;
   query->timer = RW_TIME_NEVER;
@@ -672,8 +548,8 @@
     sim->searchers[i].model.config.straggler_share = sim->config->slow_share;
 }
 
-static void
-handle (struct sim *sim, const struct event *event)
+void
+tie_handle (struct sim *sim, const struct event *event)
 {
   switch (event->kind)
     {
@@ -717,131 +593,3 @@
       break;
     }
 }
-
-/* Replicas of a shard are in different data centres; a target's holder is in
-   the target's data centre.  */
-static void
-build_targets (struct sim *sim)
-{
-  const struct mdl_service *service = sim->config->service;
-  struct adm_rules rules = { .slots = service->config.slots,
-                             .connections = service->config.connections,
-                             .cold = service->config.cold,
-                             .ramp = 8 };
-
-  sim->searcher_count
-      = (size_t)service->instances * (size_t)service->searchers;
-  sim->shard_count = sim->searcher_count / (size_t)service->replicas;
-  for (uint32_t i = 0; i < sim->searcher_count; i++)
-    {
-      struct searcher *s = &sim->searchers[i];
-      uint32_t shard = i % (uint32_t)sim->shard_count;
-      uint32_t replica = i / (uint32_t)sim->shard_count;
-
-      mdl_searcher_init (&s->model, &service->config,
-                         rw_hash_u64 (sim->config->seed, i));
-      mdl_warm (&s->model);
-      adm_target_init (&s->adm, &rules, &sim->classes, 0, 0);
-      s->dc = (shard + replica) % DATA_CENTRES;
-      s->holder = s->dc
-                  + DATA_CENTRES
-                        * (uint32_t)(i / DATA_CENTRES
-                                     % (sim->vm_count / DATA_CENTRES));
-      s->timer = s->adm_timer = RW_TIME_NEVER;
-      sim->replicas[shard][replica] = i;
-      sim->shards[shard]
-          = (struct rte_shard){ sim->replicas[shard], replica + 1 };
-    }
-}
-
-static void
-build_vm (struct sim *sim, uint32_t index)
-{
-  struct vm *vm = &sim->vms[index];
-
-  vm->dc = index % DATA_CENTRES;
-  for (uint32_t i = 0; i < sim->searcher_count; i++)
-    {
-      uint32_t holder = sim->searchers[i].holder;
-
-      rte_estimate_init (&vm->estimates[i], 0);
-      rte_set_distance (
-          &vm->estimates[i],
-          holder == index ? 0 : one_way (sim, vm->dc, holder % DATA_CENTRES));
-      vm->targets[i] = (struct rte_target){ .estimate = &vm->estimates[i] };
-    }
-  vm->view = (struct rte_view){ vm->targets, sim->searcher_count,
-                                sim->shards, sim->shard_count,
-                                NULL,        0 };
-  vm->map = (struct qry_map){ RW_LIT ("s1"), 1, &vm->view, 0 };
-  qry_latency_init (&vm->latency, 0);
-  qry_budget_init (&vm->budget);
-  vm->env
-      = (struct qry_env){ .service = rw_str_from (sim->config->service->name),
-                          .newest = &vm->map,
-                          .latency = &vm->latency,
-                          .budget = &vm->budget,
-                          .rng = &sim->rng,
-                          .hedge_percent = sim->config->hedge,
-                          .top = TOP_RECORDS,
-                          .disabled = sim->config->no_qry };
-}
-
-/* Returns the arrivals a second that make the load of CONFIG, if every first
-   send is an exchange of its own.  */
-double
-tie_rate (const struct tie_config *config)
-{
-  const struct mdl_config *c = &config->service->config;
-  double sigma = c->service.u.lognormal.sigma;
-  double mean = (double)c->service.u.lognormal.median * exp (sigma * sigma / 2)
-                * (1 + c->straggler_share * (c->straggler_factor - 1));
-  int slots_of_shard = config->service->replicas * c->slots;
-
-  return config->load * slots_of_shard * (double)RW_SEC / mean;
-}
-
-/* Runs the workload of CONFIG on one tier.  The same configuration gives the
-   same result every time.  */
-void
-tie_run (const struct tie_config *config, enum tie_kind kind,
-         struct tie_result *result)
-{
-  struct sim *sim = rw_xcalloc (1, sizeof *sim);
-
-  memset (result, 0, sizeof *result);
-  sim->config = config;
-  sim->kind = kind;
-  sim->result = result;
-  sim->end = config->warm_up + config->duration;
-  sim->vm_count = (size_t)config->profile->entry_vms;
-  rw_rng_init (&sim->rng, rw_hash_u64 (config->seed, 1));
-  rw_heap_init (&sim->heap);
-  adm_classes_init (&sim->classes);
-  build_targets (sim);
-  for (uint32_t i = 0; i < sim->vm_count; i++)
-    build_vm (sim, i);
-  mdl_arrivals_init (&sim->arrivals, 1, rw_hash_u64 (config->seed, 2));
-  mdl_arrivals_set_rate (&sim->arrivals, 0, tie_rate (config), 0);
-  schedule_arrival (sim);
-  if (config->slow_at != 0)
-    push (sim, config->slow_at, EV_SLOW);
-  for (;;)
-    {
-      struct event *event = rw_heap_pop (&sim->heap, &sim->now);
-
-      if (event == NULL)
-        break;
-      handle (sim, event);
-      free (event);
-    }
-  for (size_t i = 0; i < sim->searcher_count; i++)
-    {
-      if (sim->searchers[i].model.stats.peak_permille > result->peak_permille)
-        result->peak_permille = sim->searchers[i].model.stats.peak_permille;
-      mdl_searcher_finish (&sim->searchers[i].model);
-      adm_target_finish (&sim->searchers[i].adm);
-    }
-  rw_heap_finish (&sim->heap);
-  free (sim);
-}
