Read what waited in the sockets before a deadline is judged

Run with the entry daemon paused by SIGSTOP for 70 ms every 200 ms, 5 of 507 searches end so: after a pause longer than the deadline the daemon judged the deadline before it read the answers in its sockets. libuv runs timers before sockets are read (lib/net); the node's timer came in the order of the poll (cmd/rwfd); the first late result ended a query without the results behind it (lib/query).

Ruled out: the planned stop of isa-3, whose log shows a complete hand-over; pausing isa-3 alone gives 0 of 507.

Change: a timer of calls that expires late waits for one read of the sockets, the node ticks after the poll, and only a tick ends a query late.

What remains is true: a pause that begins before any shard has answered.

--- a/cmd/rwfd/daemon.c
+++ b/cmd/rwfd/daemon.c
@@ -146,6 +146,20 @@
       && errno == EAGAIN)
     return;
   rwfd->timer_expiry = RW_TIME_NEVER;
+  rwfd->tick_due = true;
+}
+
+/* Ticks after the sockets were read, so that what arrived while the process
+   was paused counts before a deadline that passed in the meantime.  */
+static void
+on_check (uv_check_t *check)
+{
+  struct rwfd *rwfd = check->data;
+
+  if (!rwfd->tick_due)
+    return;
+  rwfd->tick_due = false;
+  net_client_flush (&rwfd->client);
   nod_tick (rwfd->node, rw_now ());
 }
 
@@ -392,6 +406,9 @@
   uv_prepare_init (&rwfd->loop, &rwfd->prepare);
   rwfd->prepare.data = rwfd;
   uv_prepare_start (&rwfd->prepare, on_prepare);
+  uv_check_init (&rwfd->loop, &rwfd->check);
+  rwfd->check.data = rwfd;
+  uv_check_start (&rwfd->check, on_check);
   uv_timer_init (&rwfd->loop, &rwfd->linger_timer);
   uv_timer_init (&rwfd->loop, &rwfd->second_timer);
   rwfd->second_timer.data = rwfd;
@@ -452,6 +469,7 @@
   net_rpc_finish (&rwfd->rpc);
   net_client_finish (&rwfd->client);
   uv_close ((uv_handle_t *)&rwfd->prepare, NULL);
+  uv_close ((uv_handle_t *)&rwfd->check, NULL);
   uv_run (&rwfd->loop, UV_RUN_NOWAIT);
   uv_run (&rwfd->loop, UV_RUN_NOWAIT);
   rwfd_free_exchanges (rwfd);
--- a/cmd/rwfd/rwfd.h
+++ b/cmd/rwfd/rwfd.h
@@ -31,7 +31,9 @@
   const struct opt_options *options;
   uv_loop_t loop;
   uv_prepare_t prepare;
+  uv_check_t check;      /* runs after the sockets were read */
   uv_poll_t wakeup_poll; /* of timer_fd */
+  bool tick_due;         /* timer_fd has expired */
   uv_timer_t second_timer;
   uv_timer_t linger_timer;
   uv_signal_t signals[2];
--- a/cmd/rwfd/test_rwfd.c
+++ b/cmd/rwfd/test_rwfd.c
@@ -467,6 +467,35 @@
   assert_true (rw_str_eq_cstr (rw_buf_str (&node.events), "tick due\n"));
 }
 
+/* Guards against a tick that ends a request late although its response waited
+   in a socket while the process was paused.  */
+TEST_WITH_FIXTURE (sockets_are_read_before_a_late_tick)
+{
+  struct net_addr addr;
+  char buf[512];
+  int listener;
+  int fd;
+
+  net_addr_set (&addr, RW_LIT ("127.0.0.1"), 0);
+  listener = loop_listen_raw (&addr);
+  start_exchange (f, "{}", addr.port);
+  uv_run (&f->rwfd.loop, UV_RUN_ONCE);
+  fd = accept (listener, NULL, NULL);
+  RUN_UNTIL (f, recv (fd, buf, sizeof buf, MSG_DONTWAIT | MSG_PEEK) > 0);
+  assert_true (recv (fd, buf, sizeof buf, 0) > 0);
+  node.wakeup = rw_now () + 50 * RW_MSEC;
+  uv_run (&f->rwfd.loop, UV_RUN_NOWAIT);
+  assert_int_equal (node.events.len, 0);
+  usleep (60 * 1000);
+  assert_true (dprintf (fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+               > 0);
+  RUN_UNTIL (f, node_saw ("tick") && node_saw ("reply"));
+  assert_true (rw_str_eq_cstr (rw_buf_str (&node.events),
+                               "reply 5 200 -1 ok\ntick due\n"));
+  close (fd);
+  close (listener);
+}
+
 /* Guards against reports on the callers' port, and answers to unknown names
    and methods.  */
 TEST_WITH_FIXTURE (reports_are_on_the_admin_port)
--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -7,6 +7,9 @@
 /* h2o's own timeout is above that of any call, so that only the call's
    deadline applies.  */
 #define H2O_IO_TIMEOUT_MS 600000
+/* A timer that expires later than this was held up by a pause of the process;
+   libuv timers have a resolution of 1 ms.  */
+#define MAX_TIMER_DELAY (3 * RW_MSEC)
 
 /* The connection pool of one address.  */
 struct net_target
@@ -371,6 +374,20 @@
   fail_call (call, RW_E_DEADLINE, step, "no answer in time");
 }
 
+/* Returns whether the timer expired so late that the process must have been
+   paused or busy, and responses may wait in the sockets.  Timers run before
+   the sockets are read, so the calls are then failed in the next iteration. */
+static bool
+defer_deadlines (struct net_client *client, rw_time now)
+{
+  client->deadlines_deferred
+      = !client->deadlines_deferred
+        && now - rw_heap_next_time (&client->deadlines) > MAX_TIMER_DELAY;
+  if (client->deadlines_deferred)
+    uv_timer_start (&client->deadline_timer, on_deadline, 1, 0);
+  return client->deadlines_deferred;
+}
+
 /* Fails the calls whose deadline has passed.  Entries of finished calls are
    skipped.  */
 static void
@@ -379,6 +396,9 @@
   struct net_client *client = timer->data;
   rw_time now = rw_now ();
 
+  if (defer_deadlines (client, now))
+    return;
+
   while (rw_heap_next_time (&client->deadlines) <= now)
     {
       rw_time at;
--- a/lib/net/net.h
+++ b/lib/net/net.h
@@ -229,7 +229,8 @@
 {
   uv_loop_t *loop;
   uv_timer_t deadline_timer;
-  uv_timer_t sweep_timer; /* frees unused connection pools */
+  bool deadlines_deferred; /* to the next iteration, after a pause */
+  uv_timer_t sweep_timer;  /* frees unused connection pools */
   h2o_timeout_t io_timeout;
   h2o_http1client_ctx_t ctx;
   struct rw_heap deadlines;
--- a/lib/net/test_http.c
+++ b/lib/net/test_http.c
@@ -235,6 +235,29 @@
   assert_int_equal (f->calls[0].report_count, 1);
 }
 
+/* Guards against a response that is dropped because the process was paused
+   past the deadline while the response waited in the socket.  */
+TEST_WITH_FIXTURE (responses_that_waited_during_a_pause_count)
+{
+  static const char text[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  char buf[512];
+  int fd;
+
+  f->raw_fd = loop_listen_raw (&f->addr);
+  f->timeout = 300 * RW_MSEC;
+  start (f, 0, "/", RW_LIT (""));
+  uv_run (&f->loop, UV_RUN_ONCE);
+  fd = accept (f->raw_fd, NULL, NULL);
+  RUN_UNTIL (f, recv (fd, buf, sizeof buf, MSG_DONTWAIT | MSG_PEEK) > 0);
+  assert_true (recv (fd, buf, sizeof buf, 0) > 0);
+  assert_int_equal (write (fd, text, strlen (text)), strlen (text));
+  usleep (350 * 1000);
+  RUN_UNTIL (f, f->calls[0].report_count == 1);
+  assert_int_equal (f->calls[0].err.code, 0);
+  assert_true (body_is (f, 0, "ok"));
+  close (fd);
+}
+
 /* Guards against reports of aborted calls.  One call is aborted before its
    connection is established, one afterwards.  */
 TEST_WITH_FIXTURE (aborted_calls_are_not_reported)
--- a/lib/query/query.c
+++ b/lib/query/query.c
@@ -472,9 +472,9 @@
   send_all_parts (query, now);
 }
 
-/* Restarts the query if it may, and answers if no more results can be expected
-   or the result deadline has passed.  Parts that only wait for a token do not
-   delay the answer, because there may never be a token.  */
+/* Restarts the query if it may, and answers if no more results can be
+   expected.  Parts that only wait for a token do not delay the answer, because
+   there may never be a token.  */
 void
 qry_restart_or_answer (struct qry_query *query, rw_time now)
 {
@@ -486,7 +486,15 @@
       || (query->in_flight == 0
           && query->open_parts == query->parts_waiting_for_token))
     finish_with_answer (query, false, now);
-  else if (now >= query->result_deadline)
+}
+
+/* Answers with the results so far if the result deadline has passed.  Results
+   themselves never end a query late: after a pause of the process, several of
+   them may wait in its sockets.  */
+static void
+answer_if_late (struct qry_query *query, rw_time now)
+{
+  if (!query->done && now >= query->result_deadline)
     finish_with_answer (query, true, now);
 }
 
@@ -520,6 +528,7 @@
       send_all_parts (query, now);
     }
   qry_restart_or_answer (query, now);
+  answer_if_late (query, now);
 }
 
 static void
@@ -640,6 +649,7 @@
         tick_part (query, (uint32_t)((first + i) % query->part_count), now);
     }
   qry_restart_or_answer (query, now);
+  answer_if_late (query, now);
 }
 
 /* Ends the query without an answer, because the caller has closed its
--- a/lib/query/test_query.c
+++ b/lib/query/test_query.c
@@ -175,6 +175,27 @@
   qry_finish (&f.query);
 }
 
+/* Guards against results that are dropped because the daemon was paused past
+   the deadline while they waited in its sockets: only a tick ends a query
+   late, and the caller of ticks reads the sockets first.  */
+TEST (results_that_waited_during_a_pause_count)
+{
+  struct fixture f;
+
+  fixture_init (&f);
+  start (&f);
+  for (size_t i = 0; i < 3; i++)
+    report_ok (&f, i, 90 * RW_MSEC);
+  assert_false (f.answered);
+  assert_true (qry_next_wakeup (&f.query) <= 90 * RW_MSEC);
+  qry_tick (&f.query, 90 * RW_MSEC);
+  take_commands (&f);
+  assert_true (f.answered);
+  assert_int_equal (f.answer.u.answer.covered, 3);
+  assert_int_equal (f.cancel_count, 1);
+  qry_finish (&f.query);
+}
+
 /* Guards against a straggler that is not hedged, a hedge to the same target or
    earlier than 2 ms after the send, and an attempt that is not cancelled when
    the other one has answered.  */
