lib/steer: estimate the wait in the queues of targets

Cause: a daemon knew the last reported queue of a target for 50 ms and took it for 0 afterwards, and weighed it with the latency of the route that asks, not with the work of the requests in the queue. So fault-lookup (6.7 ms) saw queues of catalogue-browse (20 ms) as a third of their length.

Change: a backlog per slot, averaged over 60 ms of reports; the time that targets work, learned from results without a queue; a report that a refusal contradicts is not used for 10 s, and the latency serves in its place; a target that is quiet for longer than expected costs three times the excess before it counts as stalled. ste_queue_delay and ste_has_room give the estimates to others.

--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -28,9 +28,32 @@
 /* A target that shed a request is assumed to have at least this many requests
    running or waiting for each of its slots.  */
 #define SHED_QUEUE_PER_SLOT 4.0
-/* Each queued request adds this fraction of the time of one request, divided
-   by the number of slots.  */
-#define QUEUE_TIME_FRACTION 0.5
+/* A running request takes on average this fraction of its time until it
+   ends.  */
+#define RUNNING_TIME_FRACTION 0.5
+/* Weight of one result in the estimates of the time that targets work, and the
+   highest backlog per slot with which a result counts.  */
+#define WORK_WEIGHT 0.005
+#define MAX_IDLE_BACKLOG 0.25
+/* A single result counts as at most this multiple of such an estimate.  */
+#define MAX_WORK_RATIO 4.0
+/* Time constant of the average of the reported backlog, and the least weight
+   of a report in it.  */
+#define BACKLOG_AVERAGE_TIME (60 * RW_MSEC)
+#define MIN_BACKLOG_WEIGHT 0.3
+/* A backlog that is not reported again is taken as unchanged for some time,
+   and then decays.  */
+#define BACKLOG_HOLD_TIME (100 * RW_MSEC)
+#define BACKLOG_DECAY_TIME (200 * RW_MSEC)
+/* The load that a target reports is not used for this long after it refused a
+   request while it reported free slots.  */
+#define DISTRUST_TIME (10 * RW_SEC)
+/* A target that has not replied for longer than expected, as it does in a
+   pause, is expected to need this multiple of the excess.  */
+#define OVERDUE_WEIGHT 3.0
+/* The oldest send without a result shows a queue when it is older than this
+   multiple of the work on a request.  */
+#define MAX_WORK_AGE_RATIO 2.0
 
 /* Penalties: times added to the expected time of a target.  */
 
@@ -74,6 +97,7 @@
   latency->mean = (double)aim / 8;
   latency->p90 = (double)aim / 5;
   latency->count = 0;
+  latency->work = (struct ste_work){ latency->mean, 0 };
 }
 
 /* Adds a latency in USEC to the estimates of a route.  In the mean, outliers
@@ -178,6 +202,84 @@
   return false;
 }
 
+static bool
+trusts_load (const struct ste_target *target, rw_time now)
+{
+  return target->reports_load && now >= target->load_distrusted_until;
+}
+
+/* Adds a number of waiting requests per slot to the average of TARGET.  */
+static void
+backlog_add (struct ste_target *target, double backlog, rw_time now)
+{
+  double weight
+      = 1 - exp (-(double)(now - target->backlog_at) / BACKLOG_AVERAGE_TIME);
+  target->backlog
+      += fmax (weight, MIN_BACKLOG_WEIGHT) * (backlog - target->backlog);
+  target->backlog_at = now;
+}
+
+static double
+backlog_of (const struct ste_target *target, rw_time now)
+{
+  if (target->backlog == 0)
+    return 0;
+  return decayed (target->backlog, 0, target->backlog_at + BACKLOG_HOLD_TIME,
+                  now, BACKLOG_DECAY_TIME);
+}
+
+bool
+ste_has_room (const struct ste_target *target, rw_time now)
+{
+  return backlog_of (target, now) < 1;
+}
+
+double
+ste_queue_delay (const struct ste_fleet *fleet,
+                 const struct ste_service *service, rw_time now)
+{
+  double best = INFINITY;
+  for (const struct ste_target *t = service->targets; t != NULL; t = t->next)
+    {
+      if (!ste_usable (fleet, t, now) || now < t->backoff_until)
+        continue;
+      double delay = backlog_of (t, now) * service->work.mean;
+      if (delay > 0)
+        delay *= fmax (decayed (t->latency_ratio, 1, t->latency_ratio_at, now,
+                                AVERAGE_DECAY_TIME),
+                       1);
+      if (t->oldest_send != NULL)
+        delay = fmax (delay, (double)(now - t->oldest_send->sent_at)
+                                 - MAX_WORK_AGE_RATIO * service->work.mean);
+      best = fmin (best, delay);
+    }
+  return best;
+}
+
+/* Returns the time in microseconds until a target of SLOTS that has QUEUE_LEN
+   requests of WORK each, running or waiting, begins another one.  */
+static double
+queue_time (double queue_len, double slots, double work)
+{
+  double running = fmin (queue_len, slots);
+  double waiting = queue_len - running;
+  return work * (RUNNING_TIME_FRACTION * running + waiting) / slots;
+}
+
+/* Returns the time in microseconds since TARGET last replied, or since its
+   oldest send if that was later; 0 if no send is in flight.  */
+static double
+quiet_time (const struct ste_target *target, rw_time now)
+{
+  const struct ste_send *oldest = target->oldest_send;
+  if (oldest == NULL)
+    return 0;
+  return (double)(now
+                  - (oldest->sent_at > target->last_reply
+                         ? oldest->sent_at
+                         : target->last_reply));
+}
+
 double
 ste_expected_time (const struct ste_fleet *fleet,
                    const struct ste_target *target,
@@ -194,8 +296,10 @@
   if (queue_len < target->in_flight)
     queue_len = target->in_flight;
   double run_time = latency->mean * latency_ratio;
+  double work = target->service->work.mean;
   double time = run_time;
-  time += run_time * QUEUE_TIME_FRACTION * queue_len / target->slots;
+  time += queue_time (queue_len, target->slots, work > 0 ? work : run_time);
+  time += OVERDUE_WEIGHT * fmax (quiet_time (target, now) - time, 0);
   if (target->dc != fleet->settings.dc)
     time += OTHER_DC_PENALTY;
   if (target->outside_subset)
@@ -332,6 +436,33 @@
   target->latency_ratio_at = now;
 }
 
+static void
+work_add (struct ste_work *work, double sample)
+{
+  double weight = fmax (WORK_WEIGHT, 1 / (double)++work->count);
+  if (work->mean > 0)
+    sample = fmin (sample, work->mean * MAX_WORK_RATIO);
+  work->mean += weight * (sample - work->mean);
+}
+
+/* Counts a success in the estimates of the time that targets work, if the
+   request had hardly to wait for others.  The wait at a target that does not
+   report its load follows from the latency.  */
+static void
+update_work (struct ste_send *send, rw_time now)
+{
+  struct ste_target *target = send->target;
+  struct ste_work *work = &target->service->work;
+  double latency = (double)(now - send->sent_at);
+  double wait = fmax (latency - send->latency->work.mean, 0);
+  if (!trusts_load (target, now) && work->mean > 0)
+    backlog_add (target, wait / work->mean, now);
+  if (backlog_of (target, now) > MAX_IDLE_BACKLOG)
+    return;
+  work_add (work, latency);
+  work_add (&send->latency->work, latency);
+}
+
 /* Records the end of a stall, and of a pause if the stall counts as one.  */
 static void
 end_stall (struct ste_target *target, rw_time now)
@@ -357,6 +488,7 @@
       if (send->sent_at >= target->last_pause_end)
         update_latency_ratio (target, send, now);
       latency_add (send->latency, (double)(now - send->sent_at));
+      update_work (send, now);
       update_failure_rate (target, 0, now);
       target->backoff_count = 0;
       target->backoff_until = 0;
@@ -364,6 +496,8 @@
       break;
     case STE_SHED:
       target->last_reply = now;
+      if (target->queue_len_at == now && target->queue_len <= target->slots)
+        target->load_distrusted_until = now + DISTRUST_TIME;
       target->queue_len
           = fmax (target->queue_len, target->slots * SHED_QUEUE_PER_SLOT);
       target->queue_len_at = now;
@@ -395,8 +529,11 @@
 ste_on_load_report (struct ste_target *target, unsigned int running,
                     unsigned int waiting, unsigned int slots, rw_time now)
 {
-  target->queue_len = running + waiting;
-  target->queue_len_at = now;
   if (slots > 0)
     target->slots = slots;
+  target->reports_load = true;
+  if (trusts_load (target, now))
+    backlog_add (target, (double)waiting / target->slots, now);
+  target->queue_len = running + waiting;
+  target->queue_len_at = now;
 }
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -11,12 +11,20 @@
 
 #define STE_HOST_MAX 45
 
+/* Time in microseconds that targets work on a request.  */
+struct ste_work
+{
+  double mean;    /* moving average; 0: not known */
+  uint64_t count; /* results counted in it */
+};
+
 /* Latency in microseconds of the parts of one route, over all its targets.  */
 struct ste_latency
 {
-  double mean;    /* moving average, outliers clipped */
-  double p90;     /* estimate of the 0.9 quantile, at least the mean */
-  uint64_t count; /* results counted in the estimates */
+  double mean;          /* moving average, outliers clipped */
+  double p90;           /* estimate of the 0.9 quantile, at least the mean */
+  uint64_t count;       /* results counted in the estimates */
+  struct ste_work work; /* of one part */
 };
 
 struct ste_service;
@@ -56,7 +64,11 @@
   unsigned int backoff_count; /* backoffs since the last success */
   double queue_len;     /* requests running or waiting, as last reported */
   rw_time queue_len_at; /* time of the last update */
-  void *user;           /* connection pool; set and freed by the caller */
+  bool reports_load;    /* in its replies */
+  rw_time load_distrusted_until;
+  double backlog;     /* requests waiting per slot, moving average */
+  rw_time backlog_at; /* time of the last update */
+  void *user;         /* connection pool; set and freed by the caller */
 };
 
 /* A send that waits for its result.  The caller owns it, and keeps it until
@@ -82,6 +94,7 @@
   unsigned int max_connections; /* accepted by each target; 0: not stated */
   double warmup_limit_per_s;    /* to a cold target, all daemons; 0: none */
   rw_time handshake_time;       /* moving average; 0: not known */
+  struct ste_work work;         /* of requests of all routes */
   bool is_shard;                /* a shard of a route that gathers */
 };
 
@@ -179,6 +192,14 @@
 /* Returns whether TARGET has stopped answering: of the sends since its last
    reply, the oldest is past its stall deadline.  */
 bool ste_stalled (const struct ste_target *target, rw_time now);
+/* Returns whether fewer than one request per slot waits at TARGET, as far as
+   is known.  */
+bool ste_has_room (const struct ste_target *target, rw_time now);
+/* Returns the time in microseconds that a request waits at the best target of
+   SERVICE before that works on it, as far as is known; infinity if no target
+   is usable.  */
+double ste_queue_delay (const struct ste_fleet *fleet,
+                        const struct ste_service *service, rw_time now);
 /* Returns the expected time in microseconds until TARGET answers a request of
    the route of LATENCY.  It includes penalties, such as those for another data
    centre, a stall, failures or leaving.  */
--- a/lib/steer/test_steer.c
+++ b/lib/steer/test_steer.c
@@ -339,6 +339,98 @@
   assert_ptr_equal (pick (f, WARM + 260 * MS), f->b);
 }
 
+/* Guards against a queue delay that a single free target does not end, and
+   against one that is kept after the queue has gone.  */
+TEST_WITH_FIXTURE (the_queue_delay_is_that_of_the_best_target)
+{
+  warm_up (f);
+  for (int i = 0; i < 10; i++)
+    {
+      ste_on_load_report (f->a, 2, 8, 2, WARM + i * 20 * MS);
+      ste_on_load_report (f->b, 2, 4, 2, WARM + i * 20 * MS);
+    }
+  double delay = ste_queue_delay (&f->fleet, f->service, WARM + 200 * MS);
+  assert_in_range ((rw_time)delay, 35 * MS, 45 * MS);
+  assert_false (ste_has_room (f->b, WARM + 200 * MS));
+  ste_on_load_report (f->b, 1, 0, 2, WARM + 400 * MS);
+  delay = ste_queue_delay (&f->fleet, f->service, WARM + 400 * MS);
+  assert_in_range ((rw_time)delay, 0, 5 * MS);
+  assert_true (ste_has_room (f->b, WARM + 400 * MS));
+  assert_in_range (
+      (rw_time)ste_queue_delay (&f->fleet, f->service, WARM + 3 * RW_SEC), 0,
+      MS);
+}
+
+/* Guards against a service without usable targets that seems free.  */
+TEST_WITH_FIXTURE (without_usable_targets_the_queue_delay_is_infinite)
+{
+  ste_back_off (f->a, WARM);
+  ste_back_off (f->b, WARM);
+  assert_true (ste_queue_delay (&f->fleet, f->service, WARM + MS) > 1e12);
+}
+
+/* Guards against a queue that is not seen while its target is silent.  */
+TEST_WITH_FIXTURE (an_old_send_shows_a_queue)
+{
+  struct ste_send sends[2];
+  warm_up (f);
+  ste_on_sent (&sends[0], f->a, &f->latency, WARM);
+  ste_on_sent (&sends[1], f->b, &f->latency, WARM);
+  assert_in_range (
+      (rw_time)ste_queue_delay (&f->fleet, f->service, WARM + 30 * MS), 0, MS);
+  assert_in_range (
+      (rw_time)ste_queue_delay (&f->fleet, f->service, WARM + 140 * MS),
+      90 * MS, 110 * MS);
+  ste_on_result (&sends[0], STE_OK, WARM + 140 * MS);
+  ste_on_result (&sends[1], STE_OK, WARM + 140 * MS);
+}
+
+/* Guards against an estimate of the work that includes the wait in queues: an
+   overload would then look like slow work.  */
+TEST_WITH_FIXTURE (waiting_does_not_count_as_work)
+{
+  warm_up (f);
+  double before = f->service->work.mean;
+  for (int i = 0; i < 500; i++)
+    {
+      ste_on_load_report (f->a, 2, 8, 2, WARM + i * MS);
+      exchange (f, f->a, WARM + i * MS, 120 * MS, STE_OK);
+    }
+  assert_true (f->service->work.mean == before);
+  assert_in_range ((rw_time)f->latency.work.mean, 15 * MS, 25 * MS);
+}
+
+/* Guards against trust in a target that refuses requests and reports an empty
+   queue: the wait then follows from the latency.  */
+TEST_WITH_FIXTURE (a_refusal_contradicts_an_empty_queue)
+{
+  warm_up (f);
+  ste_on_load_report (f->a, 1, 0, 2, WARM);
+  exchange (f, f->a, WARM - MS, MS, STE_SHED);
+  for (int i = 1; i < 20; i++)
+    {
+      rw_time now = WARM + i * 20 * MS;
+      ste_on_load_report (f->a, 1, 0, 2, now);
+      exchange (f, f->a, now - 100 * MS, 100 * MS, STE_OK);
+    }
+  assert_false (ste_has_room (f->a, WARM + 400 * MS));
+  ste_on_load_report (f->a, 1, 0, 2, WARM + 12 * RW_SEC);
+  assert_true (ste_has_room (f->a, WARM + 12 * RW_SEC));
+}
+
+/* Guards against sends to a target that is quiet for longer than expected, but
+   not yet for as long as a stalled one.  */
+TEST_WITH_FIXTURE (an_overdue_target_is_avoided_before_it_counts_as_stalled)
+{
+  struct ste_send send;
+  warm_up (f);
+  ste_on_sent (&send, f->a, &f->latency, WARM);
+  assert_false (ste_stalled (f->a, WARM + 36 * MS));
+  assert_ptr_equal (pick (f, WARM + 10 * MS), f->a);
+  assert_ptr_equal (pick (f, WARM + 36 * MS), f->b);
+  ste_on_result (&send, STE_OK, WARM + 40 * MS);
+}
+
 static bool
 release (void *arg, struct ste_target *target)
 {
