Refuse what the searchers cannot answer in time

Cause: under 2 times the load and more, every request was split, sent, hedged and retried, and queued behind others until nearly all came late.

Ruled out: storms of repeats (1.1 sends a part), processors (the same with --no-cpu).

Change: lib/shed keeps the delay in queues at a target by refusing a share of each route's requests before any part is sent; routes over the same searchers give way in the order of value for work; Retry-After follows from how long the pressure has lasted; late callers and those that repeat at once come last. Hedges go only to targets with room. A send in flight is closed only if its work, not its wait, is worth a handshake. A peer's refusal is forwarded as one and does not count as a fast answer of that peer. The priority of a route is decoded.

--- a/cmd/rwfront/answer.c
+++ b/cmd/rwfront/answer.c
@@ -33,6 +33,19 @@
   return "unknown";
 }
 
+/* Writes log fields for a refusal because of overload to BUF, and returns
+   it.  */
+static const char *
+describe_overload (const struct frn_request *request, char *buf, size_t size)
+{
+  const struct shd_route *shed = &request->stats->shed;
+  snprintf (buf, size,
+            " share=%.2f delay_ms=%.0f target_delay_ms=%.0f retry_ms=%lld",
+            shed->share, shed->delay / RW_MSEC, shed->target / RW_MSEC,
+            (long long)(request->retry_after / RW_MSEC));
+  return buf;
+}
+
 /* Writes log fields for the first missing part to BUF: its service, the target
    of its last send and the state of that send, the number of this daemon's
    sends in flight to the target, and the queue length that the target
@@ -79,7 +92,9 @@
   rw_time now = rw_now ();
   rw_time latency = now - request->start;
   bool complete = outcome == FRN_WHOLE || outcome == FRN_PASSED;
-  char missing[512];
+  bool overload = outcome == FRN_REFUSED && request->query.sends == 0
+                  && request->retry_after >= 0;
+  char details[512];
 
   struct frn_route_metrics *metrics = frn_metrics_for_route (
       &daemon->metrics, request->stats, request->route->name);
@@ -97,7 +112,8 @@
       (long long)(request->route->aim / RW_MSEC), request->query.done,
       request->query.plan.part_count, request->query.lost,
       request->query.sends,
-      describe_missing_part (request, missing, sizeof missing),
+      overload ? describe_overload (request, details, sizeof details)
+               : describe_missing_part (request, details, sizeof details),
       request->last_error != NULL ? request->last_error : "",
       request->last_target, (unsigned long long)request->config->version,
       (long long)((now - daemon->config_since) / RW_MSEC));
@@ -120,6 +136,7 @@
 frn_refuse_request (struct frn_request *request, enum frn_refusal reason,
                     rw_time retry_after)
 {
+  request->retry_after = retry_after;
   frn_log_outcome (request, FRN_REFUSED, 503);
   sta_inc (request->daemon->metrics.refusal[reason]);
   frn_answer_refusal (request->conn, 503, retry_after);
@@ -210,7 +227,9 @@
     answer_merged (request);
   else
     {
-      frn_log_outcome (request, FRN_PASSED, request->target_reply.status);
+      int status = request->target_reply.status;
+      frn_log_outcome (request, status == 503 ? FRN_REFUSED : FRN_PASSED,
+                       status);
       h1_conn_reply (request->conn, &request->target_reply);
     }
 }
--- a/cmd/rwfront/daemon.c
+++ b/cmd/rwfront/daemon.c
@@ -193,6 +193,7 @@
                 ^ (uint64_t)rw_now ());
   apply_settings (daemon);
   rw_map_init (&daemon->route_stats);
+  rw_map_init (&daemon->shed_groups);
   daemon->scratch = rw_xmalloc (H1_READ_BUF_SIZE);
   /* In force until the first configuration.  */
   daemon->caller_limits = (struct h1_limits){
@@ -267,6 +268,7 @@
   rep_finish (&daemon->view.replica);
   ste_finish (&daemon->fleet);
   free_routes (daemon);
+  frn_overload_finish (daemon);
   cat_config_unref (daemon->config);
   sta_finish (&daemon->metrics.set);
   evt_finish (&daemon->log);
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -17,6 +17,7 @@
                 configuration
    request.c    one request from its arrival to its last send
    relay.c      forwarding of requests to larger peers
+   overload.c   refusal of requests that targets have no room for
    pool.c       connection pool of each target
    answer.c     answers to the caller, and the log line of each request
    span.c       log lines for the sends of a request
@@ -36,6 +37,7 @@
 #include "h1.h"
 #include "platform.h"
 #include "replica.h"
+#include "shed.h"
 #include "stat.h"
 #include "steer.h"
 
@@ -104,6 +106,7 @@
 {
   FRN_REFUSE_NO_CONFIG, /* no configuration is known yet */
   FRN_REFUSE_NO_TARGET, /* too few shards have a usable target */
+  FRN_REFUSE_OVERLOAD,  /* the queues of the targets are too long */
   FRN_REFUSE_BUSY,      /* targets refused it or were unreachable */
   FRN_REFUSAL_COUNT
 };
@@ -112,6 +115,8 @@
 {
   struct sta_series *outcome[FRN_OUTCOME_COUNT];
   struct sta_series *latency;
+  struct sta_series *refused_share;
+  struct sta_series *queue_delay;
 };
 
 struct frn_metrics
@@ -146,7 +151,9 @@
   struct ste_latency part_latency;
   struct ste_latency relay_latency; /* of whole requests at larger peers */
   int64_t max_time_left_ms; /* largest value that a caller has stated */
-  struct rw_rng split_rng;  /* draws the service of a split route */
+  struct shd_route shed;
+  rw_time shed_logged_at;  /* last line about it; 0: none since it began */
+  struct rw_rng split_rng; /* draws the service of a split route */
   struct frn_route_metrics metrics;
 };
 
@@ -222,6 +229,7 @@
   struct cat_config *config; /* null: none is known yet */
   rw_time config_since;      /* when it came into force */
   struct rw_map route_stats; /* struct frn_route_stats by hash of the name */
+  struct rw_map shed_groups; /* struct shd_group by key of a service */
   struct h1_limits caller_limits; /* from the configuration */
   struct h1_server caller_server;
   struct h1_limits admin_limits;
@@ -355,6 +363,7 @@
   enum frn_mode mode;
   bool relayed;         /* a smaller peer forwarded it to this daemon */
   int64_t time_left_ms; /* stated by the caller on arrival; -1: not stated */
+  rw_time time_spent;   /* by earlier attempts of the caller, as estimated */
   struct rw_arena arena;
   struct h1_conn *conn; /* of the caller; null once the request has ended */
   struct cat_config *config; /* the version it began with; a reference */
@@ -380,6 +389,7 @@
   bool has_target_reply;
   bool ended;             /* answered, or the caller disconnected */
   bool closing;           /* TIMER is being closed, then this is freed */
+  rw_time retry_after;    /* stated in the answer; -1: none */
   const char *last_error; /* of a send, for the log; may be null */
   char last_target[64];   /* id of the target of that send */
 };
@@ -431,6 +441,13 @@
    first send without success.  */
 void frn_spans_write (const struct frn_request *request, bool in_time);
 
+/* Overload.  */
+
+/* Decides whether a request whose query is initialised is admitted.  Refuses
+   it if not, and returns false.  */
+bool frn_overload_admit (struct frn_request *request);
+void frn_overload_finish (struct frn_daemon *daemon);
+
 /* Sends and connection pools.  */
 
 enum frn_send_state
--- a/cmd/rwfront/metrics.c
+++ b/cmd/rwfront/metrics.c
@@ -13,6 +13,8 @@
       return "no-configuration";
     case FRN_REFUSE_NO_TARGET:
       return "no-target";
+    case FRN_REFUSE_OVERLOAD:
+      return "overload";
     case FRN_REFUSE_BUSY:
       return "targets-refused";
     case FRN_REFUSAL_COUNT:
@@ -44,6 +46,12 @@
   metrics->latency
       = sta_histogram (set, "rwf_request_seconds",
                        "time from a request to its answer", route_label);
+  metrics->refused_share
+      = sta_gauge (set, "rwf_refused_share",
+                   "share of the requests refused for overload", route_label);
+  metrics->queue_delay
+      = sta_gauge (set, "rwf_queue_delay_seconds",
+                   "delay in the queues of targets, as known", route_label);
 }
 
 /* lib/stat limits the number of series, so many routes cannot exhaust memory.
--- /dev/null
+++ b/cmd/rwfront/overload.c
@@ -0,0 +1,119 @@
+#include <stdlib.h>
+
+#include "front.h"
+
+/* Time between two log lines about the overload of a route.  */
+#define LOG_INTERVAL RW_SEC
+/* Parts whose delays are read; more are not needed to notice an overload.  */
+#define MAX_DELAYS 1024
+
+/* The group of routes that use the same targets as REQUEST, created at the
+   first request.  Its key is the lowest of the parts' services, since two
+   routes may list the same shards in another order.  */
+static struct shd_group *
+group_of (const struct frn_request *request)
+{
+  struct rw_map *groups = &request->daemon->shed_groups;
+  uint64_t key = request->services[0]->key;
+  for (size_t i = 1; i < request->query.plan.part_count; i++)
+    if (request->services[i]->key < key)
+      key = request->services[i]->key;
+  struct shd_group *group = rw_map_get (groups, key);
+  if (group == NULL)
+    {
+      group = rw_xcalloc (1, sizeof *group);
+      rw_map_put (groups, key, group);
+    }
+  return group;
+}
+
+/* The delay in queues that the request would meet.  */
+static double
+queue_delay (const struct frn_request *request, rw_time now)
+{
+  const struct gat_plan *plan = &request->query.plan;
+  double delays[MAX_DELAYS];
+  size_t count = plan->part_count < MAX_DELAYS ? plan->part_count : MAX_DELAYS;
+  for (size_t i = 0; i < count; i++)
+    delays[i]
+        = ste_queue_delay (&request->daemon->fleet, request->services[i], now);
+  return shd_critical_delay (delays, count, plan->min_parts);
+}
+
+/* Writes a line when the route begins or ceases to refuse requests, and
+   regularly in between.  */
+static void
+log_share (const struct frn_request *request, rw_time now)
+{
+  struct frn_route_stats *stats = request->stats;
+  const struct shd_route *shed = &stats->shed;
+  bool ended = shed->share == 0;
+  if (ended && stats->shed_logged_at == 0)
+    return;
+  if (!ended && stats->shed_logged_at > 0
+      && now - stats->shed_logged_at < LOG_INTERVAL)
+    return;
+  evt_line (&request->daemon->log, EVT_NORMAL, "overload", now,
+            "%s: route=%.*s share=%.2f delay_ms=%.1f target_delay_ms=%.1f "
+            "work_ms=%.1f",
+            ended ? "ended" : "refusing", RW_STR_ARG (request->route->name),
+            shed->share, shed->delay / RW_MSEC, shed->target / RW_MSEC,
+            stats->part_latency.work.mean / RW_MSEC);
+  stats->shed_logged_at = ended ? 0 : now;
+}
+
+/* Adapts the share of the route that is refused.  SLACK is the time that a
+   part may wait in a queue.  */
+static void
+update_share (const struct frn_request *request, rw_time now)
+{
+  struct frn_route_stats *stats = request->stats;
+  const struct gat_plan *plan = &request->query.plan;
+  struct shd_group *group = group_of (request);
+  rw_time budget = plan->soft_deadline - request->start + request->time_spent;
+  struct shd_claim claim
+      = { .key = rw_hash (request->route->name),
+          .priority = request->route->priority,
+          .work = stats->part_latency.work.mean,
+          .slack = (double)budget - stats->part_latency.work.mean,
+          .seen_at = now };
+  shd_group_claim (group, &claim);
+  shd_update (&stats->shed, queue_delay (request, now),
+              shd_target_delay (group, claim.key, now), now);
+  log_share (request, now);
+  struct frn_route_metrics *metrics = frn_metrics_for_route (
+      &request->daemon->metrics, stats, request->route->name);
+  sta_set_value (metrics->refused_share, stats->shed.share);
+  sta_set_value (metrics->queue_delay, stats->shed.delay / RW_SEC);
+}
+
+bool
+frn_overload_admit (struct frn_request *request)
+{
+  struct frn_route_stats *stats = request->stats;
+  rw_time now = rw_now ();
+  if (shd_update_due (&stats->shed, now))
+    update_share (request, now);
+  enum shd_order order = shd_order_of (request->time_spent,
+                                       request->query.plan.soft_deadline - now,
+                                       stats->part_latency.work.mean);
+  if (shd_admit (&stats->shed, order))
+    return true;
+  rw_time time_left = request->time_left_ms * RW_MSEC;
+  request->last_error = "overload";
+  frn_refuse_request (request, FRN_REFUSE_OVERLOAD,
+                      shd_retry_after (&stats->shed, time_left,
+                                       &request->daemon->fleet.rng, now));
+  frn_request_end (request);
+  return false;
+}
+
+void
+frn_overload_finish (struct frn_daemon *daemon)
+{
+  size_t position = 0;
+  void *group;
+  while ((group = rw_map_next (&daemon->shed_groups, &position)) != NULL)
+    free (group);
+  rw_map_finish (&daemon->shed_groups);
+}
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -185,7 +185,7 @@
      Replies of peers are not signed.  */
   bool relay = send->request->mode == FRN_MODE_RELAY;
   bool valid = relay || (reply.request_id.len > 0 && reply.stamp.len > 0);
-  if (reply.not_run || (relay && frn_relay_refused (message)))
+  if (reply.not_run || (relay && message->status == 503))
     end_send (send, STE_SHED, now);
   else if (valid && (relay || message->status < 500))
     end_send (send, STE_OK, now);
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -32,16 +32,17 @@
 /* Any send is tried again after this time if no target can take it or the
    retry budget is empty.  */
 #define SEND_POSTPONE_TIME (20 * RW_MSEC)
-/* A send in flight is abandoned only if the mean latency exceeds this number
-   of handshake times: closing its connection costs the target a handshake.  */
+/* A send in flight is abandoned only if the work on it exceeds this number of
+   handshake times: closing its connection costs the target a handshake.  */
 #define MIN_ABANDON_HANDSHAKES 3
 /* A part that a target refused is sent again after this time.  */
 #define REFUSED_BACKOFF (1 * RW_MSEC)
 /* Refused sends that lib/gather allows for a part beyond its attempts.  */
 #define MAX_REFUSED_SENDS 4
 #define ALL_PARTS SIZE_MAX
-/* A hedge is not sent to a target whose expected latency exceeds this multiple
-   of the aim.  */
+/* A hedge is sent neither to a target whose expected latency exceeds this
+   multiple of the aim, nor to one with a long queue: in an overload hedges
+   would only lengthen the queues.  */
 #define MAX_HEDGE_AIM_RATIO 1.0
 /* Aims after which a relay fails if the peer has stopped answering.  */
 #define RELAY_TIMEOUT_AIMS 3
@@ -65,6 +66,7 @@
       stats = rw_xcalloc (1, sizeof *stats);
       ste_latency_init (&stats->part_latency, route->aim);
       ste_latency_init (&stats->relay_latency, route->aim * 2);
+      shd_init (&stats->shed);
       rw_rng_init (&stats->split_rng, rw_rng_next (&daemon->fleet.rng));
       rw_map_put (&daemon->route_stats, key, stats);
     }
@@ -128,19 +130,18 @@
    spent on earlier attempts, and the time for a full-value answer is reduced
    by it.  */
 static struct gat_plan
-make_plan (const struct frn_request *request)
+make_plan (struct frn_request *request)
 {
   const struct cat_route *route = request->route;
   struct frn_route_stats *stats = request->stats;
   struct gat_plan plan = { .part_count = 1, .min_parts = 1 };
   int64_t time_left_ms = request->time_left_ms;
-  rw_time time_spent = 0;
   rw_time max_hedge_delay = route->aim * SINGLE_MAX_HEDGE_DELAY_PERCENT / 100;
 
   if (time_left_ms > stats->max_time_left_ms)
     stats->max_time_left_ms = time_left_ms;
   if (time_left_ms >= 0)
-    time_spent = (stats->max_time_left_ms - time_left_ms) * RW_MSEC;
+    request->time_spent = (stats->max_time_left_ms - time_left_ms) * RW_MSEC;
   if (route->kind == CAT_ROUTE_GATHER)
     {
       double share = route->u.gather.min_share * (double)route->u.gather.count;
@@ -158,8 +159,8 @@
   plan.hedge_delay
       = clamp ((rw_time)(stats->part_latency.p90 * HEDGE_LATENCY_RATIO),
                route->aim / MIN_HEDGE_DELAY_DIVISOR, max_hedge_delay);
-  plan.soft_deadline = request->start + route->aim - time_spent - AIM_MARGIN
-                       - route->aim / AIM_MARGIN_DIVISOR
+  plan.soft_deadline = request->start + route->aim - request->time_spent
+                       - AIM_MARGIN - route->aim / AIM_MARGIN_DIVISOR
                        - (request->relayed ? RELAY_MARGIN : 0);
   plan.deadline = request->deadline;
   return plan;
@@ -284,7 +285,7 @@
   for (struct frn_send *s = request->sends; s != NULL; s = s->next)
     if ((part == ALL_PARTS || s->part == part)
         && (s->state == FRN_SEND_QUEUED
-            || latency_of (request)->mean
+            || latency_of (request)->work.mean
                    > (double)s->target->service->handshake_time
                          * MIN_ABANDON_HANDSHAKES))
       frn_send_abandon (s);
@@ -388,8 +389,9 @@
       return;
     }
   if (kind == GAT_SEND_HEDGE
-      && ste_expected_time (&daemon->fleet, target, latency, now)
-             > (double)request->route->aim * MAX_HEDGE_AIM_RATIO)
+      && (!ste_has_room (target, now)
+          || ste_expected_time (&daemon->fleet, target, latency, now)
+                 > (double)request->route->aim * MAX_HEDGE_AIM_RATIO))
     {
       gat_postpone (&request->query, part, now, HEDGE_POSTPONE_TIME);
       return;
@@ -520,7 +522,9 @@
   handle_failure (request, send->part, failure);
 }
 
-/* Takes the reply of a larger peer.  It is final, unless the peer refused.  */
+/* Takes the reply of a larger peer.  It is final, also if the peer refused the
+   request for the whole fleet, as for an overload; but not if only that peer
+   did not take it.  */
 static void
 take_relay_reply (struct frn_send *send, const struct h1_message *message)
 {
@@ -623,7 +627,8 @@
   bind_services (request);
   if (is_servable (request, rw_now ()))
     {
-      run_request (request);
+      if (frn_overload_admit (request))
+        run_request (request);
       return;
     }
   request->last_error = "no target";
@@ -664,6 +669,7 @@
   request->conn = conn;
   request->relayed = relayed;
   request->time_left_ms = head->time_left_ms;
+  request->retry_after = -1;
   request->config = cat_config_ref (daemon->config);
   request->route = route;
   request->stats = stats_of_route (daemon, route);
--- a/lib/cat/cat.h
+++ b/lib/cat/cat.h
@@ -28,6 +28,7 @@
   struct rw_str host;
   struct rw_str prefix;      /* of the path; begins and ends with a slash */
   bool idempotent;           /* a request may run more than once */
+  unsigned int priority;     /* 0 is the highest */
   rw_time timeout;           /* from the start of a request to its answer */
   rw_time aim;               /* time in which an answer has its full value */
   unsigned int max_attempts; /* targets that may run a request, per shard */
--- a/tests/process/front.sh
+++ b/tests/process/front.sh
@@ -72,6 +72,33 @@
 for s in s0-0 s0-1 s1-0 s1-1 s2-0 s2-1; do control POST /searcher/$s/none; done
 expect "no part ran too often" "$(over)" "$before"
 
+# All searchers report long queues: a query is refused before any part is sent,
+# by this daemon and by one that leaves its queries to it, and the caller learns
+# when to return.
+queues() {
+	for s in 0 1 2 3 4 5 6 7; do
+		control POST /searcher/s$s-0/waiting/$1
+		control POST /searcher/s$s-1/waiting/$1
+	done
+}
+queues 100
+refused() { n=$((n + 1)); [ "$(request full-$1-$n /all/x $1)" = 503 ]; }
+for vm in 1 3; do
+	n=0
+	await "daemon $vm refuses a query" refused $vm
+	grep -q '^Retry-After: [0-9]' "$DIR/head" ||
+	    fail "Retry-After of a refusal for overload: $(cat "$DIR/head")"
+	lines full-$vm-$n | grep -q 'refused: .*sends=0 share=[0-9.]* delay_ms=[0-9]* .*error="overload"' ||
+	    fail "the line of a refusal for overload: $(lines full-$vm-$n)"
+done
+grep -q 'overload: refusing: route=all share=' "$DIR"/vm-*.log ||
+    fail "the line of an overload"
+queues 0
+calm() { [ "$(request calm-1 /all/x 1)" = 200 ] &&
+    grep -q 'overload: ended: route=all' "$DIR"/vm-*.log; }
+await "queries are served again" calm
+echo "ok: the cause of a refusal for overload"
+
 # The answer of a reservation is lost: it may have run, and runs once only.
 control POST /searcher/one-0/reset
 control POST /searcher/one-1/reset
--- a/tests/rwfsite/control.c
+++ b/tests/rwfsite/control.c
@@ -8,6 +8,7 @@
    POST /store/up|busy|silent|reset|compact
    POST /searcher/ID/none|hang|error|shed|reset|drain|stop|start
    POST /searcher/ID/pause/MS, POST /searcher/ID/work/MS
+   POST /searcher/ID/waiting/N (requests that it reports as waiting)
    GET /report, GET /ran/SERVICE/ID  */
 
 static void
@@ -78,17 +79,19 @@
   struct rw_str id = rw_str_token (&path, "/");
   struct rw_str what = rw_str_token (&path, "/");
   struct rw_str value = rw_str_token (&path, "/");
-  int64_t ms = 0;
+  int64_t number = 0;
   for (size_t i = 0; i < site->searcher_count; i++)
     {
       struct site_searcher *s = &site->searchers[i];
       if (!rw_str_eq_cstr (id, s->id))
         continue;
-      rw_str_to_int (value, 0, 600000, &ms);
+      rw_str_to_int (value, 0, 600000, &number);
       if (rw_str_eq_cstr (what, "pause"))
-        s->paused_until = rw_now () + ms * RW_MSEC;
+        s->paused_until = rw_now () + number * RW_MSEC;
       else if (rw_str_eq_cstr (what, "work"))
-        s->work = ms * RW_MSEC;
+        s->work = number * RW_MSEC;
+      else if (rw_str_eq_cstr (what, "waiting"))
+        s->waiting = (unsigned int)number;
       else if (!set_fault (s, what) && !set_state (s, what))
         return false;
       return true;
--- a/tests/rwfsite/searcher.c
+++ b/tests/rwfsite/searcher.c
@@ -70,8 +70,8 @@
   rw_buf_printf (&headers,
                  "X-Redwingfork-Request-Id: %s\r\n"
                  "X-Redwingfork-Server-Stamp: %s.%s\r\n"
-                 "X-Redwingfork-Server-Load: 1,0,2\r\n",
-                 job->id, searcher->id, job->id);
+                 "X-Redwingfork-Server-Load: 1,%u,2\r\n",
+                 job->id, searcher->id, job->id, searcher->waiting);
   if (searcher->fault == SITE_FAULT_ERROR)
     reply.status = 500;
   reply.headers = rw_buf_str (&headers);
--- a/tests/rwfsite/site.h
+++ b/tests/rwfsite/site.h
@@ -57,6 +57,7 @@
   bool stopped; /* its entry is gone and its id is not known any more */
   enum site_fault fault;
   rw_time work;
+  unsigned int waiting; /* requests in its queue, as it reports */
   rw_time paused_until;
   uint64_t arrivals;
   rw_time changed; /* when it began to leave */
