Accept as many connections from peers as from callers

Cause: a daemon that gathers for smaller ones accepted 256 connections from peers. Seen as "connection lost" at peers within 1 ms.

--- a/cmd/rwfront/daemon.c
+++ b/cmd/rwfront/daemon.c
@@ -11,7 +11,7 @@
    change without a signal.  */
 #define SETTINGS_CHECK_TICKS 20
 /* Descriptors reserved for listeners, files and connections to targets, peers
-   and the store; callers get the rest.  */
+   and the store; callers and peers that connect get half of the rest each.  */
 #define RESERVED_FILES 600
 /* Nothing is sent to a draining target in this last part of its drain time. */
 #define TARGET_DRAIN_MARGIN (1 * RW_SEC)
@@ -28,6 +28,14 @@
          && daemon->view.replica.items.len > 1;
 }
 
+size_t
+frn_max_conns (const struct frn_daemon *daemon)
+{
+  unsigned int files = daemon->settings.max_files;
+  return files > 2 * RESERVED_FILES ? (files - RESERVED_FILES) / 2
+                                    : RESERVED_FILES / 2;
+}
+
 /* Ends the event loop; main then calls frn_daemon_finish.  */
 static void
 stop_loop (struct frn_daemon *daemon)
@@ -202,14 +210,10 @@
     .request_timeout = 5 * RW_SEC,
     .idle_timeout = 60 * RW_SEC,
   };
-  /* Callers get at least RESERVED_FILES connections.  */
-  size_t max_conns = daemon->settings.max_files > 2 * RESERVED_FILES
-                         ? daemon->settings.max_files - RESERVED_FILES
-                         : RESERVED_FILES;
   r = h1_server_init (&daemon->caller_server, loop,
                       (const struct sockaddr *)&daemon->settings.caller_addr,
-                      &daemon->caller_limits, max_conns, &frn_caller_ops,
-                      daemon);
+                      &daemon->caller_limits, frn_max_conns (daemon),
+                      &frn_caller_ops, daemon);
   if (r != 0)
     return start_error (err, "listen-callers", r);
   r = frn_admin_init (daemon);
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -262,6 +262,9 @@
                      const char *settings_path, struct rw_err *err);
 /* Closes and frees everything; runs the loop until all handles are closed.  */
 void frn_daemon_finish (struct frn_daemon *daemon);
+/* The number of connections that are accepted from callers, and as many from
+   peers.  */
+size_t frn_max_conns (const struct frn_daemon *daemon);
 /* Whether the daemon serves: it has a configuration and at least one more item
    of the store, and is not stopping.  */
 bool frn_is_ready (const struct frn_daemon *daemon);
--- a/cmd/rwfront/peers.c
+++ b/cmd/rwfront/peers.c
@@ -26,7 +26,6 @@
 #define MIN_NOTICE_INTERVAL (100 * RW_MSEC)
 /* Number of peers that one round of notices is sent to.  */
 #define NOTICE_FANOUT 5
-#define MAX_PEER_CONNS 256
 #define TRANSFER_ARENA_BLOCK 65536
 /* Path of a transfer; the revision of the client's copy follows.  */
 #define VIEW_PATH "/view?after="
@@ -319,6 +318,8 @@
         = ntohl (settings->seeds[i].sin_addr.s_addr);
   memset (peers, 0, sizeof *peers);
   peers->larger_peers = ste_service (&daemon->fleet, RW_LIT ("peers"));
+  /* Larger peers accept at least as many connections as this daemon.  */
+  peers->larger_peers->max_connections = (unsigned int)frn_max_conns (daemon);
   gos_init (&peers->gossip, &gossip, now);
   peers->no_read_before
       = now + (settings->first_start ? FIRST_START_PEER_WAIT : PEER_WAIT);
@@ -338,7 +339,8 @@
   if (r == 0)
     r = h1_server_init (&peers->server, daemon->loop,
                         (const struct sockaddr *)&settings->peer_addr,
-                        &peers->limits, MAX_PEER_CONNS, &peer_ops, daemon);
+                        &peers->limits, frn_max_conns (daemon), &peer_ops,
+                        daemon);
   for (size_t i = 0; r == 0 && i < gossip.seed_count; i++)
     if (gossip.seeds[i] != gossip.ip)
       send_message (daemon, gossip.seeds[i], true);
--- a/cmd/rwfront/test_relay.c
+++ b/cmd/rwfront/test_relay.c
@@ -61,6 +61,17 @@
   assert_true (sum <= 1);
 }
 
+/* Guards against a larger peer that closes the connections of smaller ones, of
+   which each keeps one, in a fleet of hundreds: their relays were answered 502
+   with an unknown outcome.  */
+TEST_WITH_FIXTURE (a_larger_peer_accepts_a_connection_of_each_smaller_one)
+{
+  f->daemon.settings.max_files = 8192;
+  assert_true (frn_max_conns (&f->daemon) >= 2300);
+  f->daemon.settings.max_files = 4100;
+  assert_true (frn_max_conns (&f->daemon) >= 1000);
+}
+
 /* Guards against daemons of equal size that forward requests to each other. */
 TEST_WITH_FIXTURE (daemons_of_equal_size_do_not_forward)
 {
