Do not hold requests that cannot be sent

Its first send found no connection within 800 ms; the retry took from the budget of extra sends, although no searcher had seen the request; that budget, one in 10 s for each of 295 daemons, was used up, and the retry was postponed until the deadline.

Change: a send of which no byte was sent is no arrival, so the next one costs no budget. A query of one part that may not be sent again for lack of budget fails at once. Sends that wait 100 ms for the first connection to a target go to another one.

--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -7,6 +7,9 @@
 /* Between the 6 ms that connecting within a data centre takes and the 1 s
    after which a lost SYN is sent again.  */
 #define CONNECT_TIMEOUT (800 * RW_MSEC)
+/* Sends that wait for the first connection to a target longer than this go to
+   another one.  The attempt to connect goes on.  */
+#define CONNECT_PATIENCE (100 * RW_MSEC)
 /* At most this many connections to one target; further sends are queued here.
    A target runs two to four requests at once.  */
 #define MAX_CONNS 6
@@ -89,7 +92,7 @@
       struct frn_send *send = pool->queue_head;
       queue_remove (pool, send);
       end_send (send, STE_ABANDONED, now);
-      frn_on_send_failed (send, GAT_FAIL_NOT_RUN, reason);
+      frn_on_send_failed (send, GAT_FAIL_UNSENT, reason);
     }
 }
 
@@ -365,6 +368,20 @@
   end_send (send, STE_ABANDONED, rw_now ());
 }
 
+/* Whether sends wait for a first connection that takes so long that another
+   target is likely to answer sooner.  */
+static bool
+is_connect_overdue (const struct frn_pool *pool, rw_time now)
+{
+  if (pool->queue_head == NULL)
+    return false;
+  for (const struct frn_pool_conn *c = pool->conns; c != NULL; c = c->next)
+    if (c->h1.state != H1_CLIENT_CONNECTING
+        || now - c->opened_at < CONNECT_PATIENCE)
+      return false;
+  return true;
+}
+
 static void
 sweep_pool (struct frn_pool *pool, rw_time now)
 {
@@ -382,7 +399,7 @@
       else if (conn->h1.state == H1_CLIENT_IDLE && is_expired (conn, now))
         conn_close (conn);
     }
-  if (timed_out && pool->conn_count == 0)
+  if ((timed_out && pool->conn_count == 0) || is_connect_overdue (pool, now))
     fail_queued (pool, "no connection in time");
 }
 
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -403,10 +403,11 @@
       ext_count_request (&service->budget, &limits, now);
       sta_inc (daemon->metrics.first_sends);
     }
-  else if (!ext_take (&service->budget, &limits, now))
+  else if (gat_send_is_extra (&request->query, part)
+           && !ext_take (&service->budget, &limits, now))
     {
       sta_inc (daemon->metrics.budget_empty);
-      gat_postpone (&request->query, part, now, SEND_POSTPONE_TIME);
+      gat_deny (&request->query, part, now, SEND_POSTPONE_TIME);
       return;
     }
   else
@@ -502,11 +503,12 @@
 handle_failure (struct frn_request *request, size_t part,
                 enum gat_failure failure)
 {
+  bool may_have_run = failure == GAT_FAIL_UNKNOWN || failure == GAT_FAIL_RAN;
   gat_on_failure (&request->query, part, failure, rw_now (),
-                  failure == GAT_FAIL_NOT_RUN ? REFUSED_BACKOFF : 0);
+                  may_have_run ? 0 : REFUSED_BACKOFF);
   if (request->ended)
     release_if_done (request);
-  else if (request->mode == FRN_MODE_RELAY && failure == GAT_FAIL_NOT_RUN)
+  else if (request->mode == FRN_MODE_RELAY && !may_have_run)
     start_local (request);
   else
     run_request (request);
--- a/lib/gather/gather.c
+++ b/lib/gather/gather.c
@@ -65,6 +65,7 @@
   p->state = GAT_PART_SENT;
   p->in_flight++;
   p->attempts++;
+  p->arrivals++;
   p->sends++;
   query->sends++;
   p->due
@@ -89,6 +90,20 @@
     p->due = delay < 0 ? RW_TIME_NEVER : now + delay;
 }
 
+bool
+gat_send_is_extra (const struct gat_query *query, size_t part)
+{
+  return query->parts[part].arrivals > 0;
+}
+
+void
+gat_deny (struct gat_query *query, size_t part, rw_time now, rw_time delay)
+{
+  bool is_idle = query->parts[part].in_flight == 0;
+  gat_postpone (query, part, now,
+                query->plan.part_count == 1 && is_idle ? -1 : delay);
+}
+
 bool
 gat_on_part (struct gat_query *query, size_t part, struct rw_str stamp,
              struct rw_str body)
@@ -117,12 +132,14 @@
   struct gat_part *p = &query->parts[part];
   if (p->in_flight > 0)
     p->in_flight--;
-  if (failure == GAT_FAIL_NOT_RUN && p->attempts > 0)
+  bool may_have_run = failure == GAT_FAIL_UNKNOWN || failure == GAT_FAIL_RAN;
+  if (!may_have_run && p->attempts > 0)
     p->attempts--;
+  if (failure == GAT_FAIL_UNSENT && p->arrivals > 0)
+    p->arrivals--;
   if (p->state != GAT_PART_SENT)
     return;
-  if (!may_send (query, p)
-      || (failure != GAT_FAIL_NOT_RUN && !query->plan.idempotent))
+  if (!may_send (query, p) || (may_have_run && !query->plan.idempotent))
     {
       if (p->in_flight == 0)
         mark_lost (query, p);
--- a/lib/gather/gather.h
+++ b/lib/gather/gather.h
@@ -22,6 +22,7 @@
   enum gat_part_state state;
   unsigned int in_flight; /* sends without a result */
   unsigned int attempts;  /* sends, except those that certainly did not run */
+  unsigned int arrivals;  /* sends, except those of which no byte was sent */
   unsigned int sends;     /* all sends */
   rw_time due;            /* PENDING: when to send; SENT: when to hedge */
   struct rw_str stamp;    /* DONE: the target's stamp */
@@ -60,7 +61,8 @@
 /* Whether a failed send ran on its target.  */
 enum gat_failure
 {
-  GAT_FAIL_NOT_RUN, /* certainly did not run */
+  GAT_FAIL_UNSENT,  /* no byte of it was sent */
+  GAT_FAIL_NOT_RUN, /* the target did not run it */
   GAT_FAIL_UNKNOWN, /* may have run */
   GAT_FAIL_RAN      /* ran, and the target answered with a failure */
 };
@@ -91,6 +93,15 @@
    part in flight is not hedged unless one of its sends fails.  */
 void gat_postpone (struct gat_query *query, size_t part, rw_time now,
                    rw_time delay);
+/* Returns whether another send of PART would be an extra one at its service:
+   an earlier one has arrived there, or may have.  */
+bool gat_send_is_extra (const struct gat_query *query, size_t part);
+/* Records that PART was due at NOW but may not be sent, as the budget of extra
+   sends is used up.  It is due again after DELAY; but a query of one part that
+   has no send in flight fails at once, since it can only wait for a budget
+   that is refilled in seconds.  */
+void gat_deny (struct gat_query *query, size_t part, rw_time now,
+               rw_time delay);
 /* Records the answer of PART; returns false if it had one already, which is
    then kept.  The strings are not copied and must outlive the query.  */
 bool gat_on_part (struct gat_query *query, size_t part, struct rw_str stamp,
--- a/lib/gather/test_gather.c
+++ b/lib/gather/test_gather.c
@@ -213,3 +213,49 @@
       assert_memory_equal (merged.ptr, all, merged.len);
     }
 }
+
+/* Guards against a send that no target has seen and that uses up the budget of
+   extra sends: with hundreds of daemons each may make about one in 10 s.  */
+TEST_WITH_FIXTURE (a_send_after_an_unsent_one_is_not_extra)
+{
+  struct gat_plan plan = make_plan (1, 1);
+  gat_init (&f->query, &f->arena, &plan, 0);
+  assert_false (gat_send_is_extra (&f->query, 0));
+  send_due_parts (f, 0, GAT_SEND_FIRST);
+  assert_true (gat_send_is_extra (&f->query, 0));
+  gat_on_failure (&f->query, 0, GAT_FAIL_UNSENT, 10 * MS, 0);
+  assert_false (gat_send_is_extra (&f->query, 0));
+  assert_int_equal (send_due_parts (f, 10 * MS, GAT_SEND_RETRY), 1);
+  gat_on_failure (&f->query, 0, GAT_FAIL_NOT_RUN, 20 * MS, 0);
+  assert_true (gat_send_is_extra (&f->query, 0));
+}
+
+/* Guards against a request that a target refused and that is held to its
+   deadline, 6 s later, because no budget is left to send it again.  */
+TEST_WITH_FIXTURE (a_single_request_without_budget_fails_at_once)
+{
+  struct gat_plan plan = make_plan (1, 1);
+  gat_init (&f->query, &f->arena, &plan, 0);
+  send_due_parts (f, 0, GAT_SEND_FIRST);
+  gat_deny (&f->query, 0, 20 * MS, 20 * MS); /* a hedge */
+  assert_int_equal (gat_decide (&f->query, 20 * MS), GAT_WAIT);
+  gat_on_failure (&f->query, 0, GAT_FAIL_NOT_RUN, 25 * MS, 0);
+  assert_int_equal (gat_decide (&f->query, 25 * MS), GAT_WAIT);
+  gat_deny (&f->query, 0, 25 * MS, 20 * MS);
+  assert_int_equal (gat_decide (&f->query, 25 * MS), GAT_GIVE_UP);
+}
+
+/* Guards against a part of many that is given up for lack of budget, although
+   the query waits for other parts, and the budget may be refilled meanwhile.
+ */
+TEST_WITH_FIXTURE (a_part_of_many_waits_for_budget)
+{
+  struct gat_plan plan = make_plan (2, 2);
+  plan.hedge_delay = 40 * MS;
+  gat_init (&f->query, &f->arena, &plan, 0);
+  send_due_parts (f, 0, GAT_SEND_FIRST);
+  gat_on_failure (&f->query, 0, GAT_FAIL_NOT_RUN, 5 * MS, 0);
+  gat_deny (&f->query, 0, 5 * MS, 20 * MS);
+  assert_int_equal (gat_decide (&f->query, 5 * MS), GAT_WAIT);
+  assert_int_equal (send_due_parts (f, 25 * MS, GAT_SEND_RETRY), 1);
+}
