Share the budget of extra sends by who sends

Cause: the budget of every service was divided as that of the shards is, of which the daemons that gather take one half: at 295 daemons a small one had 0.85 of a retry in 10 s for reserve-svc, rounded down to none, while 15 large ones held half of the allowance for a twentieth of the requests. And shares with fractions were rounded down everywhere, at 2,000 daemons to nothing.

Change: only shards are shared unevenly; each daemon adds a fixed fraction before rounding, spread evenly over the daemons and services, so that the shares add up to the limit. The request line tells denied extra sends.

--- a/cmd/rwfront/answer.c
+++ b/cmd/rwfront/answer.c
@@ -105,13 +105,14 @@
       complete && latency < request->route->aim ? EVT_SAMPLED : EVT_NORMAL,
       "request", now,
       "%s: id=%.*s route=%.*s status=%d ms=%lld aim_ms=%lld parts=%zu/%zu "
-      "lost=%zu sends=%zu%s error=\"%s\" at=%s version=%llu age_ms=%lld",
+      "lost=%zu sends=%zu denied=%u%s error=\"%s\" at=%s version=%llu "
+      "age_ms=%lld",
       frn_outcome_name (outcome), RW_STR_ARG (request->id),
       RW_STR_ARG (request->route->name), status,
       (long long)(latency / RW_MSEC),
       (long long)(request->route->aim / RW_MSEC), request->query.done,
       request->query.plan.part_count, request->query.lost,
-      request->query.sends,
+      request->query.sends, request->denied_sends,
       overload ? describe_overload (request, details, sizeof details)
                : describe_missing_part (request, details, sizeof details),
       request->last_error != NULL ? request->last_error : "",
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -390,11 +390,12 @@
      or a failure if no later attempt succeeds.  */
   struct h1_reply target_reply;
   bool has_target_reply;
-  bool ended;             /* answered, or the caller disconnected */
-  bool closing;           /* TIMER is being closed, then this is freed */
-  rw_time retry_after;    /* stated in the answer; -1: none */
-  const char *last_error; /* of a send, for the log; may be null */
-  char last_target[64];   /* id of the target of that send */
+  bool ended;                /* answered, or the caller disconnected */
+  bool closing;              /* TIMER is being closed, then this is freed */
+  unsigned int denied_sends; /* extra sends postponed for lack of budget */
+  rw_time retry_after;       /* stated in the answer; -1: none */
+  const char *last_error;    /* of a send, for the log; may be null */
+  char last_target[64];      /* id of the target of that send */
 };
 
 extern const struct h1_server_ops frn_caller_ops;
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -117,7 +117,7 @@
 conn_limit (const struct frn_pool *pool)
 {
   const struct ste_service *service = pool->target->service;
-  size_t daemons = ste_connection_sharers (&pool->daemon->fleet, service);
+  size_t daemons = ste_limit_sharers (&pool->daemon->fleet, service);
   if (service->max_connections == 0)
     return MAX_CONNS;
   size_t share = (size_t)(service->max_connections * CONN_LIMIT_RATIO
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -355,6 +356,22 @@
   frn_pool_send (request->daemon, send);
 }
 
+/* The limits of the retry budget of SERVICE.  Its rounding differs between
+   daemons and services.  */
+static struct ext_limits
+budget_limits (const struct frn_daemon *daemon,
+               const struct ste_service *service)
+{
+  uint64_t hash
+      = rw_hash_u64 (daemon->fleet.settings.daemon_key, service->key);
+  return (struct ext_limits){ .ratio = daemon->settings.budget_ratio,
+                              .slack = daemon->settings.budget_slack,
+                              .window = daemon->settings.budget_window,
+                              .sharers
+                              = ste_limit_sharers (&daemon->fleet, service),
+                              .rounding = ldexp ((double)hash, -64) };
+}
+
 /* Selects a target for PART and sends it there, or postpones the send.
 
    A retry may go to a target that was tried before if there is no other.  A
@@ -369,10 +386,7 @@
   struct frn_daemon *daemon = request->daemon;
   struct ste_service *service = request->services[part];
   struct ste_latency *latency = latency_of (request);
-  struct ext_limits limits
-      = { daemon->settings.budget_ratio, daemon->settings.budget_slack,
-          daemon->settings.budget_window,
-          daemon->fleet.settings.shard_sharers };
+  struct ext_limits limits = budget_limits (daemon, service);
   size_t tried_n = request->query.parts[part].sends;
   struct ste_target *target
       = ste_pick (&daemon->fleet, service, latency, tried_of (request, part),
@@ -407,6 +421,7 @@
            && !ext_take (&service->budget, &limits, now))
     {
       sta_inc (daemon->metrics.budget_empty);
+      request->denied_sends++;
       gat_deny (&request->query, part, now, SEND_POSTPONE_TIME);
       return;
     }
--- a/lib/extra/extra.c
+++ b/lib/extra/extra.c
@@ -64,7 +64,8 @@
           rw_time now)
 {
   size_t i = advance_window (budget, limits, now);
-  if (budget->extra_send_sum + 1 > extra_send_limit (budget, limits)
+  if (budget->extra_send_sum + 1
+          > extra_send_limit (budget, limits) + limits->rounding
       || budget->extra_sends[i] == UINT16_MAX)
     return false;
   budget->extra_sends[i]++;
--- a/lib/extra/extra.h
+++ b/lib/extra/extra.h
@@ -17,6 +17,9 @@
   double slack;   /* allowance in a window, of all daemons together */
   rw_time window; /* at least EXT_BUCKET_COUNT microseconds */
   size_t sharers; /* daemons that share the slack, at least 1 */
+  /* Added to the share before it is rounded down: 0 to 1, spread evenly over
+     the daemons, so that shares with fractions add up to the limit.  */
+  double rounding;
 };
 
 struct ext_budget
--- a/lib/extra/test_extra.c
+++ b/lib/extra/test_extra.c
@@ -1,7 +1,7 @@
 #include "extra.h"
 #include "unit.h"
 
-static const struct ext_limits limits = { 0.2, 100, 10 * RW_SEC, 10 };
+static const struct ext_limits limits = { 0.2, 100, 10 * RW_SEC, 10, 0 };
 
 /* Guards against a budget that drops counted sends too early, so that a span
    of one window has more extra sends than the limit.  */
@@ -52,3 +52,20 @@
   assert_true (ext_take (&budget, &limits, 31 * RW_SEC));
   assert_true (ext_take (&budget, &limits, 5 * RW_SEC));
 }
+
+/* Guards against shares below one that are all rounded to nothing: 2,000
+   daemons share an allowance of 500, of which four fifths are used.  */
+TEST (shares_below_one_add_up)
+{
+  struct ext_limits shared = { 0.2, 500, 10 * RW_SEC, 2000, 0 };
+  size_t sum = 0;
+  for (size_t i = 0; i < shared.sharers; i++)
+    {
+      struct ext_budget budget;
+      shared.rounding = ((double)i + 0.5) / (double)shared.sharers;
+      ext_init (&budget);
+      while (ext_take (&budget, &shared, RW_SEC))
+        sum++;
+    }
+  assert_in_range (sum, 399, 401);
+}
--- a/lib/steer/fleet.c
+++ b/lib/steer/fleet.c
@@ -172,8 +172,8 @@
 }
 
 size_t
-ste_connection_sharers (const struct ste_fleet *fleet,
-                        const struct ste_service *service)
+ste_limit_sharers (const struct ste_fleet *fleet,
+                   const struct ste_service *service)
 {
   return service->is_shard ? fleet->settings.shard_sharers
                            : fleet->settings.daemon_count;
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -155,9 +155,10 @@
 void ste_sweep (struct ste_fleet *fleet,
                 bool (*release) (void *arg, struct ste_target *target),
                 void *arg, rw_time now);
-/* Number of daemons that share the connection limits of SERVICE's targets.  */
-size_t ste_connection_sharers (const struct ste_fleet *fleet,
-                               const struct ste_service *service);
+/* Number by which this daemon divides the fleet-wide limits of SERVICE: those
+   of connections and of extra sends.  */
+size_t ste_limit_sharers (const struct ste_fleet *fleet,
+                          const struct ste_service *service);
 /* Chooses the connection subset of each service: the targets to which this
    daemon keeps connections.  These are all targets, or as many as the
    connection limit allows when all daemons do the same.  A target outside the
--- a/lib/steer/subset.c
+++ b/lib/steer/subset.c
@@ -62,7 +62,7 @@
 choose_subset (const struct ste_fleet *fleet, struct ste_service *service,
                rw_time now)
 {
-  size_t daemons = ste_connection_sharers (fleet, service);
+  size_t daemons = ste_limit_sharers (fleet, service);
   double conns_per_target = service->max_connections * SUBSET_CONN_FRACTION;
   size_t usable = 0;
   size_t local = 0;
--- a/lib/steer/test_steer.c
+++ b/lib/steer/test_steer.c
@@ -431,6 +431,18 @@
   ste_on_result (&send, STE_OK, WARM + 40 * MS);
 }
 
+/* Guards against small daemons without any retry for a service to which all
+   daemons send alike, since a few larger ones send most parts of the shards.
+ */
+TEST_WITH_FIXTURE (only_the_limits_of_shards_are_shared_unevenly)
+{
+  f->fleet.settings.daemon_count = 295;
+  f->fleet.settings.shard_sharers = 590;
+  assert_int_equal (ste_limit_sharers (&f->fleet, f->service), 295);
+  f->service->is_shard = true;
+  assert_int_equal (ste_limit_sharers (&f->fleet, f->service), 590);
+}
+
 static bool
 release (void *arg, struct ste_target *target)
 {
