lib/h1: no stack that grows with pipelined requests; interim replies

Causes, found by reading (docs/findings/reading.md): h1_conn_reply called the parser for the next pipelined request from within the delivery of the one before, so one write of 3,640 requests ended the process; and the client forgot after an interim reply that the final one has no body.

Change: pipelined requests are delivered in a loop; the client keeps what it knows of the pending request, and reports interim replies; h1_conn_interim sends one.

--- a/lib/h1/client.c
+++ b/lib/h1/client.c
@@ -30,7 +30,16 @@
   h1_client_close (client);
 }
 
-/* Delivers a complete reply; an interim (1xx) one is ignored.  Input after an
+/* Makes the client wait for another reply to the pending request.  */
+static void
+await_another_reply (struct h1_client *client)
+{
+  bool skip_body = client->reader.skip_body;
+  h1_reader_reset (&client->reader);
+  client->reader.skip_body = skip_body;
+}
+
+/* Delivers a complete reply, or reports an interim (1xx) one.  Input after an
    accepted reply belongs to no request, so the connection is closed.  */
 static void
 deliver_reply (struct h1_client *client, bool has_extra_input)
@@ -39,7 +48,9 @@
   h1_reader_message (&client->reader, &reply);
   if (reply.status >= 100 && reply.status < 200)
     {
-      h1_reader_reset (&client->reader);
+      await_another_reply (client);
+      if (client->ops->on_interim != NULL)
+        client->ops->on_interim (client);
       return;
     }
   client->reusable = reply.keep_alive;
@@ -48,16 +59,15 @@
   enum h1_reply_result result = client->ops->on_reply (client, &reply);
   if (client->state == H1_CLIENT_CLOSED)
     return;
-  bool skip_body = client->reader.skip_body;
-  h1_reader_reset (&client->reader);
   if (result == H1_REPLY_SKIPPED)
     {
       client->state = H1_CLIENT_BUSY;
-      client->reader.skip_body = skip_body;
+      await_another_reply (client);
       if (!client->reusable)
         disconnect (client, RW_E_MISMATCH);
       return;
     }
+  h1_reader_reset (&client->reader);
   if (!client->reusable || has_extra_input)
     {
       disconnect (client, RW_E_RESET);
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -163,6 +163,9 @@
    no request is pending.  If the caller has already sent its next request,
    on_request is called for it before this returns.  */
 void h1_conn_reply (struct h1_conn *conn, const struct h1_reply *reply);
+/* Sends an interim reply with the 1xx STATUS, to show that the pending request
+   is worked on.  Does nothing if no request is pending.  */
+void h1_conn_interim (struct h1_conn *conn, int status);
 /* Fills MESSAGE with the pending request again; valid until it is
    answered.  */
 void h1_conn_message (const struct h1_conn *conn, struct h1_message *message);
@@ -215,6 +218,9 @@
   void (*on_disconnect) (struct h1_client *client, int code);
   /* The last call; the client's memory may be freed.  */
   void (*on_closed) (struct h1_client *client);
+  /* An interim (1xx) reply arrived: the server still works on the request.
+     May be null.  */
+  void (*on_interim) (struct h1_client *client);
 };
 
 struct h1_client
--- a/lib/h1/server.c
+++ b/lib/h1/server.c
@@ -31,6 +31,7 @@
   struct h1_reader reader;
   struct rw_buf pipelined; /* input after the pending request */
   enum conn_state state;
+  bool in_pipelined;  /* deliver_pipelined is running */
   bool keep_alive;    /* of the pending request */
   bool continue_sent; /* "100 Continue" */
   /* CONN_READING: start of the idle time, or first byte of the request;
@@ -232,6 +233,25 @@
   server->ops->on_request (server->arg, conn, &message);
 }
 
+/* Delivers the requests that arrived while another one was pending, one after
+   the other.  A loop, because each may be answered within its delivery, which
+   ends here again.  */
+static void
+deliver_pipelined (struct h1_conn *conn)
+{
+  if (conn->in_pipelined)
+    return;
+  conn->in_pipelined = true;
+  while (conn->state == CONN_READING && conn->pipelined.len > 0)
+    {
+      struct rw_buf pipelined = conn->pipelined;
+      rw_buf_init (&conn->pipelined);
+      conn_input (conn, pipelined.ptr, pipelined.len);
+      rw_buf_finish (&pipelined);
+    }
+  conn->in_pipelined = false;
+}
+
 static void
 on_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
@@ -286,13 +306,7 @@
   h1_reader_reset (&conn->reader);
   conn->continue_sent = false;
   conn->state_since = monotonic_now ();
-  if (conn->pipelined.len > 0)
-    {
-      struct rw_buf pipelined = conn->pipelined;
-      rw_buf_init (&conn->pipelined);
-      conn_input (conn, pipelined.ptr, pipelined.len);
-      rw_buf_finish (&pipelined);
-    }
+  deliver_pipelined (conn);
 }
 
 static void
@@ -421,3 +435,16 @@
 {
   free (server->read_buf);
 }
+
+void
+h1_conn_interim (struct h1_conn *conn, int status)
+{
+  struct rw_buf out;
+  if (conn->state != CONN_PENDING)
+    return;
+  rw_buf_init (&out);
+  rw_buf_printf (&out, "HTTP/1.1 %d %s\r\n\r\n", status,
+                 reason_phrase (status));
+  h1_write ((uv_stream_t *)&conn->tcp, rw_buf_str (&out));
+  rw_buf_finish (&out);
+}
--- a/lib/h1/test_h1.c
+++ b/lib/h1/test_h1.c
@@ -24,6 +24,7 @@
   bool answer_at_once;
   size_t idle_count;
   size_t reply_count;
+  size_t interim_count;
   size_t client_disconnect_count;
   size_t client_closed_count;
   int reply_status;
@@ -108,8 +109,20 @@
   current->client_closed_count++;
 }
 
-static const struct h1_client_ops client_ops
-    = { on_idle, on_reply, on_client_disconnect, on_client_closed };
+static void
+on_interim (struct h1_client *client)
+{
+  (void)client;
+  current->interim_count++;
+}
+
+static const struct h1_client_ops client_ops = {
+  .on_idle = on_idle,
+  .on_interim = on_interim,
+  .on_reply = on_reply,
+  .on_disconnect = on_client_disconnect,
+  .on_closed = on_client_closed,
+};
 
 static int
 listen_on_loopback (struct sockaddr_in *addr)
@@ -226,6 +239,28 @@
   close (fd);
 }
 
+/* Guards against a stack that grows with the number of pipelined requests: one
+   write of 3,640 of them ended the process.  */
+TEST_WITH_FIXTURE (pipelined_requests_do_not_grow_the_stack)
+{
+  enum
+  {
+    COUNT = 3640 /* fit into one read */
+  };
+  struct rw_buf text;
+  char buf[4096];
+  int fd = connect_to (&f->server_addr);
+  rw_buf_init (&text);
+  for (int i = 0; i < COUNT; i++)
+    rw_buf_append_str (&text, RW_LIT ("GET / HTTP/1.1\r\n\r\n"));
+  assert_int_equal (write (fd, text.ptr, text.len), text.len);
+  RUN_UNTIL (receive (fd, buf, sizeof buf) == 0 || f->request_count == COUNT);
+  assert_int_equal (f->request_count, COUNT);
+  assert_int_equal (f->rejected_status, 0);
+  rw_buf_finish (&text);
+  close (fd);
+}
+
 /* Guards against work for a caller that has closed its connection.  */
 TEST_WITH_FIXTURE (disconnect_during_a_request_is_reported)
 {
@@ -370,6 +405,44 @@
   assert_int_equal (f->reply_count, 0);
 }
 
+/* Guards against a client that waits for the body of a reply to HEAD after an
+   interim reply.  */
+TEST_WITH_FIXTURE (reply_to_head_after_an_interim_one_has_no_body)
+{
+  char buf[256];
+  int fd = start_exchange (f);
+  send_text (fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  RUN_UNTIL (f->idle_count == 2);
+  h1_client_send (&f->client, RW_LIT ("HEAD / HTTP/1.1\r\n\r\n"), true);
+  RECEIVE (fd, buf);
+  send_text (fd, "HTTP/1.1 103 Early Hints\r\n\r\n"
+                 "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n");
+  RUN_UNTIL (f->reply_count == 2);
+  assert_int_equal (f->interim_count, 1);
+  assert_int_equal (f->client_disconnect_count, 0);
+  close (fd);
+}
+
+/* Guards against an interim reply that is taken for the final one, and against
+   one without a pending request, which would be taken for a reply.  */
+TEST_WITH_FIXTURE (interim_replies_precede_the_reply)
+{
+  char buf[512];
+  int fd = connect_to (&f->server_addr);
+  f->answer_at_once = false;
+  send_text (fd, "GET /a/ HTTP/1.1\r\n\r\n");
+  RUN_UNTIL (f->request_count == 1);
+  h1_conn_interim (f->conn, 102);
+  RECEIVE (fd, buf);
+  assert_string_equal (buf, "HTTP/1.1 102 Processing\r\n\r\n");
+  h1_conn_reply (f->conn, &(struct h1_reply){ .status = 204 });
+  h1_conn_interim (f->conn, 102);
+  RECEIVE (fd, buf);
+  assert_memory_equal (buf, "HTTP/1.1 204", 12);
+  assert_null (strstr (buf, "102"));
+  close (fd);
+}
+
 /* Guards against a second reply to an earlier request that is taken for the
    reply to the current one.  */
 TEST_WITH_FIXTURE (client_waits_on_after_a_skipped_reply)
--- a/tests/soak/client.c
+++ b/tests/soak/client.c
@@ -129,8 +129,10 @@
     pause_client (client, 5);
 }
 
-static const struct h1_client_ops client_ops
-    = { on_idle, on_reply, on_lost, on_finished };
+static const struct h1_client_ops client_ops = { .on_idle = on_idle,
+                                                 .on_reply = on_reply,
+                                                 .on_disconnect = on_lost,
+                                                 .on_closed = on_finished };
 
 static void
 client_next (struct sok_client *client)
