Tell a slow query at a larger peer from a dead peer

Cause: a small daemon gave a relayed query up after three aims, 450 ms, if the peer had answered no other relay for long.

Ruled out: the budget of extra sends (denied=0 on those queries) and queues at the searchers (1 to 3 waiting).

Change: the daemon that gathers sends an interim reply (102) when the aim of a relayed query is over and again each further aim; a peer that shows progress has not stalled. A relay without progress for three aims is still given up.

--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -380,6 +380,7 @@
   rw_time start;
   rw_time deadline;        /* when to answer at the latest */
   rw_time caller_deadline; /* when the caller gives up */
+  rw_time next_interim;    /* relayed: when to send an interim reply */
   struct rw_str id;
   struct rw_str method;
   struct rw_str path_query;
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -206,6 +206,15 @@
   return H1_REPLY_ACCEPTED;
 }
 
+/* A larger peer still works on a relayed request.  */
+static void
+on_interim (struct h1_client *h1)
+{
+  struct frn_pool_conn *conn = h1->arg;
+  if (conn->send->request->mode == FRN_MODE_RELAY)
+    ste_on_progress (conn->pool->target, rw_now ());
+}
+
 static void
 pool_remove_conn (struct frn_pool_conn *conn)
 {
@@ -250,6 +259,7 @@
   .on_reply = on_reply,
   .on_disconnect = on_disconnect,
   .on_closed = on_closed,
+  .on_interim = on_interim,
 };
 
 static void
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -317,11 +317,25 @@
   release_if_done (request);
 }
 
+/* Tells the peer that relayed the request that this daemon still works on it,
+   when its aim is over and again each further aim: else the peer would take a
+   slow query for a daemon that does not answer.  */
+static void
+show_progress (struct frn_request *request, rw_time now)
+{
+  if (!request->relayed || now < request->next_interim)
+    return;
+  h1_conn_interim (request->conn, 102);
+  request->next_interim = now + request->route->aim;
+}
+
 /* Sets the timer to the next time at which the query needs a decision.  */
 static void
 arm_timer (struct frn_request *request, rw_time now)
 {
   rw_time next = gat_next_event (&request->query, now);
+  if (request->relayed && request->next_interim < next)
+    next = request->next_interim;
   /* Rounded up to ms, so that the timer does not fire early.  */
   uint64_t ms = (uint64_t)((next - now + RW_MSEC - 1) / RW_MSEC);
   uv_timer_start (&request->timer, on_timer, ms, 0);
@@ -432,9 +446,17 @@
   send_part (request, part, target, kind, now);
 }
 
+/* When a relay that had no reply is to be given up, seen at NOW.  */
+static rw_time
+relay_deadline (const struct frn_request *request, rw_time now)
+{
+  rw_time deadline = now + request->route->aim * RELAY_TIMEOUT_AIMS;
+  return deadline < request->deadline ? deadline : request->deadline;
+}
+
 /* Called when a relay has had no reply for RELAY_TIMEOUT_AIMS.  Extends the
-   wait to the request's deadline if the peer is not stalled, that is, if it
-   still answers other relays.  Returns whether it did.  */
+   wait by as long again if the peer is not stalled, that is, if it still
+   answers other relays or shows progress.  Returns whether it did.  */
 static bool
 extend_relay_deadline (struct frn_request *request, rw_time now)
 {
@@ -444,7 +466,7 @@
   for (const struct frn_send *s = request->sends; s != NULL; s = s->next)
     if (s->state == FRN_SEND_SENT && !ste_stalled (s->target, now))
       {
-        request->query.plan.deadline = request->deadline;
+        request->query.plan.deadline = relay_deadline (request, now);
         return true;
       }
   return false;
@@ -471,6 +493,7 @@
     }
   if (decision == GAT_WAIT)
     {
+      show_progress (request, now);
       arm_timer (request, now);
       return;
     }
@@ -662,9 +685,7 @@
 {
   struct gat_plan plan
       = { .part_count = 1, .min_parts = 1, .max_attempts = 1 };
-  plan.deadline = request->start + request->route->aim * RELAY_TIMEOUT_AIMS;
-  if (plan.deadline > request->deadline)
-    plan.deadline = request->deadline;
+  plan.deadline = relay_deadline (request, request->start);
   plan.soft_deadline = plan.deadline;
   request->mode = FRN_MODE_RELAY;
   init_query (request, &plan);
@@ -692,6 +713,7 @@
   request->stats = stats_of_route (daemon, route);
   request->start = start;
   request->caller_deadline = start + limit;
+  request->next_interim = start + route->aim;
   request->deadline = start + limit - DEADLINE_MARGIN;
   rw_arena_init (&request->arena, ARENA_BLOCK);
   copy_message (request, message, head->id);
--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -399,6 +399,12 @@
   target->in_flight++;
 }
 
+void
+ste_on_progress (struct ste_target *target, rw_time now)
+{
+  target->last_reply = now;
+}
+
 static void
 unlink_send (struct ste_send *send)
 {
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -221,6 +221,9 @@
    outlive the send.  */
 void ste_on_sent (struct ste_send *send, struct ste_target *target,
                   struct ste_latency *latency, rw_time now);
+/* Records that TARGET showed at NOW that it works on a send in flight: it has
+   not stalled.  */
+void ste_on_progress (struct ste_target *target, rw_time now);
 enum ste_outcome
 {
   STE_OK,
--- a/lib/steer/test_steer.c
+++ b/lib/steer/test_steer.c
@@ -443,6 +443,19 @@
   assert_int_equal (ste_limit_sharers (&f->fleet, f->service), 590);
 }
 
+/* Guards against a peer that works on slow queries and is taken for one that
+   does not answer.  */
+TEST_WITH_FIXTURE (progress_ends_a_stall)
+{
+  struct ste_send send;
+  warm_up (f);
+  ste_on_sent (&send, f->a, &f->latency, WARM);
+  assert_true (ste_stalled (f->a, WARM + 200 * MS));
+  ste_on_progress (f->a, WARM + 200 * MS);
+  assert_false (ste_stalled (f->a, WARM + 210 * MS));
+  ste_on_result (&send, STE_OK, WARM + 300 * MS);
+}
+
 static bool
 release (void *arg, struct ste_target *target)
 {
--- a/tests/process/front.sh
+++ b/tests/process/front.sh
@@ -88,7 +88,7 @@
 	await "daemon $vm refuses a query" refused $vm
 	grep -q '^Retry-After: [0-9]' "$DIR/head" ||
 	    fail "Retry-After of a refusal for overload: $(cat "$DIR/head")"
-	lines full-$vm-$n | grep -q 'refused: .*sends=0 share=[0-9.]* delay_ms=[0-9]* .*error="overload"' ||
+	lines full-$vm-$n | grep -q 'refused: .*sends=0 denied=0 share=[0-9.]* delay_ms=[0-9]* .*error="overload"' ||
 	    fail "the line of a refusal for overload: $(lines full-$vm-$n)"
 done
 grep -q 'overload: refusing: route=all share=' "$DIR"/vm-*.log ||
