Refuse at once while no configuration can be had

Cause: a daemon without a configuration held each request for up to 150 ms, checked each 100 ms, also when its store and its peers had been silent since its start.

Change: requests wait only in the first 300 ms after the start. Retry-After follows from how long the daemon has been without a configuration, as it does for an overload; shd_retry_after takes that time.

--- a/cmd/rwfront/callers.c
+++ b/cmd/rwfront/callers.c
@@ -2,12 +2,12 @@
 
 #include "front.h"
 
-/* Retry-After of a refusal while no configuration is known.  Short, as another
-   daemon may be able to serve the request at once.  */
-#define RETRY_AFTER_NO_CONFIG (100 * RW_MSEC)
 /* The longest time that a request waits for the first configuration, which
-   arrives within about 20 ms after a start.  */
+   arrives within about 20 ms after a start, or 200 ms after a start of all. */
 #define MAX_PARK_TIME (150 * RW_MSEC)
+/* Later after the start than this, requests are refused at once: neither the
+   store nor a peer has the configuration.  */
+#define MAX_START_TIME (300 * RW_MSEC)
 
 void
 frn_request_serve (struct frn_daemon *daemon, struct h1_conn *conn,
@@ -55,7 +55,17 @@
   evt_line (&daemon->log, EVT_NORMAL, "request", rw_now (),
             "refused: id=%.*s status=503 error=\"no configuration is known\"",
             RW_STR_ARG (head.id));
-  frn_answer_refusal (conn, 503, RETRY_AFTER_NO_CONFIG);
+  frn_answer_refusal (conn, 503,
+                      shd_retry_after (rw_now () - daemon->started,
+                                       head.time_left_ms * RW_MSEC,
+                                       &daemon->fleet.rng));
+}
+
+/* Whether the first configuration is expected soon.  */
+static bool
+is_starting (const struct frn_daemon *daemon, rw_time now)
+{
+  return now - daemon->started < MAX_START_TIME;
 }
 
 void
@@ -66,7 +76,8 @@
     {
       struct frn_parked parked = daemon->parked[i];
       struct h1_message message;
-      if (daemon->config == NULL && now - parked.arrived < MAX_PARK_TIME)
+      if (daemon->config == NULL && is_starting (daemon, now)
+          && now - parked.arrived < MAX_PARK_TIME)
         {
           i++;
           continue;
@@ -90,7 +101,7 @@
   h1_conn_set_data (conn, NULL);
   if (daemon->config != NULL)
     frn_request_serve (daemon, conn, message, now, false);
-  else if (daemon->parked_count < FRN_MAX_PARKED)
+  else if (is_starting (daemon, now) && daemon->parked_count < FRN_MAX_PARKED)
     daemon->parked[daemon->parked_count++] = (struct frn_parked){ conn, now };
   else
     refuse_unconfigured (daemon, conn, message);
--- a/cmd/rwfront/daemon.c
+++ b/cmd/rwfront/daemon.c
@@ -194,6 +194,7 @@
   if (r != 0)
     return r;
   daemon->settings_mtime = file_mtime_ns (settings_path);
+  daemon->started = rw_now ();
   evt_init (&daemon->log, STDOUT_FILENO, rw_now ());
   frn_metrics_init (&daemon->metrics);
   ste_init (&daemon->fleet, &steer,
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -223,6 +223,7 @@
   uv_loop_t *loop;
   const char *settings_path;
   struct frn_settings settings;
+  rw_time started;
   struct evt_log log;
   struct frn_metrics metrics;
   struct ste_fleet fleet;
--- a/cmd/rwfront/overload.c
+++ b/cmd/rwfront/overload.c
@@ -99,11 +99,11 @@
                                        stats->part_latency.work.mean);
   if (shd_admit (&stats->shed, order))
     return true;
-  rw_time time_left = request->time_left_ms * RW_MSEC;
   request->last_error = "overload";
   frn_refuse_request (request, FRN_REFUSE_OVERLOAD,
-                      shd_retry_after (&stats->shed, time_left,
-                                       &request->daemon->fleet.rng, now));
+                      shd_retry_after (shd_pressure_time (&stats->shed, now),
+                                       request->time_left_ms * RW_MSEC,
+                                       &request->daemon->fleet.rng));
   frn_request_end (request);
   return false;
 }
--- a/lib/shed/shed.c
+++ b/lib/shed/shed.c
@@ -204,10 +204,8 @@
 }
 
 rw_time
-shd_retry_after (const struct shd_route *route, rw_time time_left,
-                 struct rw_rng *rng, rw_time now)
+shd_retry_after (rw_time lasted, rw_time time_left, struct rw_rng *rng)
 {
-  rw_time lasted = route->pressed_since > 0 ? now - route->pressed_since : 0;
   rw_time most = MAX_RETRY_AFTER;
   if (time_left >= 0 && time_left / TIME_LEFT_DIVISOR < most)
     most = time_left / TIME_LEFT_DIVISOR;
@@ -217,3 +215,9 @@
     after = (double)most * (1 + rw_rng_unit (rng)) / 2;
   return (rw_time)fmax (after, MIN_RETRY_AFTER);
 }
+
+rw_time
+shd_pressure_time (const struct shd_route *route, rw_time now)
+{
+  return route->pressed_since > 0 ? now - route->pressed_since : 0;
+}
--- a/lib/shed/shed.h
+++ b/lib/shed/shed.h
@@ -82,11 +82,14 @@
                              double work);
 /* Decides on a request.  Returns whether it is admitted.  */
 bool shd_admit (struct shd_route *route, enum shd_order order);
-/* Returns when a caller that is refused at NOW is to return: the pressure is
-   expected to last as long again as it has lasted.  The times are spread, so
-   that the callers do not return all at once, and leave at least two thirds of
-   TIME_LEFT for the next attempt; TIME_LEFT is negative if unknown.  */
-rw_time shd_retry_after (const struct shd_route *route, rw_time time_left,
-                         struct rw_rng *rng, rw_time now);
+/* Returns when a caller is to return that is refused because of something that
+   has LASTED for a time, and is expected to last as long again.  The times are
+   spread, so that the callers do not return all at once, and leave at least
+   two thirds of TIME_LEFT for the next attempt; TIME_LEFT is negative if
+   unknown.  */
+rw_time shd_retry_after (rw_time lasted, rw_time time_left,
+                         struct rw_rng *rng);
+/* Returns how long the share of ROUTE has been above 0 at NOW.  */
+rw_time shd_pressure_time (const struct shd_route *route, rw_time now);
 
 #endif
--- a/lib/shed/test_shed.c
+++ b/lib/shed/test_shed.c
@@ -494,18 +494,14 @@
    answered, or while the pressure that they met has only begun.  */
 TEST (refused_callers_return_spread_over_the_expected_pressure)
 {
-  struct shd_route route;
   struct rw_rng rng;
   rw_time sum = 0;
   rw_rng_init (&rng, 1);
-  shd_init (&route);
-  route.pressed_since = RW_SEC;
   rw_time first = RW_TIME_NEVER;
   rw_time last = 0;
   for (int i = 0; i < 1000; i++)
     {
-      rw_time after
-          = shd_retry_after (&route, 3 * RW_SEC, &rng, RW_SEC + 400 * RW_MSEC);
+      rw_time after = shd_retry_after (400 * RW_MSEC, 3 * RW_SEC, &rng);
       first = after < first ? after : first;
       last = after > last ? after : last;
       sum += after;
@@ -514,8 +510,7 @@
   assert_in_range (last, 590 * RW_MSEC, 600 * RW_MSEC);
   assert_in_range (sum / 1000, 380 * RW_MSEC, 420 * RW_MSEC);
   for (int i = 0; i < 1000; i++)
-    assert_in_range (
-        shd_retry_after (&route, 600 * RW_MSEC, &rng, 10 * RW_SEC),
-        100 * RW_MSEC, 200 * RW_MSEC);
-  assert_true (shd_retry_after (&route, -1, &rng, RW_SEC + 1) > 0);
+    assert_in_range (shd_retry_after (9 * RW_SEC, 600 * RW_MSEC, &rng),
+                     100 * RW_MSEC, 200 * RW_MSEC);
+  assert_true (shd_retry_after (0, -1, &rng) > 0);
 }
--- a/lib/shed/test_sim.h
+++ b/lib/shed/test_sim.h
@@ -394,8 +394,9 @@
   const struct sim_route_config *config = &sim_routes[query->route];
   rw_time left = query->first_asked + config->timeout - sim->now;
   bool abuses = rw_rng_unit (&sim->rng) < sim->abuse;
-  rw_time after = shd_retry_after (&daemon->shed[query->route], left,
-                                   &daemon->fleet.rng, sim->now);
+  rw_time after = shd_retry_after (
+      shd_pressure_time (&daemon->shed[query->route], sim->now), left,
+      &daemon->fleet.rng);
   query->done = true;
   if (query->attempt >= (abuses ? sim->abuse_attempts : 1))
     {
--- a/tests/process/front.sh
+++ b/tests/process/front.sh
@@ -124,6 +124,26 @@
 await "the store is regained" in_touch
 echo "ok: the store was lost and regained"
 
+# A daemon that starts while the store is down and that has no peers: soon after
+# the start it refuses at once, and tells when to return.
+control POST /store/busy
+settings 4 1
+sed -i "s/^RWF_SEEDS=.*/RWF_SEEDS=$NET.9:1/" "$DIR/vm-4.settings"
+$BIN/rwfront -s "$DIR/vm-4.settings" >"$DIR/vm-4.log" 2>&1 &
+PIDS="$PIDS $!"
+await "daemon 4 runs" grep -q 'daemon: started' "$DIR/vm-4.log"
+sleep 0.5
+begun=$(date +%s%N)
+expect "a request without a configuration" "$(request bare-1 /all/x 4)" 503
+took=$((($(date +%s%N) - begun) / 1000000))
+[ $took -lt 100 ] || fail "a refusal without a configuration took $took ms"
+grep -q '^Retry-After: 0.[1-9]' "$DIR/head" ||
+    fail "Retry-After without a configuration: $(cat "$DIR/head")"
+control POST /store/up
+served() { [ "$(request bare-2 /all/x 4)" = 200 ]; }
+await "daemon 4 serves" served
+echo "ok: a start without a configuration"
+
 # Settings change without a signal, and with one.
 echo RWF_EXTRA_RATIO=0.3 >>"$DIR/vm-1.settings"
 await "changed settings are read" grep -q 'settings: read again: cause=file' \
