Tell the fleet that its copies are current; few read the store

A copy that is not confirmed for 2.5 s is read from the store. The readers heard from the store each 5 s only when nothing changed, and the age of a copy came with periodic messages, which take seconds to reach 295 daemons. At the first start 143 daemons listed the store, 12 pages each, since the waves of readers double each 40 ms and a listing takes 100.

Change: a daemon that learns that the copies are current passes it on at once to three peers, in a message of 60 bytes; watches wait 2 s in place of 5; the waves of readers are ten times as slow at the first start, when there is time.

--- a/cmd/rwfront/peers.c
+++ b/cmd/rwfront/peers.c
@@ -14,6 +14,11 @@
    connects.  */
 #define PEER_WAIT (25 * RW_MSEC)
 #define FIRST_START_PEER_WAIT (600 * RW_MSEC)
+/* The whole system has time at its first start: more daemons read the store
+   this many times later than after another start.  A read of 12 pages takes
+   about 100 ms, and each daemon that begins one before another has finished
+   costs the store as many calls.  */
+#define FIRST_START_SLOWNESS 10
 /* A daemon without a copy that knows a peer with one reads the store only if
    no transfer has succeeded within this time.  A transfer takes a few ms, or
    100 ms from a peer that many daemons ask.  */
@@ -30,26 +35,55 @@
 /* Path of a transfer; the revision of the client's copy follows.  */
 #define VIEW_PATH "/view?after="
 
-/* Sends a gossip message to the daemon IP (host order).  */
+/* Sends MESSAGE, whose entries are set, to the daemon IP (host order).  */
 static void
-send_message (struct frn_daemon *daemon, uint32_t ip, bool reply_requested)
+send_filled (struct frn_daemon *daemon, uint32_t ip,
+             struct gos_message *message, rw_time now)
 {
   struct frn_peers *peers = &daemon->peers;
-  struct gos_message message = { .reply_requested = reply_requested };
   char data[GOS_MAX_DATAGRAM];
   struct sockaddr_in addr = daemon->settings.peer_addr;
-  rw_time now = rw_now ();
-  message.leaving = daemon->stopping;
-  message.revision = daemon->view.replica.revision;
-  message.staleness_ms = (uint32_t)((now - peers->current_at) / RW_MSEC);
-  gos_fill_message (&peers->gossip, now, &message);
-  size_t len = gos_encode (&message, data, sizeof data);
+  message->leaving = daemon->stopping;
+  message->revision = daemon->view.replica.revision;
+  message->staleness_ms = (uint32_t)((now - peers->current_at) / RW_MSEC);
+  size_t len = gos_encode (message, data, sizeof data);
   uv_buf_t buf = uv_buf_init (data, (unsigned int)len);
   addr.sin_addr.s_addr = htonl (ip);
   /* A datagram that cannot be sent is treated as lost.  */
   (void)uv_udp_try_send (&peers->udp, &buf, 1, (struct sockaddr *)&addr);
 }
 
+/* Sends a gossip message to the daemon IP (host order).  */
+static void
+send_message (struct frn_daemon *daemon, uint32_t ip, bool reply_requested)
+{
+  struct gos_message message = { .reply_requested = reply_requested };
+  rw_time now = rw_now ();
+  gos_fill_message (&daemon->peers.gossip, now, &message);
+  send_filled (daemon, ip, &message, now);
+}
+
+/* Records that the copy was current at AT, learned at NOW, and passes it on to
+   a few peers if it is news.  */
+static void
+confirm_copy (struct frn_daemon *daemon, rw_time at, rw_time now)
+{
+  struct frn_peers *peers = &daemon->peers;
+  struct gos_message message = { .reply_requested = false };
+  uint32_t to[GOS_CONFIRM_FANOUT];
+  rw_time gain = at - peers->current_at;
+  if (gain <= 0)
+    return;
+  peers->current_at = at;
+  if (!gos_should_pass_on (&peers->gossip, gain, now))
+    return;
+  gos_fill_head (&peers->gossip, &message);
+  size_t count
+      = gos_pick_members (&peers->gossip, now, to, GOS_CONFIRM_FANOUT);
+  for (size_t i = 0; i < count; i++)
+    send_filled (daemon, to[i], &message, now);
+}
+
 /* Sends a message with this copy's revision to a few peers.  */
 static void
 send_notices (struct frn_daemon *daemon, rw_time now)
@@ -199,8 +233,8 @@
         peers->newest_revision = message.revision;
       fetch_if_behind (daemon, now);
     }
-  else if (message.revision > 0 && current_at > peers->current_at)
-    peers->current_at = current_at;
+  else if (message.revision > 0)
+    confirm_copy (daemon, current_at, now);
   if (message.reply_requested)
     send_message (daemon, ip, false);
 }
@@ -247,7 +281,7 @@
 void
 frn_peers_mark_current (struct frn_daemon *daemon, rw_time now)
 {
-  daemon->peers.current_at = now;
+  confirm_copy (daemon, now, now);
   if (daemon->view.replica.revision > daemon->peers.newest_revision)
     {
       daemon->peers.newest_revision = daemon->view.replica.revision;
@@ -260,6 +294,9 @@
 {
   struct frn_peers *peers = &daemon->peers;
   bool has_copy = daemon->view.replica.revision > 0;
+  rw_time waited = now - peers->no_read_before;
+  if (daemon->settings.first_start)
+    waited /= FIRST_START_SLOWNESS;
   /* A daemon without a copy first waits for its peers, and longer if a peer
      has a copy to transfer.  After that a few daemons of each data centre read
      the store, then more and more.  */
@@ -267,8 +304,7 @@
     return now >= peers->no_read_before
            && (peers->newest_revision == 0
                || now >= peers->no_read_before + FETCH_WAIT)
-           && gos_initial_read_due (&peers->gossip,
-                                    now - peers->no_read_before, now);
+           && gos_initial_read_due (&peers->gossip, waited, now);
   if (now - peers->current_at > MAX_COPY_AGE)
     return true;
   /* A current copy is kept current by the readers of the data centre only.  */
--- a/lib/follow/follow.c
+++ b/lib/follow/follow.c
@@ -4,11 +4,13 @@
 
 /* A page takes a few milliseconds, 60 times as long if the store is slow.  */
 #define PAGE_TIMEOUT (1500 * RW_MSEC)
-/* How long the store may wait for a change.  A connection may stop delivering
-   data without an error.  A watch then ends by its timeout, WATCH_WAIT plus
+/* How long the store may wait for a change.  The end of a watch confirms that
+   nothing has changed, and a copy that is not confirmed for 2.5 s is read from
+   the store by every daemon.  A connection may stop delivering data without an
+   error.  A watch then ends by its timeout, WATCH_WAIT plus
    WATCH_TIMEOUT_MARGIN, which is shorter than the time in which a new
    configuration must be in force.  */
-#define WATCH_WAIT (5 * RW_SEC)
+#define WATCH_WAIT (2 * RW_SEC)
 #define WATCH_TIMEOUT_MARGIN (1 * RW_SEC)
 /* A store that recovers from an outage or drops its history may hold a watch
    for the whole wait and report nothing, so that changes are missed until the
--- a/lib/gossip/gossip.c
+++ b/lib/gossip/gossip.c
@@ -28,6 +28,10 @@
 #define ESTIMATE_MARGIN_FACTOR 1.15
 /* Messages request a reply while fewer live members are known.  */
 #define MIN_MEMBERS_WITHOUT_REPLY 10
+/* News that a copy is current is passed on if it is this much newer than what
+   was known, and not more often than at this interval.  */
+#define MIN_CONFIRM_GAIN (400 * RW_MSEC)
+#define MIN_CONFIRM_INTERVAL (400 * RW_MSEC)
 /* A daemon reads the store and passes its copy on within about 40 ms.  After
    each such interval without a copy, twice as many daemons may read.  */
 #define READ_WAVE_INTERVAL (40 * RW_MSEC)
@@ -209,6 +213,16 @@
          + gos_pick_members (gossip, now, to + count, max > count ? 1 : 0);
 }
 
+bool
+gos_should_pass_on (struct gos_gossip *gossip, rw_time gain, rw_time now)
+{
+  if (gain < MIN_CONFIRM_GAIN
+      || now - gossip->passed_on_at < MIN_CONFIRM_INTERVAL)
+    return false;
+  gossip->passed_on_at = now;
+  return true;
+}
+
 /* All daemons order the members by this hash.  */
 static uint64_t
 member_hash (uint32_t ip)
@@ -255,15 +269,21 @@
                             (uint32_t)((now - member->last_heard) / RW_MSEC) };
 }
 
+void
+gos_fill_head (const struct gos_gossip *gossip, struct gos_message *message)
+{
+  message->dc = gossip->settings.dc;
+  message->capacity = gossip->settings.capacity;
+  message->count = 0;
+}
+
 void
 gos_fill_message (struct gos_gossip *gossip, rw_time now,
                   struct gos_message *message)
 {
   const struct gos_member *lowest[GOS_LOWEST_HASHES];
   size_t count = find_lowest (gossip, now, lowest);
-  message->dc = gossip->settings.dc;
-  message->capacity = gossip->settings.capacity;
-  message->count = 0;
+  gos_fill_head (gossip, message);
   for (size_t i = 0; i < count; i++)
     add_entry (message, lowest[i], now);
   if (count < GOS_LOWEST_HASHES)
--- a/lib/gossip/gossip.h
+++ b/lib/gossip/gossip.h
@@ -25,6 +25,9 @@
    daemon that is cut off from the others must not take over their shares.  */
 #define GOS_COUNT_HOLD_TIME (60 * RW_SEC)
 #define GOS_MAX_MEMBERS 4096
+/* Members that a daemon tells that the copies are current, when it learns
+   that.  */
+#define GOS_CONFIRM_FANOUT 3
 #define GOS_MAX_SEEDS 8
 /* A message lists up to GOS_MAX_ENTRIES members, 16 bytes each: first the live
    members with the lowest hashes, of which all daemons have recent news, then
@@ -87,8 +90,9 @@
   size_t cap;
   rw_time started;
   rw_time next_send;
-  size_t held_count; /* highest count, held for GOS_COUNT_HOLD_TIME */
-  rw_time held_at;   /* when the count was last as high as that */
+  rw_time passed_on_at; /* last gos_should_pass_on that was true */
+  size_t held_count;    /* highest count, held for GOS_COUNT_HOLD_TIME */
+  rw_time held_at;      /* when the count was last as high as that */
 };
 
 /* Copies SETTINGS.  */
@@ -105,10 +109,18 @@
    change to them.  An address may occur twice.  */
 size_t gos_pick_members (struct gos_gossip *gossip, rw_time now, uint32_t *to,
                          size_t max);
+/* Returns whether the news that this daemon's copy was current GAIN later than
+   known so far is to be passed on at NOW, to GOS_CONFIRM_FANOUT members.  It
+   then spreads from the readers to nearly all within a few messages, while the
+   periodic ones would take seconds.  */
+bool gos_should_pass_on (struct gos_gossip *gossip, rw_time gain, rw_time now);
 /* Sets this daemon's data centre and capacity and the entries of MESSAGE; the
    caller sets the other fields.  */
 void gos_fill_message (struct gos_gossip *gossip, rw_time now,
                        struct gos_message *message);
+/* The same without entries, for a message that only tells of the copy.  */
+void gos_fill_head (const struct gos_gossip *gossip,
+                    struct gos_message *message);
 /* Updates the members from a message that the daemon at address FROM sent.  */
 void gos_on_message (struct gos_gossip *gossip, uint32_t from,
                      const struct gos_message *message, rw_time now);
--- a/lib/gossip/test_gossip.c
+++ b/lib/gossip/test_gossip.c
@@ -258,3 +258,71 @@
   assert_int_not_equal (
       gos_decode ((struct rw_str){ data, len }, &received, &err), 0);
 }
+
+/* When each daemon's copy was last known to be current, when it last heard
+   from the store itself, and the messages that passed it on.  */
+static rw_time current_at[MAX_DAEMONS];
+static rw_time watched_at[MAX_DAEMONS];
+static size_t passed_on;
+
+/* Daemon I learns at NOW that its copy was current at AT, and tells others, as
+   a daemon does.  */
+static void
+learn_current (size_t i, rw_time at, rw_time now)
+{
+  uint32_t ips[GOS_CONFIRM_FANOUT];
+  rw_time gain = at - current_at[i];
+  if (gain <= 0)
+    return;
+  current_at[i] = at;
+  if (!gos_should_pass_on (&fleet.daemons[i], gain, now))
+    return;
+  size_t n
+      = gos_pick_members (&fleet.daemons[i], now, ips, GOS_CONFIRM_FANOUT);
+  passed_on += n;
+  for (size_t j = 0; j < n; j++)
+    learn_current (ips[j] - 1, at, now);
+}
+
+/* Guards against daemons that read the store because nobody told them in time
+   that their copy is current: of 300 daemons nearly all did, on a calm day.
+   The two readers of each of five data centres hear from the store each 2.25
+   s; a copy that is older than 2.5 s is read.  */
+TEST (a_few_readers_confirm_the_copies_of_a_large_fleet)
+{
+  enum
+  {
+    DAEMONS = 300,
+    DCS = 5
+  };
+  size_t old = 0;
+  size_t samples = 0;
+  start_all (DAEMONS, DCS);
+  run (0, 3 * RW_SEC);
+  memset (current_at, 0, sizeof current_at);
+  passed_on = 0;
+  for (size_t i = 0; i < DAEMONS; i++)
+    watched_at[i] = (rw_time)(i * 37 % 2250) * RW_MSEC;
+  for (rw_time now = 3 * RW_SEC; now < 13 * RW_SEC; now += 50 * RW_MSEC)
+    {
+      run (now, now + 50 * RW_MSEC);
+      for (size_t i = 0; i < DAEMONS; i++)
+        if (gos_rank (&fleet.daemons[i], now) < GOS_READERS_PER_DC
+            && now - watched_at[i] >= 2250 * RW_MSEC)
+          {
+            watched_at[i] = now - (rw_time)(i % 4) * 20 * RW_MSEC;
+            learn_current (i, now, now);
+          }
+      for (size_t i = 0; i < DAEMONS && now > 6 * RW_SEC; i++)
+        {
+          samples++;
+          old += now - current_at[i] > 2500 * RW_MSEC;
+        }
+    }
+  print_message ("old copies: %zu of %zu; messages: %zu\n", old, samples,
+                 passed_on);
+  assert_true (old <= samples / 100);
+  /* At most GOS_CONFIRM_FANOUT messages for each daemon in half a second.  */
+  assert_true (passed_on <= DAEMONS * 20 * GOS_CONFIRM_FANOUT);
+  stop_all ();
+}
