--- a/cmd/rwfront/peers.c
+++ b/cmd/rwfront/peers.c
@@ -45,7 +45,7 @@
   struct sockaddr_in addr = daemon->settings.peer_addr;
   message->leaving = daemon->stopping;
   message->revision = daemon->view.replica.revision;
-  message->staleness_ms = (uint32_t)((now - peers->current_at) / RW_MSEC);
+  message->staleness_ms = gos_staleness_ms (now - peers->current_at);
   size_t len = gos_encode (message, data, sizeof data);
   uv_buf_t buf = uv_buf_init (data, (unsigned int)len);
   addr.sin_addr.s_addr = htonl (ip);
--- a/cmd/rwfront/settings.c
+++ b/cmd/rwfront/settings.c
@@ -180,13 +180,16 @@
 frn_settings_read (const char *path, struct frn_settings *settings,
                    struct rw_err *err)
 {
-  char *text = rw_xmalloc (MAX_FILE_BYTES);
+  char *text = rw_xmalloc (MAX_FILE_BYTES + 1);
   int fd = open (path, O_RDONLY | O_CLOEXEC);
-  ssize_t n = fd < 0 ? -1 : read (fd, text, MAX_FILE_BYTES);
+  ssize_t n = fd < 0 ? -1 : read (fd, text, MAX_FILE_BYTES + 1);
   int r;
   if (n < 0)
     r = rw_err_set (err, -errno, "settings", rw_str_from (path), "%s",
                     strerror (errno));
+  else if (n > MAX_FILE_BYTES)
+    r = rw_err_set (err, RW_E_RANGE, "settings", rw_str_from (path),
+                    "more than %d bytes", MAX_FILE_BYTES);
   else
     r = frn_settings_parse ((struct rw_str){ text, (size_t)n }, settings, err);
   if (fd >= 0)
--- a/cmd/rwfront/test_settings.c
+++ b/cmd/rwfront/test_settings.c
@@ -1,3 +1,5 @@
+#include <unistd.h>
+
 #include "front.h"
 #include "unit.h"
 
@@ -43,3 +45,21 @@
     assert_int_not_equal (parse (bad[i], &s), 0);
   assert_string_equal (s.name, "kept");
 }
+
+/* Guards against a large file that is cut at 64 KiB: the settings after that
+   would silently be the defaults.  */
+TEST (a_file_that_is_too_large_is_refused)
+{
+  char path[] = "/tmp/rwfront-settings-XXXXXX";
+  struct frn_settings s = { .name = "kept" };
+  struct rw_err err;
+  int fd = mkstemp (path);
+  assert_true (fd >= 0);
+  assert_true (dprintf (fd, REQUIRED) > 0);
+  for (int i = 0; i < 7000; i++)
+    assert_true (dprintf (fd, "# padding\n") > 0);
+  close (fd);
+  assert_int_equal (frn_settings_read (path, &s, &err), RW_E_RANGE);
+  assert_string_equal (s.name, "kept");
+  unlink (path);
+}
--- a/lib/gossip/gossip.c
+++ b/lib/gossip/gossip.c
@@ -26,6 +26,8 @@
    of the true number in two of three cases.  This factor makes it more often
    too high than too low.  */
 #define ESTIMATE_MARGIN_FACTOR 1.15
+/* The age of a copy counts up to this.  */
+#define MAX_STALENESS (86400 * RW_SEC)
 /* Messages request a reply while fewer live members are known.  */
 #define MIN_MEMBERS_WITHOUT_REPLY 10
 /* News that a copy is current is passed on if it is this much newer than what
@@ -59,7 +61,7 @@
 static bool
 is_alive (const struct gos_member *member, rw_time now)
 {
-  return now - member->last_heard < GOS_MEMBER_TIMEOUT;
+  return !member->left && now - member->last_heard < GOS_MEMBER_TIMEOUT;
 }
 
 static struct gos_member *
@@ -71,15 +73,15 @@
   return NULL;
 }
 
-/* Adds a member with the address IP in the place of a dead member, or else at
-   the end of the array.  Returns a null pointer if GOS_MAX_MEMBERS are
-   live.  */
+/* Adds a member with the address IP in the place of one that was not heard of
+   for GOS_MEMBER_TIMEOUT, or else at the end of the array.  Returns a null
+   pointer if GOS_MAX_MEMBERS are live.  */
 static struct gos_member *
 add_member (struct gos_gossip *gossip, uint32_t ip, rw_time now)
 {
   struct gos_member *member = NULL;
   for (size_t i = 0; i < gossip->count && member == NULL; i++)
-    if (!is_alive (&gossip->members[i], now))
+    if (now - gossip->members[i].last_heard >= GOS_MEMBER_TIMEOUT)
       member = &gossip->members[i];
   if (member == NULL && gossip->count == GOS_MAX_MEMBERS)
     return NULL;
@@ -114,16 +116,30 @@
   if (member == NULL || member->last_heard >= heard)
     return;
   member->last_heard = heard;
+  member->left = false;
   member->dc = dc;
   member->capacity = capacity;
 }
 
+/* Records that the member with the address IP left at NOW.  It stays in the
+   array, so that older news of it does not add it again.  */
 static void
-remove_member (struct gos_gossip *gossip, uint32_t ip)
+mark_left (struct gos_gossip *gossip, uint32_t ip, rw_time now)
 {
   struct gos_member *member = find_member (gossip, ip);
-  if (member != NULL)
-    *member = gossip->members[--gossip->count];
+  if (member == NULL)
+    return;
+  member->left = true;
+  member->last_heard = now;
+}
+
+uint32_t
+gos_staleness_ms (rw_time age)
+{
+  if (age <= 0)
+    return 0;
+  return age < MAX_STALENESS ? (uint32_t)(age / RW_MSEC)
+                             : (uint32_t)(MAX_STALENESS / RW_MSEC);
 }
 
 void
@@ -138,7 +154,7 @@
     }
   if (message->leaving)
     {
-      remove_member (gossip, from);
+      mark_left (gossip, from, now);
       return;
     }
   update_member (gossip, from, message->dc, message->capacity, now, now);
--- a/lib/gossip/gossip.h
+++ b/lib/gossip/gossip.h
@@ -44,6 +44,7 @@
   uint32_t dc;        /* hash of the data centre's name */
   uint32_t capacity;  /* processor time, in thousandths of a core */
   rw_time last_heard; /* its last message to any daemon, as far as known */
+  bool left;          /* it said in that message that it stops */
   int64_t revision;   /* of its copy of the store, from its last message */
   rw_time current_at; /* when its copy was last known to be current */
 };
@@ -121,6 +122,8 @@
 /* The same without entries, for a message that only tells of the copy.  */
 void gos_fill_head (const struct gos_gossip *gossip,
                     struct gos_message *message);
+/* Returns the age of a copy in the form of a message, at most a day.  */
+uint32_t gos_staleness_ms (rw_time age);
 /* Updates the members from a message that the daemon at address FROM sent.  */
 void gos_on_message (struct gos_gossip *gossip, uint32_t from,
                      const struct gos_message *message, rw_time now);
--- a/lib/gossip/test_gossip.c
+++ b/lib/gossip/test_gossip.c
@@ -223,8 +223,7 @@
 {
   start_all (10, 2);
   run (0, 20 * RW_SEC);
-  uint32_t ip = gos_pick_source (&fleet.daemons[0], 9, 20 * RW_SEC);
-  assert_true (ip == 0 || ip == 10);
+  assert_int_equal (gos_pick_source (&fleet.daemons[0], 9, 20 * RW_SEC), 10);
   assert_int_equal (gos_pick_source (&fleet.daemons[0], 10, 20 * RW_SEC), 0);
   stop_all ();
 }
@@ -242,6 +241,35 @@
   stop_all ();
 }
 
+/* Guards against a daemon that left and is counted again, because another one
+   has not heard of that yet.  */
+TEST (a_daemon_that_left_is_not_added_by_older_news)
+{
+  start_all (3, 1);
+  run (0, 10 * RW_SEC);
+  struct gos_message leave = { .leaving = true };
+  gos_on_message (&fleet.daemons[0], 2, &leave, 10 * RW_SEC);
+  assert_int_equal (gos_live_count (&fleet.daemons[0], 10 * RW_SEC), 1);
+  struct gos_message old
+      = { .dc = 100, .count = 1, .entries = { { 2, 100, 0, 300 } } };
+  gos_on_message (&fleet.daemons[0], 3, &old, 10 * RW_SEC + 100 * RW_MSEC);
+  assert_int_equal (gos_live_count (&fleet.daemons[0], 10 * RW_SEC), 1);
+  /* It started again, and says so itself.  */
+  struct gos_message back = { .dc = 100 };
+  gos_on_message (&fleet.daemons[0], 2, &back, 11 * RW_SEC);
+  assert_int_equal (gos_live_count (&fleet.daemons[0], 11 * RW_SEC), 2);
+  stop_all ();
+}
+
+/* Guards against an old copy that looks current: the milliseconds of its age
+   took more than 32 bits after 49.7 days.  */
+TEST (the_age_of_a_copy_does_not_wrap)
+{
+  assert_int_equal (gos_staleness_ms (1500 * RW_MSEC), 1500);
+  assert_true (gos_staleness_ms (50 * 86400 * RW_SEC) >= 86400000);
+  assert_int_equal (gos_staleness_ms (-RW_SEC), 0);
+}
+
 /* Guards against malformed datagrams that are accepted or that crash the
    daemon.  */
 TEST (malformed_messages_are_refused)
--- a/lib/replica/replica.c
+++ b/lib/replica/replica.c
@@ -73,6 +73,9 @@
 {
   uint64_t key = rw_hash (item->key);
   struct rep_item *known = rw_map_get (&replica->items, key);
+  if (item->key.len > REP_MAX_KEY_BYTES
+      || item->value.len > REP_MAX_VALUE_BYTES)
+    return false;
   if (known != NULL && known->revision >= item->revision)
     return false;
   if (known == NULL && item->removed
@@ -133,4 +136,6 @@
       replica->change_count++;
       gone (arg, item);
     }
+  if (replica->tombstone_count > REP_MAX_TOMBSTONES)
+    purge_tombstones (replica);
 }
--- a/lib/replica/replica.h
+++ b/lib/replica/replica.h
@@ -33,6 +33,9 @@
 /* Tombstones that are kept, so that a copy which is behind learns of removals
    without a full transfer.  */
 #define REP_MAX_TOMBSTONES 2000
+/* Larger items are not kept, since a transfer could not hold them.  */
+#define REP_MAX_KEY_BYTES 512
+#define REP_MAX_VALUE_BYTES (2U << 20)
 
 void rep_init (struct rep_replica *replica);
 void rep_finish (struct rep_replica *replica);
--- a/lib/replica/test_replica.c
+++ b/lib/replica/test_replica.c
@@ -182,3 +182,36 @@
   assert_true (same_content (&f->a, &f->b));
   assert_int_equal (f->b.revision, 7);
 }
+
+/* Guards against one item that is too large for a transfer and leaves every
+   transfer empty.  */
+TEST_WITH_FIXTURE (an_item_too_large_for_a_transfer_is_not_kept)
+{
+  char key[600];
+  memset (key, 'k', sizeof key);
+  key[sizeof key - 1] = '\0';
+  assert_true (put (&f->a, "a", 1, "1"));
+  assert_false (put (&f->a, key, 2, "2"));
+  rep_advance (&f->a, 2);
+  transfer (f, &f->a, &f->b);
+  assert_non_null (rep_find (&f->b, RW_LIT ("a")));
+}
+
+/* Guards against tombstones without limit, when a full read removes more items
+   than the limit.  */
+TEST_WITH_FIXTURE (a_full_read_keeps_the_limit_of_tombstones)
+{
+  struct rw_map listed;
+  size_t gone = 0;
+  rw_map_init (&listed);
+  for (int i = 0; i < 2 * REP_MAX_TOMBSTONES; i++)
+    {
+      char key[32];
+      snprintf (key, sizeof key, "k%d", i);
+      put (&f->a, key, i + 1, "v");
+    }
+  rep_retain (&f->a, 1000000, &listed, on_gone, &gone);
+  assert_int_equal (gone, 2 * REP_MAX_TOMBSTONES);
+  assert_true (f->a.tombstone_count <= REP_MAX_TOMBSTONES);
+  rw_map_finish (&listed);
+}
--- a/lib/replica/transfer.c
+++ b/lib/replica/transfer.c
@@ -11,8 +11,6 @@
 /* Limits for data from a peer.  A configuration has up to 1 MB, and there may
    be thousands of targets.  */
 #define MAX_UNPACKED_SIZE (32U << 20)
-#define MAX_VALUE_SIZE (2U << 20)
-#define MAX_KEY_SIZE 512
 /* A transfer whose length prefix is greater than its size by more than this
    factor is refused before memory is allocated for it.  */
 #define MAX_COMPRESSION_RATIO 1000
@@ -56,9 +54,9 @@
 {
   bool_t removed = item->removed;
   int64_t revision = item->revision;
-  if (!code_bytes (xdr, &item->key, MAX_KEY_SIZE)
+  if (!code_bytes (xdr, &item->key, REP_MAX_KEY_BYTES)
       || !xdr_int64_t (xdr, &revision) || !xdr_bool (xdr, &removed)
-      || !code_bytes (xdr, &item->value, MAX_VALUE_SIZE))
+      || !code_bytes (xdr, &item->value, REP_MAX_VALUE_BYTES))
     return FALSE;
   item->removed = removed;
   item->revision = revision;
--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -505,7 +505,9 @@
       if (target->queue_len_at == now && target->queue_len <= target->slots)
         target->load_distrusted_until = now + DISTRUST_TIME;
       target->queue_len
-          = fmax (target->queue_len, target->slots * SHED_QUEUE_PER_SLOT);
+          = fmax (decayed (target->queue_len, 0, target->queue_len_at, now,
+                           QUEUE_DECAY_TIME),
+                  target->slots * SHED_QUEUE_PER_SLOT);
       target->queue_len_at = now;
       break;
     case STE_FAILED:
--- a/lib/steer/test_steer.c
+++ b/lib/steer/test_steer.c
@@ -456,6 +456,18 @@
   ste_on_result (&send, STE_OK, WARM + 300 * MS);
 }
 
+/* Guards against a refusal that brings an old report back: the queue of ten
+   seconds ago is no longer there.  */
+TEST_WITH_FIXTURE (a_refusal_does_not_revive_an_old_report)
+{
+  warm_up (f);
+  ste_on_load_report (f->a, 2, 500, 2, WARM);
+  exchange (f, f->a, WARM + 10 * RW_SEC, MS, STE_SHED);
+  assert_true (ste_expected_time (&f->fleet, f->a, &f->latency,
+                                  WARM + 10 * RW_SEC + 2 * MS)
+               < 200 * MS);
+}
+
 static bool
 release (void *arg, struct ste_target *target)
 {
