End an outage that peers ended; fail a connection at once; lines that hold

Change: fol_on_confirmed ends an outage once the daemon no longer reads; start_call reports the failure, so the backoff applies; the line names the service of the send's target; evt_value; ste_clear_shards; frn_peers_update_settings; gat_max_sends; getline.

Unit tests pass.

--- a/cmd/rwfctl/request.c
+++ b/cmd/rwfctl/request.c
@@ -52,16 +52,18 @@
 static int
 read_log (struct log_lines *lines, const char *file, const char *id)
 {
-  char text[2048];
+  char *text = NULL;
+  size_t size = 0;
   FILE *f = fopen (file, "r");
   if (f == NULL)
     {
       fprintf (stderr, "rwfctl: %s: %s\n", file, strerror (errno));
       return CTL_PROBLEM;
     }
-  while (fgets (text, sizeof text, f) != NULL)
+  while (getline (&text, &size, f) >= 0)
     if (names_request (text, id))
       add_line (lines, file, text);
+  free (text);
   fclose (f);
   return CTL_OK;
 }
--- a/cmd/rwfront/answer.c
+++ b/cmd/rwfront/answer.c
@@ -64,7 +64,7 @@
   while (query->parts[i].state == GAT_PART_DONE)
     i++;
   for (const struct frn_send *s = request->sends; s != NULL; s = s->next)
-    if (s->part == i
+    if (s->part == i && s->target->service == request->services[i]
         && (send == NULL || s->steer.sent_at > send->steer.sent_at))
       send = s;
   if (send == NULL)
@@ -104,11 +104,11 @@
       &daemon->log,
       complete && latency < request->route->aim ? EVT_SAMPLED : EVT_NORMAL,
       "request", now,
-      "%s: id=%.*s route=%.*s status=%d ms=%lld aim_ms=%lld parts=%zu/%zu "
+      "%s: id=%s route=%s status=%d ms=%lld aim_ms=%lld parts=%zu/%zu "
       "lost=%zu sends=%zu denied=%u%s error=\"%s\" at=%s version=%llu "
       "age_ms=%lld",
-      frn_outcome_name (outcome), RW_STR_ARG (request->id),
-      RW_STR_ARG (request->route->name), status,
+      frn_outcome_name (outcome), evt_value (request->id).text,
+      evt_value (request->route->name).text, status,
       (long long)(latency / RW_MSEC),
       (long long)(request->route->aim / RW_MSEC), request->query.done,
       request->query.plan.part_count, request->query.lost,
--- a/cmd/rwfront/callers.c
+++ b/cmd/rwfront/callers.c
@@ -26,8 +26,8 @@
     {
       sta_inc (daemon->metrics.no_route.outcome[FRN_NO_ROUTE]);
       evt_line (&daemon->log, EVT_NORMAL, "request", rw_now (),
-                "no route: id=%.*s path=%.*s version=%llu",
-                RW_STR_ARG (head.id), RW_STR_ARG (path),
+                "no route: id=%s path=%s version=%llu",
+                evt_value (head.id).text, evt_value (path).text,
                 (unsigned long long)daemon->config->version);
       frn_answer_refusal (conn, 404, -1);
       return;
@@ -36,7 +36,7 @@
     {
       sta_inc (daemon->metrics.no_route.outcome[FRN_INVALID]);
       evt_line (&daemon->log, EVT_NORMAL, "request", rw_now (),
-                "without id: path=%.*s", RW_STR_ARG (path));
+                "without id: path=%s", evt_value (path).text);
       frn_answer_refusal (conn, 400, -1);
       return;
     }
@@ -53,8 +53,8 @@
   sta_inc (daemon->metrics.no_route.outcome[FRN_REFUSED]);
   sta_inc (daemon->metrics.refusal[FRN_REFUSE_NO_CONFIG]);
   evt_line (&daemon->log, EVT_NORMAL, "request", rw_now (),
-            "refused: id=%.*s status=503 error=\"no configuration is known\"",
-            RW_STR_ARG (head.id));
+            "refused: id=%s status=503 error=\"no configuration is known\"",
+            evt_value (head.id).text);
   frn_answer_refusal (conn, 503,
                       shd_retry_after (rw_now () - daemon->started,
                                        head.time_left_ms * RW_MSEC,
--- a/cmd/rwfront/daemon.c
+++ b/cmd/rwfront/daemon.c
@@ -123,6 +123,7 @@
   settings.peer_addr = daemon->settings.peer_addr;
   daemon->settings = settings;
   apply_settings (daemon);
+  frn_peers_update_settings (daemon);
   evt_line (&daemon->log, EVT_STATE, "settings", now, "read again: cause=%s",
             cause);
 }
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -308,6 +308,9 @@
    Returns 0 or a negative error number.  */
 int frn_peers_init (struct frn_daemon *daemon);
 void frn_peers_finish (struct frn_daemon *daemon);
+/* Makes the peers learn the data centre and the processor share of settings
+   that were read again.  */
+void frn_peers_update_settings (struct frn_daemon *daemon);
 /* Periodic work: gossip, notices, transfers, and the estimate of the number of
    daemons.  */
 void frn_peers_tick (struct frn_daemon *daemon, rw_time now);
--- a/cmd/rwfront/metrics.c
+++ b/cmd/rwfront/metrics.c
@@ -125,7 +125,8 @@
                           "daemons that share fleet-wide limits", none);
   m->store_lost = sta_gauge (
       &m->set, "rwf_store_lost_seconds",
-      "time since calls to the store began to fail, 0 while they succeed",
+      "time since calls to the store began to fail, 0 while the copy is "
+      "confirmed",
       none);
   m->config_version = sta_gauge (&m->set, "rwf_config_version",
                                  "version in force, 0: none", none);
--- a/cmd/rwfront/overload.c
+++ b/cmd/rwfront/overload.c
@@ -54,10 +54,11 @@
       && now - stats->shed_logged_at < LOG_INTERVAL)
     return;
   evt_line (&request->daemon->log, EVT_NORMAL, "overload", now,
-            "%s: route=%.*s share=%.2f delay_ms=%.1f target_delay_ms=%.1f "
+            "%s: route=%s share=%.2f delay_ms=%.1f target_delay_ms=%.1f "
             "work_ms=%.1f",
-            ended ? "ended" : "refusing", RW_STR_ARG (request->route->name),
-            shed->share, shed->delay / RW_MSEC, shed->target / RW_MSEC,
+            ended ? "ended" : "refusing",
+            evt_value (request->route->name).text, shed->share,
+            shed->delay / RW_MSEC, shed->target / RW_MSEC,
             stats->part_latency.work.mean / RW_MSEC);
   stats->shed_logged_at = ended ? 0 : now;
 }
--- a/cmd/rwfront/peers.c
+++ b/cmd/rwfront/peers.c
@@ -336,6 +336,14 @@
   ste_choose_subsets (&daemon->fleet, now);
 }
 
+void
+frn_peers_update_settings (struct frn_daemon *daemon)
+{
+  struct gos_settings *settings = &daemon->peers.gossip.settings;
+  settings->dc = (uint32_t)rw_hash (rw_str_from (daemon->settings.dc));
+  settings->capacity = (uint32_t)(daemon->settings.cores * 1000);
+}
+
 int
 frn_peers_init (struct frn_daemon *daemon)
 {
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -38,8 +38,6 @@
 #define MIN_ABANDON_HANDSHAKES 3
 /* A part that a target refused is sent again after this time.  */
 #define REFUSED_BACKOFF (1 * RW_MSEC)
-/* Refused sends that lib/gather allows for a part beyond its attempts.  */
-#define MAX_REFUSED_SENDS 4
 #define ALL_PARTS SIZE_MAX
 /* A hedge is sent neither to a target whose expected latency exceeds this
    multiple of the aim, nor to one with a long queue: in an overload hedges
@@ -345,8 +343,7 @@
 static struct ste_target **
 tried_of (struct frn_request *request, size_t part)
 {
-  return request->tried
-         + part * (request->query.plan.max_attempts + MAX_REFUSED_SENDS);
+  return request->tried + part * gat_max_sends (&request->query.plan);
 }
 
 /* Sends PART to TARGET and records the send in the request, the query and the
@@ -651,10 +648,9 @@
 init_query (struct frn_request *request, const struct gat_plan *plan)
 {
   gat_init (&request->query, &request->arena, plan, rw_now ());
-  request->tried = rw_arena_zalloc (
-      &request->arena,
-      plan->part_count * (plan->max_attempts + MAX_REFUSED_SENDS),
-      sizeof (struct ste_target *));
+  request->tried = rw_arena_zalloc (&request->arena,
+                                    plan->part_count * gat_max_sends (plan),
+                                    sizeof (struct ste_target *));
 }
 
 /* Sends the parts from this daemon, or refuses the request.  */
--- a/cmd/rwfront/span.c
+++ b/cmd/rwfront/span.c
@@ -57,10 +57,10 @@
 {
   rw_time end = send->state == FRN_SEND_ENDED ? send->ended_at : now;
   evt_line (&request->daemon->log, EVT_SAMPLED, "span", now,
-            "%s: id=%.*s part=%zu service=%s target=%s kind=%s at_ms=%lld "
+            "%s: id=%s part=%zu service=%s target=%s kind=%s at_ms=%lld "
             "ms=%lld",
-            send_state_name (send), RW_STR_ARG (request->id), send->part,
-            request->services[send->part]->name, send->target->id,
+            send_state_name (send), evt_value (request->id).text, send->part,
+            send->target->service->name, send->target->id,
             kind_name (send->kind),
             (long long)((send->steer.sent_at - request->start) / RW_MSEC),
             (long long)((end - send->steer.sent_at) / RW_MSEC));
--- a/cmd/rwfront/store.c
+++ b/cmd/rwfront/store.c
@@ -97,6 +97,26 @@
     }
 }
 
+static void
+log_regained (struct frn_daemon *daemon, rw_time outage_time, rw_time now)
+{
+  if (outage_time > 0)
+    evt_line (&daemon->log, EVT_STATE, "store", now, "regained: away_ms=%lld",
+              (long long)(outage_time / RW_MSEC));
+}
+
+/* Ends an outage of the store if the copy, which is left to others to keep
+   current, was current after the last failed call.  */
+static void
+end_outage_if_confirmed (struct frn_daemon *daemon, rw_time now)
+{
+  struct fol_reader *reader = &daemon->store.reader;
+  rw_time outage_time = fol_outage_time (reader, now);
+  fol_on_confirmed (reader, daemon->peers.current_at);
+  if (fol_outage_time (reader, now) == 0)
+    log_regained (daemon, outage_time, now);
+}
+
 /* Applies the answer to the call in progress.  */
 static void
 apply_page (struct frn_daemon *daemon, struct rw_arena *arena,
@@ -111,9 +131,7 @@
       fail_call (daemon, FOL_ERROR_NO_REPLY, err.detail);
       return;
     }
-  if (store->reader.failing_since != 0)
-    evt_line (&daemon->log, EVT_STATE, "store", now, "regained: away_ms=%lld",
-              (long long)(fol_outage_time (&store->reader, now) / RW_MSEC));
+  log_regained (daemon, fol_outage_time (&store->reader, now), now);
   if (store->call.kind == FOL_CALL_WATCH)
     {
       put_page (daemon, arena, &page);
@@ -253,6 +271,8 @@
                       daemon->scratch, &store_ops, daemon)
       == 0)
     enable_keepalive (&store->conn);
+  else
+    fail_call (daemon, FOL_ERROR_NO_REPLY, "no connection");
 }
 
 /* Starts the call that is due, fails the one that timed out, and sets the
@@ -276,6 +296,7 @@
       if (daemon->peers.no_read_before > now
           && daemon->peers.no_read_before < next)
         next = daemon->peers.no_read_before;
+      end_outage_if_confirmed (daemon, now);
       set_timer (daemon, next);
       return;
     }
--- a/cmd/rwfront/test_relay.c
+++ b/cmd/rwfront/test_relay.c
@@ -72,6 +72,20 @@
   assert_true (frn_max_conns (&f->daemon) >= 1000);
 }
 
+/* Guards against peers that forward to a daemon, or read the store for its
+   data centre, by settings that it has read again since.  */
+TEST_WITH_FIXTURE (peers_learn_settings_that_were_read_again)
+{
+  struct gos_message message = { .count = 0 };
+  f->daemon.settings.cores = 0.25;
+  rw_str_copy (f->daemon.settings.dc, sizeof f->daemon.settings.dc,
+               RW_LIT ("dc-b"));
+  frn_peers_update_settings (&f->daemon);
+  gos_fill_head (&f->daemon.peers.gossip, &message);
+  assert_int_equal (message.capacity, 250);
+  assert_int_equal (message.dc, (uint32_t)rw_hash (RW_LIT ("dc-b")));
+}
+
 /* Guards against daemons of equal size that forward requests to each other. */
 TEST_WITH_FIXTURE (daemons_of_equal_size_do_not_forward)
 {
--- a/cmd/rwfront/view.c
+++ b/cmd/rwfront/view.c
@@ -7,6 +7,7 @@
 static void
 bind_config (struct frn_daemon *daemon, struct cat_config *config)
 {
+  ste_clear_shards (&daemon->fleet);
   for (size_t i = 0; i < config->service_count; i++)
     {
       struct cat_service *service_entry = &config->services[i];
@@ -79,24 +80,24 @@
     {
       ste_remove (&daemon->fleet, id, item->revision, now);
       evt_line (&daemon->log, EVT_STATE, "target", now,
-                "gone: id=%.*s revision=%lld", RW_STR_ARG (id),
+                "gone: id=%s revision=%lld", evt_value (id).text,
                 (long long)item->revision);
       return;
     }
   if (plt_decode_target (arena, id, item->value, &entry, &err) != 0)
     {
       evt_line (&daemon->log, EVT_NORMAL, "target", now,
-                "entry ignored: id=%.*s reason=\"%s\"", RW_STR_ARG (id),
+                "entry ignored: id=%s reason=\"%s\"", evt_value (id).text,
                 err.detail);
       return;
     }
   if (ste_put (&daemon->fleet, &entry, item->revision, now) != NULL)
     evt_line (
         &daemon->log, entry.draining ? EVT_STATE : EVT_SAMPLED, "target", now,
-        "%s: id=%.*s service=%.*s dc=%.*s cold_ms=%lld "
+        "%s: id=%s service=%s dc=%s cold_ms=%lld "
         "revision=%lld",
-        entry.draining ? "leaving" : "listed", RW_STR_ARG (entry.id),
-        RW_STR_ARG (entry.service), RW_STR_ARG (entry.dc),
+        entry.draining ? "leaving" : "listed", evt_value (entry.id).text,
+        evt_value (entry.service).text, evt_value (entry.dc).text,
         (long long)(entry.warmup_left / RW_MSEC), (long long)item->revision);
 }
 
@@ -138,8 +139,8 @@
     case PLT_DC_OUT:
       view->dcs_out_changed = true;
       evt_line (&daemon->log, EVT_STATE, "dc", rw_now (),
-                "%s of service: name=%.*s revision=%lld",
-                item->removed ? "no longer out" : "out", RW_STR_ARG (name),
+                "%s of service: name=%s revision=%lld",
+                item->removed ? "no longer out" : "out", evt_value (name).text,
                 (long long)item->revision);
       break;
     case PLT_OTHER:
--- a/lib/event/event.c
+++ b/lib/event/event.c
@@ -84,6 +84,18 @@
   log->written_count++;
 }
 
+struct evt_value
+evt_value (struct rw_str text)
+{
+  struct evt_value value;
+  size_t len = text.len < EVT_MAX_VALUE_LEN ? text.len : EVT_MAX_VALUE_LEN;
+  for (size_t i = 0; i < len; i++)
+    value.text[i]
+        = text.ptr[i] == ' ' || text.ptr[i] == '"' ? '?' : text.ptr[i];
+  value.text[len] = '\0';
+  return value;
+}
+
 void
 evt_line (struct evt_log *log, enum evt_class class, const char *part,
           rw_time now, const char *fmt, ...)
--- a/lib/event/event.h
+++ b/lib/event/event.h
@@ -40,6 +40,16 @@
 void evt_init (struct evt_log *log, int fd, rw_time now);
 /* Frees the queue; bytes still in it are lost.  FD stays open.  */
 void evt_finish (struct evt_log *log);
+/* A value of a field, cut at EVT_MAX_VALUE_LEN bytes.  */
+#define EVT_MAX_VALUE_LEN 128
+struct evt_value
+{
+  char text[EVT_MAX_VALUE_LEN + 1];
+};
+
+/* Returns TEXT in a form that reads as one value: spaces and quotes, with
+   which a caller or a peer could add fields of its own, become '?'.  */
+struct evt_value evt_value (struct rw_str text);
 /* Queues a line of PART and writes as much as FD accepts.  The text is cut at
    511 bytes; control characters in it are replaced by '?'.  */
 void evt_line (struct evt_log *log, enum evt_class class, const char *part,
--- a/lib/event/test_event.c
+++ b/lib/event/test_event.c
@@ -1,4 +1,5 @@
 #include <fcntl.h>
+#include <string.h>
 #include <unistd.h>
 
 #include "event.h"
@@ -73,3 +74,16 @@
   close (fds[0]);
   close (fds[1]);
 }
+
+/* Guards against a space in a caller's id that forges a field.  */
+TEST (values_do_not_forge_fields)
+{
+  char text[300];
+  assert_string_equal (evt_value (RW_LIT ("a status=\"200\"")).text,
+                       "a?status=?200?");
+  assert_string_equal (evt_value ((struct rw_str){ NULL, 0 }).text, "");
+  memset (text, 'x', sizeof text);
+  assert_int_equal (
+      strlen (evt_value ((struct rw_str){ text, sizeof text }).text),
+      EVT_MAX_VALUE_LEN);
+}
--- a/lib/follow/follow.c
+++ b/lib/follow/follow.c
@@ -131,12 +131,22 @@
       return;
     }
   reader->errors++;
+  reader->last_error = now;
   if (reader->failing_since == 0)
     reader->failing_since = now;
   reader->next_call
       = now + backoff / 2 + (rw_time)rw_rng_below (&reader->rng, backoff);
 }
 
+void
+fol_on_confirmed (struct fol_reader *reader, rw_time at)
+{
+  if (reader->in_call || at <= reader->last_error)
+    return;
+  reader->errors = 0;
+  reader->failing_since = 0;
+}
+
 rw_time
 fol_outage_time (const struct fol_reader *reader, rw_time now)
 {
--- a/lib/follow/follow.h
+++ b/lib/follow/follow.h
@@ -43,6 +43,7 @@
   rw_time next_call;         /* earliest time of the next call */
   unsigned int errors;       /* consecutive failed calls */
   rw_time failing_since;     /* time of the first of them; 0: none */
+  rw_time last_error;        /* time of the last failed call */
   rw_time last_reply;        /* time of the last call that did not fail */
   rw_time short_waits_until; /* until then, watches use a short wait */
   struct rw_rng rng;         /* for the jitter of retries */
@@ -76,8 +77,12 @@
    If the history was compacted, a new listing is due at once.  */
 void fol_on_error (struct fol_reader *reader, enum fol_error error,
                    rw_time now);
+/* Records that the copy was current at AT, as a peer that reads the store
+   tells.  */
+void fol_on_confirmed (struct fol_reader *reader, rw_time at);
 /* Returns the time since the first of the consecutive failed calls, 0 if the
-   last call succeeded or found that the history was compacted.  */
+   last call succeeded or found that the history was compacted, or if the copy
+   was current after it.  */
 rw_time fol_outage_time (const struct fol_reader *reader, rw_time now);
 
 #endif
--- a/lib/follow/test_follow.c
+++ b/lib/follow/test_follow.c
@@ -97,6 +97,25 @@
   assert_int_equal (fol_outage_time (&reader, 11 * RW_SEC), 10 * RW_SEC);
 }
 
+/* Guards against an outage without end: the daemon no longer reads the store,
+   because its peers tell it that its copy is current.  */
+TEST (a_copy_that_peers_confirm_ends_an_outage)
+{
+  struct fol_reader reader;
+  struct fol_call call;
+  fol_init (&reader, 1);
+  list_content (&reader, 10);
+  fol_next_call (&reader, RW_SEC, &call);
+  fol_on_error (&reader, FOL_ERROR_REFUSED, RW_SEC);
+  fol_next_call (&reader, 3 * RW_SEC, &call);
+  fol_on_error (&reader, FOL_ERROR_REFUSED, 3 * RW_SEC);
+  /* The news is older than the last failure.  */
+  fol_on_confirmed (&reader, 2 * RW_SEC);
+  assert_int_equal (fol_outage_time (&reader, 4 * RW_SEC), 3 * RW_SEC);
+  fol_on_confirmed (&reader, 4 * RW_SEC);
+  assert_int_equal (fol_outage_time (&reader, 9 * RW_SEC), 0);
+}
+
 /* Guards against reading changes from the store that peers have already
    sent.  */
 TEST (watch_resumes_at_the_revision_of_the_peers)
--- a/lib/gather/gather.c
+++ b/lib/gather/gather.c
@@ -4,10 +4,15 @@
 
 /* Sends of one part beyond plan.max_attempts.  A send that did not run, such
    as one that a shedding target refused, is not counted as an attempt; this
-   limit keeps refusals from being retried without end.  cmd/rwfront/request.c
-   reserves room for as many tried targets of each part: change both.  */
+   limit keeps refusals from being retried without end.  */
 #define MAX_REFUSED_SENDS 4
 
+size_t
+gat_max_sends (const struct gat_plan *plan)
+{
+  return plan->max_attempts + MAX_REFUSED_SENDS;
+}
+
 void
 gat_init (struct gat_query *query, struct rw_arena *arena,
           const struct gat_plan *plan, rw_time now)
@@ -25,7 +30,7 @@
 may_send (const struct gat_query *query, const struct gat_part *part)
 {
   return part->attempts < query->plan.max_attempts
-         && part->sends < query->plan.max_attempts + MAX_REFUSED_SENDS;
+         && part->sends < gat_max_sends (&query->plan);
 }
 
 /* Returns whether PART, which is in flight, may be sent again before its
--- a/lib/gather/gather.h
+++ b/lib/gather/gather.h
@@ -74,6 +74,9 @@
   GAT_GIVE_UP /* the query failed */
 };
 
+/* Returns how often a part may be sent at most, with the sends that a target
+   refused.  */
+size_t gat_max_sends (const struct gat_plan *plan);
 /* Starts a query at NOW, with every part due at once.  PLAN is copied; the
    parts are allocated from ARENA, which must outlive the query.  */
 void gat_init (struct gat_query *query, struct rw_arena *arena,
--- a/lib/steer/fleet.c
+++ b/lib/steer/fleet.c
@@ -50,6 +50,13 @@
   return service;
 }
 
+void
+ste_clear_shards (struct ste_fleet *fleet)
+{
+  for (struct ste_service *s = fleet->first_service; s != NULL; s = s->next)
+    s->is_shard = false;
+}
+
 /* Sets usable_until of a target that begins to leave.  One that is already
    leaving keeps its time.  */
 static void
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -131,6 +131,9 @@
 /* Returns the service NAME, added if it is new.  The fleet owns it, and keeps
    it until ste_finish.  */
 struct ste_service *ste_service (struct ste_fleet *fleet, struct rw_str name);
+/* Clears is_shard of all services, before the shards of another configuration
+   are marked.  */
+void ste_clear_shards (struct ste_fleet *fleet);
 
 /* Applies a list entry of REVISION.  Returns its target, which the fleet owns
    and ste_sweep frees, or null if REVISION is not above the known one.  An
--- a/lib/steer/test_steer.c
+++ b/lib/steer/test_steer.c
@@ -443,6 +443,17 @@
   assert_int_equal (ste_limit_sharers (&f->fleet, f->service), 590);
 }
 
+/* Guards against a service that is counted as a shard although the
+   configuration in force no longer gathers it.  */
+TEST_WITH_FIXTURE (a_service_that_is_no_longer_a_shard_is_shared_evenly)
+{
+  f->fleet.settings.daemon_count = 295;
+  f->fleet.settings.shard_sharers = 590;
+  f->service->is_shard = true;
+  ste_clear_shards (&f->fleet);
+  assert_int_equal (ste_limit_sharers (&f->fleet, f->service), 295);
+}
+
 /* Guards against a peer that works on slow queries and is taken for one that
    does not answer.  */
 TEST_WITH_FIXTURE (progress_ends_a_stall)
--- a/tests/process/front.sh
+++ b/tests/process/front.sh
@@ -188,3 +188,42 @@
 [ $took -lt 1000 ] || fail "a request took $took ms with a blocked log"
 [ "$(metric 2 rwf_log_lines_left_out)" != 0 ] || fail "no line was left out"
 echo "ok: a log that nobody reads delays nothing"
+
+# The network refuses every connection to the store at once.  Guards against a
+# daemon that opens one after the other: control may take 5% of a core.
+ticks() {
+	awk '{ print $14 + $15 }' "/proc/$1/stat"
+}
+settings 5 1
+sed -i 's/^RWF_STORE=.*/RWF_STORE=255.255.255.255:80/' "$DIR/vm-5.settings"
+$BIN/rwfront -s "$DIR/vm-5.settings" >"$DIR/vm-5.log" 2>&1 &
+VM5=$!
+PIDS="$PIDS $VM5"
+await "daemon 5 has started" grep -q started "$DIR/vm-5.log"
+sleep 0.5
+before=$(ticks "$VM5")
+sleep 2
+used=$(($(ticks "$VM5") - before))
+[ $used -le $(($(getconf CLK_TCK) * 2 / 20)) ] ||
+    fail "$used ticks in 2 s without a route to the store"
+# Its peers keep its copy current, which ends the outage once at most: not if it
+# is to read the store for the others, since its own calls fail all the time.
+[ "$(grep -c "store: regained" "$DIR/vm-5.log")" -le 1 ] ||
+    fail "a store that is not regained: $(grep 'store: ' "$DIR/vm-5.log")"
+echo "ok: without a route to the store a daemon takes $used ticks in 2 s"
+
+# The larger daemons die: the small one answers itself, and its lines keep the
+# relay apart from the parts.
+for s in s0-0 s0-1; do control POST /searcher/$s/pause/1200; done
+kill -9 "$VM1" "$VM2" "$VM5"
+expect "a query whose relay fails" "$(request relay-3 /all/x 3)" 200
+lines relay-3 | grep -q 'partial: .*missing=shard0 target=s0-' ||
+    fail "the line of a query whose relay failed: $(lines relay-3)"
+lines relay-3 | grep -q 'span: [a-z]*: .*service=peers target=peer-' ||
+    fail "the hop of a relay that failed: $(lines relay-3)"
+echo "ok: the hops of a query whose relay failed"
+
+# A line of a log may be long, for instance of a program beside it.
+printf '1.0 note: text=%03000d id=long-1\n' 0 >"$DIR/vm-6.log"
+[ "$(lines long-1 | wc -c)" -gt 3000 ] || fail "a long line is split"
+echo "ok: a long line is found whole"
