Count only replies to the hand-overs of the stop

Change: replies are counted by the number of their call; an unknown successor is logged and counted like a refusal.

--- a/lib/node/drain.c
+++ b/lib/node/drain.c
@@ -123,8 +123,13 @@
   struct wir_handoff_call *call = &msg.u.handoff_call;
   const struct nod_peer *peer = nod_peer_by_id (node, handovers[0].successor);
 
+  node->unaccepted_handoffs += node->drain_state != NOD_RUNNING;
   if (peer == NULL)
-    return;
+    {
+      nod_log (node, NOD_LOG_WARN, "drain",
+               "%zu targets have a successor that is not known here.", count);
+      return;
+    }
   call->vm = node->settings.vm;
   call->incarnation = node->settings.incarnation;
   call->dc = rw_str_from (handovers[0].target->dc);
@@ -147,7 +152,6 @@
                                          .remaining = state.remaining };
     }
   add_once_ids (node, handovers, count, call);
-  node->unaccepted_handoffs += node->drain_state != NOD_RUNNING;
   nod_send_message (node, 0, peer, 0, &msg);
 }
 
@@ -180,6 +184,7 @@
       = rw_arena_zalloc (&node->scratch, node->targets.len, sizeof *handovers);
   size_t count = stop_acting (node, handovers);
 
+  node->first_stop_xid = node->last_xid + 1;
   send_handoffs (node, handovers, count);
   nod_log (node, NOD_LOG_INFO, "drain", "%zu targets are handed over.", count);
 }
@@ -360,12 +365,15 @@
   nod_send_message (node, stream->number, NULL, 0, &msg);
 }
 
-/* Handles the reply to a HANDOFF.  A refusal leaves the count above zero, so
-   that the release waits until NOD_HANDOFF_REPLY_TIMEOUT has passed.  */
+/* Handles the reply to the HANDOFF call XID.  A refusal leaves the count above
+   zero, so that the release waits until NOD_HANDOFF_REPLY_TIMEOUT has passed.
+   The reply to a call from before the stop is not counted.  */
 void
-nod_on_handoff_reply (struct nod_node *node,
+nod_on_handoff_reply (struct nod_node *node, uint32_t xid,
                       const struct wir_handoff_reply *reply)
 {
-  if (reply->accepted && node->unaccepted_handoffs > 0)
+  bool of_stop = (int32_t)(xid - node->first_stop_xid) >= 0;
+
+  if (reply->accepted && of_stop && node->unaccepted_handoffs > 0)
     node->unaccepted_handoffs--;
 }
--- a/lib/node/internal.h
+++ b/lib/node/internal.h
@@ -418,6 +418,7 @@
   rw_time drain_deadline;
   size_t unaccepted_handoffs; /* HANDOFF calls without a reply, and refused
                                  ones */
+  uint32_t first_stop_xid;    /* of the HANDOFF calls of the stop */
   rw_time handoff_sent_at;
   rw_time released_at; /* time at which the leases were released */
 
@@ -548,7 +549,7 @@
 void nod_yield_tick (struct nod_node *node);
 void nod_on_handoff (struct nod_node *node, struct nod_stream *stream,
                      uint32_t xid, const struct wir_handoff_call *call);
-void nod_on_handoff_reply (struct nod_node *node,
+void nod_on_handoff_reply (struct nod_node *node, uint32_t xid,
                            const struct wir_handoff_reply *reply);
 
 #endif
--- a/lib/node/stream.c
+++ b/lib/node/stream.c
@@ -376,7 +376,7 @@
       nod_on_handoff (node, stream, msg->xid, &msg->u.handoff_call);
       break;
     case WIR_HANDOFF_REPLY:
-      nod_on_handoff_reply (node, &msg->u.handoff_reply);
+      nod_on_handoff_reply (node, msg->xid, &msg->u.handoff_reply);
       break;
     case WIR_PROBE_CALL:
     case WIR_PROBE_REPLY:
