--- a/cmd/rwfront/answer.c
+++ b/cmd/rwfront/answer.c
@@ -209,7 +209,9 @@
     }
   if (!may_have_run (request))
     {
-      frn_refuse_request (request, FRN_REFUSE_BUSY, RETRY_AFTER_BUSY);
+      frn_refuse_request (
+          request, FRN_REFUSE_BUSY,
+          frn_return_time (request, RETRY_AFTER_BUSY, rw_now ()));
       return;
     }
   frn_log_outcome (request, FRN_FAILED, timed_out ? 504 : 502);
--- a/cmd/rwfront/daemon.c
+++ b/cmd/rwfront/daemon.c
@@ -78,6 +78,12 @@
             daemon->caller_server.busy_count);
 }
 
+/* Intervals without a renewal after which the store drops a target's entry,
+   and the time that an entry takes to come back after an outage of the store.
+ */
+#define ENTRY_EXPIRY_HEARTBEATS 3
+#define ENTRY_RETURN_TIME (2 * RW_SEC)
+
 /* Sets the target selection's settings.  The time for which a draining target
    is used is its drain time less TARGET_DRAIN_MARGIN, but at least half of it
    when the drain time is short.  */
@@ -91,6 +97,9 @@
       = daemon->settings.target_drain_time > 2 * TARGET_DRAIN_MARGIN
             ? daemon->settings.target_drain_time - TARGET_DRAIN_MARGIN
             : daemon->settings.target_drain_time / 2;
+  daemon->fleet.settings.entry_lifetime
+      = ENTRY_EXPIRY_HEARTBEATS * daemon->settings.target_heartbeat
+        + ENTRY_RETURN_TIME;
 }
 
 /* The modification time of the file PATH; 0 if it cannot be read.  */
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -62,6 +62,7 @@
   double cores;           /* processor time of this VM, in cores */
   bool first_start;       /* first start of the whole system: no copies yet */
   rw_time target_drain_time; /* a draining target serves this long */
+  rw_time target_heartbeat;  /* interval at which targets renew their entry */
   rw_time stop_time;         /* from SIGTERM to SIGKILL */
   double budget_ratio;       /* hedges and retries per first send */
   double budget_slack;       /* additional ones per window, all daemons */
@@ -77,6 +78,11 @@
 int frn_settings_read (const char *path, struct frn_settings *settings,
                        struct rw_err *err);
 
+/* The fields and arguments of a log line for a revision.  */
+#define FRN_REVISION_FORMAT "era=%lld revision=%lld"
+#define FRN_REVISION_ARGS(r)                                                  \
+  (long long)rw_revision_era (r), (long long)rw_revision_number (r)
+
 /* How a request ended.  */
 enum frn_outcome
 {
@@ -137,6 +143,9 @@
   struct sta_series *transfers;
   struct sta_series *daemons;
   struct sta_series *store_lost;
+  struct sta_series *store_era;
+  struct sta_series *targets_leaving;
+  struct sta_series *targets_held;
   struct sta_series *config_version;
   struct sta_series *config_age;
   struct sta_series *loop_lag;
@@ -295,9 +304,11 @@
 void frn_view_put (struct frn_daemon *daemon, struct rw_arena *arena,
                    const struct rep_item *item);
 /* Ends a full read: removes the items whose key's hash is not in LISTED,
-   except those newer than REVISION.  */
+   except those newer than REVISION.  In a new era of the store the
+   configuration stays and is added to LISTED, and data centres stay out of
+   service for a time.  */
 void frn_view_retain (struct frn_daemon *daemon, struct rw_arena *arena,
-                      int64_t revision, const struct rw_map *listed);
+                      int64_t revision, struct rw_map *listed);
 /* Ends a batch of changes: all of them up to REVISION are known.  Returns
    whether REVISION is above the previous one.  */
 bool frn_view_commit (struct frn_daemon *daemon, int64_t revision);
@@ -439,6 +450,14 @@
 /* Answers 503 to a request that no target has run, and counts the refusal.  */
 void frn_refuse_request (struct frn_request *request, enum frn_refusal reason,
                          rw_time retry_after);
+/* Returns the time until the least number of parts of REQUEST have a usable
+   target: 0 if they have, RW_TIME_NEVER if that is not known.  */
+rw_time frn_time_until_servable (struct frn_request *request, rw_time now);
+/* Returns when the caller of a refused request is to return: when the targets
+   that asked to be left alone can be used again, or after the USUAL time if
+   that is not what the request waits for.  */
+rw_time frn_return_time (struct frn_request *request, rw_time usual,
+                         rw_time now);
 const char *frn_outcome_name (enum frn_outcome outcome);
 /* Counts the request and writes its log line and spans.  STATUS is 0 if there
    was no answer.  */
--- a/cmd/rwfront/metrics.c
+++ b/cmd/rwfront/metrics.c
@@ -128,6 +128,17 @@
       "time since calls to the store began to fail, 0 while the copy is "
       "confirmed",
       none);
+  m->store_era
+      = sta_gauge (&m->set, "rwf_store_era",
+                   "era of the copy; it rises when the store was restored "
+                   "from an older copy, 0: not stated",
+                   none);
+  m->targets_leaving = sta_counter (
+      &m->set, "rwf_targets_announced_leaving_total",
+      "targets that announced in a reply that they leave", none);
+  m->targets_held = sta_counter (
+      &m->set, "rwf_targets_held_total",
+      "refusals that asked to send nothing for a stated time", none);
   m->config_version = sta_gauge (&m->set, "rwf_config_version",
                                  "version in force, 0: none", none);
   m->config_age = sta_gauge (&m->set, "rwf_config_age_seconds",
@@ -148,6 +159,8 @@
   sta_set_value (m->store_lost,
                  (double)fol_outage_time (&daemon->store.reader, now)
                      / RW_SEC);
+  sta_set_value (m->store_era,
+                 (double)rw_revision_era (daemon->view.replica.revision));
   sta_set_value (m->daemons, (double)daemon->fleet.settings.daemon_count);
   sta_set_value (m->config_version,
                  daemon->config ? (double)daemon->config->version : 0);
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -80,13 +80,10 @@
   ste_on_result (&send->steer, outcome, now);
 }
 
-/* Fails every queued send, as not run, and makes target selection avoid the
-   target for a while.  */
+/* Fails every queued send, as not run.  */
 static void
-fail_queued (struct frn_pool *pool, const char *reason)
+fail_queued (struct frn_pool *pool, const char *reason, rw_time now)
 {
-  rw_time now = rw_now ();
-  ste_back_off (pool->target, now);
   while (pool->queue_head != NULL)
     {
       struct frn_send *send = pool->queue_head;
@@ -96,6 +93,16 @@
     }
 }
 
+/* Fails every queued send, and makes target selection avoid the target for a
+   while.  */
+static void
+back_off (struct frn_pool *pool, const char *reason)
+{
+  rw_time now = rw_now ();
+  ste_back_off (pool->target, now);
+  fail_queued (pool, reason, now);
+}
+
 /* Stops using the target: a reply from its address says that another target is
    there now, so its list entry is out of date.  */
 static void
@@ -103,13 +110,13 @@
 {
   struct frn_daemon *daemon = pool->daemon;
   struct ste_target *target = pool->target;
-  if (!ste_usable (&daemon->fleet, target, now))
+  if (target->gone && now >= target->usable_until)
     return;
   evt_line (&daemon->log, EVT_STATE, "target", now,
-            "replaced: id=%s at=%s:%u revision=%lld", target->id, target->host,
-            target->port, (long long)target->revision);
+            "replaced: id=%s at=%s:%u " FRN_REVISION_FORMAT, target->id,
+            target->host, target->port, FRN_REVISION_ARGS (target->revision));
   ste_mark_replaced (&daemon->fleet, target, now);
-  fail_queued (pool, "target replaced");
+  fail_queued (pool, "target replaced", now);
 }
 
 /* This daemon's share of the connections to the target, 1 to MAX_CONNS.  */
@@ -164,55 +171,109 @@
     }
 }
 
-static enum h1_reply_result
-on_reply (struct h1_client *h1, const struct h1_message *message)
+/* Records what REPLY says about the target itself, whatever request it
+   answers.  Returns whether the target wants no further requests, so that the
+   caller must withdraw the queued sends.  */
+static bool
+note_target_state (struct frn_pool *pool, const struct plt_reply *reply,
+                   rw_time now)
 {
-  struct frn_pool_conn *conn = h1->arg;
-  struct frn_send *send = conn->send;
-  struct ste_target *target = conn->pool->target;
-  struct plt_reply reply;
-  rw_time now = rw_now ();
+  bool withdraw = false;
+  struct frn_daemon *daemon = pool->daemon;
+  struct ste_target *target = pool->target;
+  if (reply->misdirected)
+    return false; /* another target sent it */
+  if (reply->leaving && ste_on_leaving (&daemon->fleet, target, now))
+    {
+      sta_inc (daemon->metrics.targets_leaving);
+      evt_line (&daemon->log, EVT_STATE, "target", now,
+                "announced that it leaves: id=%s usable_ms=%lld", target->id,
+                (long long)((target->usable_until - now) / RW_MSEC));
+      withdraw = true;
+    }
+  if (reply->retry_after > 0)
+    {
+      ste_hold (target, reply->retry_after, now);
+      sta_inc (daemon->metrics.targets_held);
+      evt_line (&daemon->log, EVT_NORMAL, "target", now,
+                "left alone: id=%s ms=%lld", target->id,
+                (long long)((target->held_until - now) / RW_MSEC));
+      withdraw = true;
+    }
+  return withdraw;
+}
 
-  plt_read_reply (message, &reply);
-  /* Skips a reply to an earlier request.  */
-  if (reply.request_id.len > 0
-      && !rw_str_eq (reply.request_id, send->request->id))
-    return H1_REPLY_SKIPPED;
-  if (reply.has_load)
-    ste_on_load_report (target, reply.running, reply.waiting, reply.slots,
-                        now);
+/* Ends the send of CONN with the REPLY that answers it.  */
+static void
+take_reply (struct frn_pool_conn *conn, const struct h1_message *message,
+            const struct plt_reply *reply, rw_time now)
+{
+  struct frn_send *send = conn->send;
+  bool relay = send->request->mode == FRN_MODE_RELAY;
+  if (reply->has_load)
+    ste_on_load_report (conn->pool->target, reply->running, reply->waiting,
+                        reply->slots, now);
   conn->send = NULL;
   send->conn = NULL;
   /* A reply that lacks its request's id or its stamp, which is a signature, is
      not trusted: it may come from something else at the target's address.
      Replies of peers are not signed.  */
-  bool relay = send->request->mode == FRN_MODE_RELAY;
-  bool valid = relay || (reply.request_id.len > 0 && reply.stamp.len > 0);
-  if (reply.not_run || (relay && message->status == 503))
+  bool valid = relay || (reply->request_id.len > 0 && reply->stamp.len > 0);
+  if (reply->not_run || (relay && message->status == 503))
     end_send (send, STE_SHED, now);
   else if (valid && (relay || message->status < 500))
     end_send (send, STE_OK, now);
   else
     end_send (send, STE_FAILED, now);
-  if (reply.misdirected && !relay)
+  if (reply->misdirected && !relay)
     drop_target (conn->pool, now);
-  if (!valid && !reply.not_run)
+  if (!valid && !reply->not_run)
     {
-      h1->reusable = false;
+      conn->h1.reusable = false;
       frn_on_send_failed (send, GAT_FAIL_UNKNOWN, "unsigned answer");
     }
   else
-    frn_on_send_reply (send, message, &reply);
-  return H1_REPLY_ACCEPTED;
+    frn_on_send_reply (send, message, reply);
 }
 
-/* A larger peer still works on a relayed request.  */
+static enum h1_reply_result
+on_reply (struct h1_client *h1, const struct h1_message *message)
+{
+  struct frn_pool_conn *conn = h1->arg;
+  struct frn_pool *pool = conn->pool;
+  const struct frn_request *request = conn->send->request;
+  enum h1_reply_result result = H1_REPLY_ACCEPTED;
+  struct plt_reply reply;
+  rw_time now = rw_now ();
+
+  plt_read_reply (message, &reply);
+  bool withdraw = request->mode != FRN_MODE_RELAY
+                  && note_target_state (pool, &reply, now);
+  /* Skips a reply to an earlier request.  */
+  if (reply.request_id.len > 0 && !rw_str_eq (reply.request_id, request->id))
+    result = H1_REPLY_SKIPPED;
+  else
+    take_reply (conn, message, &reply, now);
+  if (withdraw)
+    fail_queued (pool, "target wants no requests", now);
+  return result;
+}
+
+/* A larger peer still works on a relayed request, or a target tells its
+   state.  */
 static void
-on_interim (struct h1_client *h1)
+on_interim (struct h1_client *h1, const struct h1_message *message)
 {
   struct frn_pool_conn *conn = h1->arg;
+  struct plt_reply reply;
   if (conn->send->request->mode == FRN_MODE_RELAY)
-    ste_on_progress (conn->pool->target, rw_now ());
+    {
+      ste_on_progress (conn->pool->target, rw_now ());
+      return;
+    }
+  plt_read_reply (message, &reply);
+  if (note_target_state (conn->pool, &reply, rw_now ()))
+    fail_queued (conn->pool, "target wants no requests", rw_now ());
 }
 
 static void
@@ -243,7 +304,7 @@
       frn_on_send_failed (send, GAT_FAIL_UNKNOWN, "connection lost");
     }
   if (connecting && pool->conn_count == 0)
-    fail_queued (pool, "cannot connect");
+    back_off (pool, "cannot connect");
   else
     pool_serve (pool);
 }
@@ -276,7 +337,7 @@
   struct frn_pool_conn *conn;
   if (uv_ip4_addr (pool->target->host, pool->target->port, &addr) != 0)
     {
-      fail_queued (pool, "invalid address");
+      back_off (pool, "invalid address");
       return;
     }
   conn = rw_xcalloc (1, sizeof *conn);
@@ -294,7 +355,7 @@
     {
       pool_remove_conn (conn);
       if (pool->conn_count == 0)
-        fail_queued (pool, "cannot connect");
+        back_off (pool, "cannot connect");
     }
 }
 
@@ -410,7 +471,7 @@
         conn_close (conn);
     }
   if ((timed_out && pool->conn_count == 0) || is_connect_overdue (pool, now))
-    fail_queued (pool, "no connection in time");
+    back_off (pool, "no connection in time");
 }
 
 /* Whether a connection to TARGET is opened in advance, so that a first send or
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -48,6 +48,9 @@
 /* Retry-After of a refusal for lack of targets.  Short, as another daemon may
    be able to serve the request at once.  */
 #define RETRY_AFTER_NO_TARGET (200 * RW_MSEC)
+/* Callers that are told when targets can be used again return within this
+   fraction of the time after it, not all at once.  */
+#define RETURN_SPREAD_DIVISOR 4
 
 static void run_request (struct frn_request *request);
 static void start_local (struct frn_request *request);
@@ -631,17 +634,28 @@
   run_request (request);
 }
 
-/* Whether enough parts have a usable target.  If not, the request is refused
-   at once, before any part is sent.  */
-static bool
-is_servable (const struct frn_request *request, rw_time now)
+rw_time
+frn_time_until_servable (struct frn_request *request, rw_time now)
 {
   const struct gat_plan *plan = &request->query.plan;
-  size_t served = 0;
+  double *times
+      = rw_arena_zalloc (&request->arena, plan->part_count, sizeof *times);
   for (size_t i = 0; i < plan->part_count; i++)
-    served
-        += ste_any_usable (&request->daemon->fleet, request->services[i], now);
-  return served >= plan->min_parts;
+    times[i] = ste_time_until_usable (&request->daemon->fleet,
+                                      request->services[i], now);
+  double time = gat_time_until_enough (times, plan);
+  return time < (double)RW_TIME_NEVER ? (rw_time)time : RW_TIME_NEVER;
+}
+
+rw_time
+frn_return_time (struct frn_request *request, rw_time usual, rw_time now)
+{
+  rw_time wait = frn_time_until_servable (request, now);
+  if (wait == 0 || wait == RW_TIME_NEVER)
+    return usual;
+  return wait
+         + (rw_time)rw_rng_below (&request->daemon->fleet.rng,
+                                  (uint64_t)wait / RETURN_SPREAD_DIVISOR + 1);
 }
 
 static void
@@ -661,14 +675,16 @@
   request->mode = FRN_MODE_LOCAL;
   init_query (request, &plan);
   bind_services (request);
-  if (is_servable (request, rw_now ()))
+  rw_time now = rw_now ();
+  if (frn_time_until_servable (request, now) == 0)
     {
       if (frn_overload_admit (request))
         run_request (request);
       return;
     }
   request->last_error = "no target";
-  frn_refuse_request (request, FRN_REFUSE_NO_TARGET, RETRY_AFTER_NO_TARGET);
+  frn_refuse_request (request, FRN_REFUSE_NO_TARGET,
+                      frn_return_time (request, RETRY_AFTER_NO_TARGET, now));
   frn_request_end (request);
 }
 
--- a/cmd/rwfront/settings.c
+++ b/cmd/rwfront/settings.c
@@ -110,6 +110,8 @@
     return parse_count (value, &s->max_files);
   else if (rw_str_eq_cstr (name, "RWF_TARGET_DRAIN_MS"))
     return parse_time (value, RW_MSEC, &s->target_drain_time);
+  else if (rw_str_eq_cstr (name, "RWF_TARGET_HEARTBEAT_MS"))
+    return parse_time (value, RW_MSEC, &s->target_heartbeat);
   else if (rw_str_eq_cstr (name, "RWF_STOP_S"))
     return parse_time (value, RW_SEC, &s->stop_time);
   else if (rw_str_eq_cstr (name, "RWF_EXTRA_RATIO"))
@@ -128,6 +130,7 @@
   settings->max_files = 1024;
   settings->cores = 1;
   settings->target_drain_time = 3 * RW_SEC;
+  settings->target_heartbeat = 1200 * RW_MSEC;
   settings->stop_time = 6 * RW_SEC;
   settings->budget_ratio = 0.1;
   settings->budget_slack = 10;
--- a/cmd/rwfront/store.c
+++ b/cmd/rwfront/store.c
@@ -44,14 +44,15 @@
   rw_time now = rw_now ();
   if (!store->reader.in_call)
     return;
-  if (store->reader.failing_since == 0 && error != FOL_ERROR_COMPACTED)
+  bool list_again = error == FOL_ERROR_COMPACTED || error == FOL_ERROR_NEW_ERA;
+  if (list_again)
     evt_line (&daemon->log, EVT_STATE, "store", now,
-              "lost: reason=\"%s\" revision=%lld", reason,
-              (long long)store->reader.revision);
-  if (error == FOL_ERROR_COMPACTED)
+              "%s, reading again: " FRN_REVISION_FORMAT, reason,
+              FRN_REVISION_ARGS (store->reader.revision));
+  else if (store->reader.failing_since == 0)
     evt_line (&daemon->log, EVT_STATE, "store", now,
-              "history is gone, reading again: revision=%lld",
-              (long long)store->reader.revision);
+              "lost: reason=\"%s\" " FRN_REVISION_FORMAT, reason,
+              FRN_REVISION_ARGS (store->reader.revision));
   sta_inc (daemon->metrics.store_errors);
   store->call_unsent = false;
   fol_on_error (&store->reader, error, now);
@@ -68,8 +69,8 @@
   frn_view_retain (daemon, arena, revision, &store->listed_keys);
   frn_view_commit (daemon, revision);
   evt_line (&daemon->log, EVT_STATE, "store", rw_now (),
-            "read: revision=%lld targets=%zu", (long long)revision,
-            daemon->fleet.targets.len);
+            "read: " FRN_REVISION_FORMAT " targets=%zu",
+            FRN_REVISION_ARGS (revision), daemon->fleet.targets.len);
 }
 
 static void
@@ -117,16 +118,16 @@
     log_regained (daemon, outage_time, now);
 }
 
-/* Applies the answer to the call in progress.  */
+/* Applies the answer to the call in progress, given in ERA.  */
 static void
 apply_page (struct frn_daemon *daemon, struct rw_arena *arena,
-            struct rw_str body)
+            struct rw_str body, int64_t era)
 {
   struct frn_store *store = &daemon->store;
   struct plt_page page;
   struct rw_err err;
   rw_time now = rw_now ();
-  if (plt_decode_page (arena, body, &page, &err) != 0)
+  if (plt_decode_page (arena, body, era, &page, &err) != 0)
     {
       fail_call (daemon, FOL_ERROR_NO_REPLY, err.detail);
       return;
@@ -153,15 +154,53 @@
   set_timer (daemon, fol_next_call_time (&store->reader));
 }
 
+/* Sets *ERA to that of REPLY.  Fails the call and returns false if the reply
+   cannot be used because of its era: a reply of an older era than the copy
+   would bring back what the store has lost or replaced since.  */
+static bool
+check_era (struct frn_daemon *daemon, const struct h1_message *reply,
+           int64_t *era)
+{
+  struct fol_reader *reader = &daemon->store.reader;
+  int r = plt_read_era (reply, era);
+  if (r == RW_E_NOT_FOUND)
+    *era = fol_known_era (reader);
+  else if (r != 0)
+    {
+      fail_call (daemon, FOL_ERROR_NO_REPLY, "invalid era");
+      return false;
+    }
+  if (*era < rw_revision_era (daemon->view.replica.revision))
+    {
+      fail_call (daemon, FOL_ERROR_NO_REPLY, "answer of an older era");
+      return false;
+    }
+  switch (fol_check_era (reader, *era))
+    {
+    case FOL_ERA_SAME:
+      return true;
+    case FOL_ERA_NEWER:
+      fail_call (daemon, FOL_ERROR_NEW_ERA, "restored from an older copy");
+      return false;
+    case FOL_ERA_OLDER:
+      break;
+    }
+  fail_call (daemon, FOL_ERROR_NO_REPLY, "answer of an older era");
+  return false;
+}
+
 static enum h1_reply_result
 on_reply (struct h1_client *conn, const struct h1_message *reply)
 {
   struct frn_daemon *daemon = conn->arg;
   struct rw_arena arena;
+  int64_t era;
   /* The call failed already, for instance by its timeout.  */
   if (!daemon->store.reader.in_call)
     return H1_REPLY_ACCEPTED;
   sta_inc (daemon->metrics.store_calls);
+  if (!check_era (daemon, reply, &era))
+    return H1_REPLY_ACCEPTED;
   if (reply->status == PLT_STATUS_COMPACTED)
     fail_call (daemon, FOL_ERROR_COMPACTED, "history is gone");
   else if (reply->status != 200)
@@ -169,7 +208,7 @@
   else
     {
       rw_arena_init (&arena, REPLY_ARENA_BLOCK);
-      apply_page (daemon, &arena, reply->body);
+      apply_page (daemon, &arena, reply->body, era);
       rw_arena_finish (&arena);
     }
   return H1_REPLY_ACCEPTED;
--- a/cmd/rwfront/view.c
+++ b/cmd/rwfront/view.c
@@ -47,8 +47,8 @@
   if (plt_decode_config (item->value, config, &err) != 0)
     {
       evt_line (&daemon->log, EVT_STATE, "config", now,
-                "refused: revision=%lld reason=\"%s\"",
-                (long long)item->revision, err.detail);
+                "refused: " FRN_REVISION_FORMAT " reason=\"%s\"",
+                FRN_REVISION_ARGS (item->revision), err.detail);
       cat_config_unref (config);
       return;
     }
@@ -80,8 +80,8 @@
     {
       ste_remove (&daemon->fleet, id, item->revision, now);
       evt_line (&daemon->log, EVT_STATE, "target", now,
-                "gone: id=%s revision=%lld", evt_value (id).text,
-                (long long)item->revision);
+                "gone: id=%s " FRN_REVISION_FORMAT, evt_value (id).text,
+                FRN_REVISION_ARGS (item->revision));
       return;
     }
   if (plt_decode_target (arena, id, item->value, &entry, &err) != 0)
@@ -92,13 +92,13 @@
       return;
     }
   if (ste_put (&daemon->fleet, &entry, item->revision, now) != NULL)
-    evt_line (
-        &daemon->log, entry.draining ? EVT_STATE : EVT_SAMPLED, "target", now,
-        "%s: id=%s service=%s dc=%s cold_ms=%lld "
-        "revision=%lld",
-        entry.draining ? "leaving" : "listed", evt_value (entry.id).text,
-        evt_value (entry.service).text, evt_value (entry.dc).text,
-        (long long)(entry.warmup_left / RW_MSEC), (long long)item->revision);
+    evt_line (&daemon->log, entry.draining ? EVT_STATE : EVT_SAMPLED, "target",
+              now,
+              "%s: id=%s service=%s dc=%s cold_ms=%lld " FRN_REVISION_FORMAT,
+              entry.draining ? "leaving" : "listed", evt_value (entry.id).text,
+              evt_value (entry.service).text, evt_value (entry.dc).text,
+              (long long)(entry.warmup_left / RW_MSEC),
+              FRN_REVISION_ARGS (item->revision));
 }
 
 /* Rebuilds the list of data centres out of service from all items.  At most
@@ -138,44 +138,110 @@
       break;
     case PLT_DC_OUT:
       view->dcs_out_changed = true;
+      ste_release_dc (&daemon->fleet, rw_hash (name));
       evt_line (&daemon->log, EVT_STATE, "dc", rw_now (),
-                "%s of service: name=%s revision=%lld",
+                "%s of service: name=%s " FRN_REVISION_FORMAT,
                 item->removed ? "no longer out" : "out", evt_value (name).text,
-                (long long)item->revision);
+                FRN_REVISION_ARGS (item->revision));
       break;
     case PLT_OTHER:
       break;
     }
 }
 
+/* Returns the version of the configuration in ITEM, 0 if it is invalid.  */
+static uint64_t
+config_version (const struct rep_item *item)
+{
+  struct rw_err err;
+  struct cat_config *config = cat_config_new ();
+  uint64_t version = plt_decode_config (item->value, config, &err) == 0
+                         ? config->version
+                         : 0;
+  cat_config_unref (config);
+  return version;
+}
+
+/* Returns whether REVISION is of a newer era than the copy.  */
+static bool
+is_new_era (const struct frn_daemon *daemon, int64_t revision)
+{
+  return rw_revision_era (revision)
+         > rw_revision_era (daemon->view.replica.revision);
+}
+
+/* A store that was restored from an older copy may list an older configuration
+   than the one in force, until the newer one is published again.  Returns the
+   item to keep for ITEM: with the value of the newer configuration, which a
+   daemon that starts meanwhile then gets from its peers.  */
+static struct rep_item
+newer_config (const struct frn_daemon *daemon, const struct rep_item *item)
+{
+  const struct rep_item *known = rep_find (&daemon->view.replica, item->key);
+  struct rep_item kept = *item;
+  if (known != NULL && config_version (known) > config_version (item))
+    kept.value = known->value;
+  return kept;
+}
+
 void
 frn_view_put (struct frn_daemon *daemon, struct rw_arena *arena,
               const struct rep_item *item)
 {
-  if (item->key.len > 0 && rep_put (&daemon->view.replica, item))
-    apply_item (daemon, arena, item);
+  struct rep_item kept = *item;
+  struct rw_str name;
+  if (item->key.len == 0)
+    return;
+  if (!item->removed && plt_classify_key (item->key, &name) == PLT_CONFIG
+      && is_new_era (daemon, item->revision))
+    kept = newer_config (daemon, item);
+  if (rep_put (&daemon->view.replica, &kept))
+    apply_item (daemon, arena, &kept);
 }
 
 struct retain_arg
 {
   struct frn_daemon *daemon;
   struct rw_arena *arena;
+  bool new_era;
 };
 
+/* Applies the removal of an item that a full read did not return.  In a new
+   era of the store that is no order: a data centre that was out of service
+   stays so until the operator has had time to say it again.  */
 static void
 on_removed (void *arg, const struct rep_item *item)
 {
-  struct retain_arg *retain_arg = arg;
-  apply_item (retain_arg->daemon, retain_arg->arena, item);
+  struct retain_arg *retain = arg;
+  struct rw_str name;
+  rw_time now = rw_now ();
+  apply_item (retain->daemon, retain->arena, item);
+  if (!retain->new_era || plt_classify_key (item->key, &name) != PLT_DC_OUT)
+    return;
+  ste_hold_dc_out (&retain->daemon->fleet, rw_hash (name), now);
+  evt_line (&retain->daemon->log, EVT_STATE, "dc", now,
+            "held out of service: name=%s ms=%lld", evt_value (name).text,
+            (long long)(STE_DC_HOLD_TIME / RW_MSEC));
 }
 
 void
 frn_view_retain (struct frn_daemon *daemon, struct rw_arena *arena,
-                 int64_t revision, const struct rw_map *listed)
+                 int64_t revision, struct rw_map *listed)
 {
-  struct retain_arg retain_arg = { daemon, arena };
-  rep_retain (&daemon->view.replica, revision, listed, on_removed,
-              &retain_arg);
+  struct frn_view *view = &daemon->view;
+  struct retain_arg retain = { daemon, arena, is_new_era (daemon, revision) };
+  struct rw_str config_key = rw_str_from (view->config_key);
+  const struct rep_item *config = rep_find (&view->replica, config_key);
+  /* The configuration in force stays if the store has lost all of them.  */
+  if (retain.new_era && config != NULL
+      && rw_map_get (listed, rw_hash (config_key)) == NULL)
+    {
+      struct rep_item kept = *config;
+      kept.revision = revision;
+      (void)rep_put (&view->replica, &kept);
+      rw_map_put (listed, rw_hash (config_key), daemon);
+    }
+  rep_retain (&view->replica, revision, listed, on_removed, &retain);
 }
 
 /* If a batch changes the configuration several times, only the last version is
--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -183,6 +183,19 @@
 void *rw_map_remove (struct rw_map *map, uint64_t key);
 void *rw_map_next (const struct rw_map *map, size_t *position);
 
+/* A revision of the platform's store.  A store that is restored from an older
+   copy loses changes and gives their numbers out again, in a new era.  A
+   revision therefore holds the era above the store's number, so that revisions
+   compare as integers in the order of what is newer.  Without eras it is the
+   store's number.  */
+#define RW_ERA_MAX ((1 << 20) - 1)
+/* Sets *REVISION from an era and the store's number in it.  Returns 0, or
+   RW_E_RANGE if ERA is not in 0 to RW_ERA_MAX or NUMBER not in 0 to 2^43 - 1.
+ */
+int rw_revision_make (int64_t era, int64_t number, int64_t *revision);
+int64_t rw_revision_era (int64_t revision);
+int64_t rw_revision_number (int64_t revision);
+
 /* A priority queue of items by time, for timers and events, as a binary heap.
    Entries of equal time are popped in the order in which they were pushed.  */
 struct rw_heap_entry
--- a/lib/base/test_base.c
+++ b/lib/base/test_base.c
@@ -118,3 +118,25 @@
     }
   rw_map_finish (&map);
 }
+
+/* Guards against taking a number of an old era for a newer one, and against
+   eras or numbers that run into each other.  */
+TEST (revisions_are_ordered_by_era_first)
+{
+  int64_t old;
+  int64_t new;
+  int64_t greatest = (INT64_C (1) << 43) - 1;
+  assert_int_equal (rw_revision_make (0, 7, &old), 0);
+  assert_int_equal (old, 7);
+  assert_int_equal (rw_revision_make (1, greatest, &old), 0);
+  assert_int_equal (rw_revision_make (2, 1, &new), 0);
+  assert_true (new > old);
+  assert_int_equal (rw_revision_era (old), 1);
+  assert_int_equal (rw_revision_number (old), greatest);
+  assert_int_equal (rw_revision_make (RW_ERA_MAX, greatest, &new), 0);
+  assert_true (new > old);
+  assert_int_equal (rw_revision_make (RW_ERA_MAX + 1, 1, &new), RW_E_RANGE);
+  assert_int_equal (rw_revision_make (-1, 1, &new), RW_E_RANGE);
+  assert_int_equal (rw_revision_make (1, greatest + 1, &new), RW_E_RANGE);
+  assert_int_equal (rw_revision_make (1, -1, &new), RW_E_RANGE);
+}
--- a/lib/follow/follow.c
+++ b/lib/follow/follow.c
@@ -83,6 +83,26 @@
   reader->last_reply = now;
 }
 
+int64_t
+fol_known_era (const struct fol_reader *reader)
+{
+  int64_t revision = reader->revision;
+  if (reader->listing && !reader->first_page)
+    revision = reader->listing_revision;
+  return rw_revision_era (revision);
+}
+
+enum fol_era
+fol_check_era (const struct fol_reader *reader, int64_t era)
+{
+  int64_t known = fol_known_era (reader);
+  if (era < known)
+    return FOL_ERA_OLDER;
+  if (era == known || (reader->listing && reader->first_page))
+    return FOL_ERA_SAME;
+  return FOL_ERA_NEWER;
+}
+
 bool
 fol_on_page (struct fol_reader *reader, int64_t revision, bool more,
              rw_time now)
@@ -121,7 +141,7 @@
   reader->short_waits_until = now + SHORT_WAIT_PERIOD;
   if (reader->listing)
     reader->first_page = true;
-  if (error == FOL_ERROR_COMPACTED)
+  if (error == FOL_ERROR_COMPACTED || error == FOL_ERROR_NEW_ERA)
     {
       /* Not an outage: the store replied, and a listing can start at once.  */
       record_reply (reader, now);
--- a/lib/follow/follow.h
+++ b/lib/follow/follow.h
@@ -1,5 +1,7 @@
 /* Follows the revisions of a read-only store by list and watch: lists the
    whole content page by page, then watches for changes by long-polling calls.
+   After a new era of the store (see rw_revision_make) the content is listed
+   again, as changes that were known may be lost.
    The pages are not one snapshot, so the watch starts at the revision of the
    first page; the caller must ignore a change that is older than its copy of
    the entry.  The caller does the I/O and reports the results: one call at a
@@ -28,9 +30,18 @@
 
 enum fol_error
 {
-  FOL_ERROR_REFUSED,  /* the store replied that it did nothing */
-  FOL_ERROR_NO_REPLY, /* no reply, or one that cannot be decoded */
-  FOL_ERROR_COMPACTED /* the store no longer has the changes asked for */
+  FOL_ERROR_REFUSED,   /* the store replied that it did nothing */
+  FOL_ERROR_NO_REPLY,  /* no reply, or one that cannot be decoded */
+  FOL_ERROR_COMPACTED, /* the store no longer has the changes asked for */
+  FOL_ERROR_NEW_ERA    /* the reply is of a newer era than the call */
+};
+
+/* How the era of a reply compares with that of its call.  */
+enum fol_era
+{
+  FOL_ERA_SAME,
+  FOL_ERA_NEWER, /* its revisions cannot be compared with those known */
+  FOL_ERA_OLDER  /* the reply is out of date */
 };
 
 struct fol_reader
@@ -64,6 +75,13 @@
 void fol_resume (struct fol_reader *reader, int64_t revision);
 /* Returns when the next call is due, RW_TIME_NEVER while one is in flight.  */
 rw_time fol_next_call_time (const struct fol_reader *reader);
+/* Returns the era of the content that is being read: of a reply that does not
+   state its era.  */
+int64_t fol_known_era (const struct fol_reader *reader);
+/* Compares ERA, which the reply to the call in flight states.  The first page
+   of a listing may be of a newer era than what was known: the result is then
+   FOL_ERA_SAME.  */
+enum fol_era fol_check_era (const struct fol_reader *reader, int64_t era);
 /* Records a page that was read at REVISION; MORE says that it is not the last
    one.  Returns true if it is the last one: the store then no longer has those
    entries that were on none of the pages and are not newer than
@@ -74,7 +92,8 @@
 void fol_on_changes (struct fol_reader *reader, int64_t revision, rw_time now);
 /* Records that the call in flight failed.  The next call is due after an
    exponential backoff; a listing that failed starts again from its first page.
-   If the history was compacted, a new listing is due at once.  */
+   If the history was compacted, or a new era began, a new listing is due at
+   once.  */
 void fol_on_error (struct fol_reader *reader, enum fol_error error,
                    rw_time now);
 /* Records that the copy was current at AT, as a peer that reads the store
--- a/lib/follow/test_follow.c
+++ b/lib/follow/test_follow.c
@@ -133,3 +133,66 @@
   assert_true (fol_next_call (&reader, RW_SEC, &call));
   assert_int_equal (call.revision, 45);
 }
+
+static int64_t
+revision_in (int64_t era, int64_t number)
+{
+  int64_t revision;
+  assert_int_equal (rw_revision_make (era, number, &revision), 0);
+  return revision;
+}
+
+/* Guards against a watch that goes on in a store that was restored from an
+   older copy: the changes that were lost would stay in the copy.  */
+TEST (a_new_era_causes_a_listing_at_once)
+{
+  struct fol_reader reader;
+  struct fol_call call;
+  fol_init (&reader, 1);
+  list_content (&reader, revision_in (3, 10));
+  fol_next_call (&reader, RW_SEC, &call);
+  assert_int_equal (fol_known_era (&reader), 3);
+  assert_int_equal (fol_check_era (&reader, 3), FOL_ERA_SAME);
+  assert_int_equal (fol_check_era (&reader, 2), FOL_ERA_OLDER);
+  assert_int_equal (fol_check_era (&reader, 4), FOL_ERA_NEWER);
+  assert_int_equal (fol_check_era (&reader, 9), FOL_ERA_NEWER);
+  fol_on_error (&reader, FOL_ERROR_NEW_ERA, RW_SEC);
+  assert_true (fol_next_call (&reader, RW_SEC, &call));
+  assert_true (call.first_page);
+  assert_int_equal (fol_check_era (&reader, 4), FOL_ERA_SAME);
+  assert_true (fol_on_page (&reader, revision_in (4, 2), false, RW_SEC));
+  assert_int_equal (reader.revision, revision_in (4, 2));
+}
+
+/* Guards against a listing whose pages are of two eras.  */
+TEST (a_listing_that_spans_two_eras_starts_again)
+{
+  struct fol_reader reader;
+  struct fol_call call;
+  fol_init (&reader, 1);
+  fol_next_call (&reader, 0, &call);
+  assert_int_equal (fol_check_era (&reader, 5), FOL_ERA_SAME);
+  fol_on_page (&reader, revision_in (5, 10), true, 0);
+  fol_next_call (&reader, 0, &call);
+  assert_int_equal (fol_check_era (&reader, 5), FOL_ERA_SAME);
+  assert_int_equal (fol_check_era (&reader, 6), FOL_ERA_NEWER);
+  fol_on_error (&reader, FOL_ERROR_NEW_ERA, 0);
+  assert_true (fol_next_call (&reader, 0, &call));
+  assert_true (call.first_page);
+}
+
+/* Guards against listing the store by each reader although a peer has the copy
+   of the new era, and against going on with a copy of the old one.  */
+TEST (a_copy_of_the_new_era_from_a_peer_replaces_the_listing)
+{
+  struct fol_reader reader;
+  struct fol_call call;
+  fol_init (&reader, 1);
+  list_content (&reader, revision_in (3, 10));
+  fol_next_call (&reader, RW_SEC, &call);
+  fol_on_error (&reader, FOL_ERROR_NEW_ERA, RW_SEC);
+  fol_resume (&reader, revision_in (4, 2));
+  assert_true (fol_next_call (&reader, RW_SEC, &call));
+  assert_int_equal (call.kind, FOL_CALL_WATCH);
+  assert_int_equal (call.revision, revision_in (4, 2));
+}
--- a/lib/gather/gather.c
+++ b/lib/gather/gather.c
@@ -1,3 +1,4 @@
+#include <stdlib.h>
 #include <string.h>
 
 #include "gather.h"
@@ -160,6 +161,23 @@
   p->due = now + backoff;
 }
 
+static int
+compare_times (const void *a, const void *b)
+{
+  double x = *(const double *)a;
+  double y = *(const double *)b;
+  return (x > y) - (x < y);
+}
+
+double
+gat_time_until_enough (double *times, const struct gat_plan *plan)
+{
+  if (plan->min_parts == 0)
+    return 0;
+  qsort (times, plan->part_count, sizeof *times, compare_times);
+  return times[plan->min_parts - 1];
+}
+
 enum gat_decision
 gat_decide (const struct gat_query *query, rw_time now)
 {
--- a/lib/gather/gather.h
+++ b/lib/gather/gather.h
@@ -115,6 +115,9 @@
    run.  A part that is already done or lost stays so.  */
 void gat_on_failure (struct gat_query *query, size_t part,
                      enum gat_failure failure, rw_time now, rw_time backoff);
+/* Returns the time until the least number of parts can be sent, 0 if they can
+   be sent now; TIMES has that of each part, and is reordered.  */
+double gat_time_until_enough (double *times, const struct gat_plan *plan);
 /* Decides at NOW whether to wait, answer or give up.  The query is answered
    early if all parts are done, and fails early if min_parts parts cannot be
    done any more.  */
--- a/lib/h1/client.c
+++ b/lib/h1/client.c
@@ -48,9 +48,10 @@
   h1_reader_message (&client->reader, &reply);
   if (reply.status >= 100 && reply.status < 200)
     {
-      await_another_reply (client);
       if (client->ops->on_interim != NULL)
-        client->ops->on_interim (client);
+        client->ops->on_interim (client, &reply);
+      if (client->state == H1_CLIENT_BUSY)
+        await_another_reply (client);
       return;
     }
   client->reusable = reply.keep_alive;
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -218,9 +218,10 @@
   void (*on_disconnect) (struct h1_client *client, int code);
   /* The last call; the client's memory may be freed.  */
   void (*on_closed) (struct h1_client *client);
-  /* An interim (1xx) reply arrived: the server still works on the request.
-     May be null.  */
-  void (*on_interim) (struct h1_client *client);
+  /* An interim (1xx) REPLY arrived, which is valid during the call: the server
+     still works on the request.  May be null.  */
+  void (*on_interim) (struct h1_client *client,
+                      const struct h1_message *reply);
 };
 
 struct h1_client
--- a/lib/h1/test_h1.c
+++ b/lib/h1/test_h1.c
@@ -110,8 +110,9 @@
 }
 
 static void
-on_interim (struct h1_client *client)
+on_interim (struct h1_client *client, const struct h1_message *reply)
 {
+  assert_in_range (reply->status, 100, 199);
   (void)client;
   current->interim_count++;
 }
--- a/lib/replica/replica.c
+++ b/lib/replica/replica.c
@@ -78,6 +78,8 @@
     return false;
   if (known != NULL && known->revision >= item->revision)
     return false;
+  if (rw_revision_era (item->revision) < rw_revision_era (replica->revision))
+    return false;
   if (known == NULL && item->removed
       && item->revision <= replica->purged_revision)
     return false;
@@ -136,6 +138,9 @@
       replica->change_count++;
       gone (arg, item);
     }
+  /* Items that came and went since the last read left no tombstone.  */
+  if (revision > replica->purged_revision)
+    replica->purged_revision = revision;
   if (replica->tombstone_count > REP_MAX_TOMBSTONES)
     purge_tombstones (replica);
 }
--- a/lib/replica/replica.h
+++ b/lib/replica/replica.h
@@ -1,6 +1,10 @@
 /* A daemon's copy of the store's items in memory, and its transfer between
    daemons.  A copy at revision R has every change up to R; single items may be
-   newer.  An item is never replaced by an older one.  */
+   newer.  An item is never replaced by an older one.
+
+   Revisions hold the era of the store, see rw_revision_make.  In a new era the
+   store has lost changes that a copy may have, so a copy enters an era only by
+   a full read or a full transfer.  */
 
 #ifndef REP_REPLICA_H
 #define REP_REPLICA_H
@@ -19,7 +23,8 @@
 {
   struct rw_map items; /* struct rep_item by hash of the key, on the heap */
   int64_t revision;    /* 0: nothing was read yet */
-  /* Tombstones up to this revision may have been dropped.  */
+  /* Tombstones up to this revision may be missing: they were dropped, or the
+     items came and went between two full reads.  */
   int64_t purged_revision;
   size_t tombstone_count;
   uint64_t change_count; /* raised by each change of items or revision */
@@ -40,8 +45,9 @@
 void rep_init (struct rep_replica *replica);
 void rep_finish (struct rep_replica *replica);
 /* Stores a copy of ITEM.  Returns false, and stores nothing, if the replica
-   has the item at the same or a newer revision, or if ITEM is a removal so old
-   that its tombstone may have been dropped.  */
+   has the item at the same or a newer revision, if ITEM is of an older era
+   than the replica, or if ITEM is a removal so old that its tombstone may have
+   been dropped.  */
 bool rep_put (struct rep_replica *replica, const struct rep_item *item);
 /* Raises the revision of the replica to REVISION, up to which the caller has
    put all changes.  A lower REVISION is ignored.  */
--- a/lib/steer/fleet.c
+++ b/lib/steer/fleet.c
@@ -31,6 +31,7 @@
     }
   rw_map_finish (&fleet->services);
   rw_map_finish (&fleet->targets);
+  free (fleet->departed);
 }
 
 struct ste_service *
@@ -57,21 +58,77 @@
     s->is_shard = false;
 }
 
-/* Sets usable_until of a target that begins to leave.  One that is already
-   leaving keeps its time.  */
+/* Sets usable_until of a target that begins to leave.  One that began to leave
+   before keeps its time, also if its entry no longer said so meanwhile.  */
 static void
 start_leaving (struct ste_fleet *fleet, struct ste_target *target, rw_time now)
 {
-  rw_time until = now + fleet->settings.leave_time;
-  if (!target->draining && !target->gone)
-    target->usable_until = until;
+  if (!target->draining && !target->gone && target->usable_until == 0)
+    target->usable_until = now + fleet->settings.leave_time;
+}
+
+/* Hash of what tells the process of a target from others with its id.  */
+static uint64_t
+identity_of (struct rw_str host, uint16_t port, struct rw_str service,
+             int64_t start_time_ms)
+{
+  return rw_hash_u64 (rw_hash_pair (host, service),
+                      rw_hash_u64 (port, (uint64_t)start_time_ms));
+}
+
+static uint64_t
+entry_identity (const struct cat_target *entry)
+{
+  return identity_of (entry->host, entry->port, entry->service,
+                      entry->start_time_ms);
 }
 
-/* Takes TARGET off the list.  It stays in memory until ste_sweep.  */
 static void
-mark_gone (struct ste_fleet *fleet, struct ste_target *target, rw_time now)
+remember_departed (struct ste_fleet *fleet, const struct ste_target *target,
+                   int64_t revision)
+{
+  if (fleet->departed == NULL)
+    fleet->departed = rw_xcalloc (STE_MAX_DEPARTED, sizeof *fleet->departed);
+  fleet->departed[fleet->departed_next] = (struct ste_departed){
+    .key = target->key,
+    .identity
+    = identity_of (rw_str_from (target->host), target->port,
+                   rw_str_from (target->service->name), target->start_time_ms),
+    .revision = revision,
+    .usable_until = target->usable_until,
+    .announced_leaving = target->announced_leaving,
+  };
+  fleet->departed_next = (fleet->departed_next + 1) % STE_MAX_DEPARTED;
+}
+
+/* Returns the last departure of the process that ENTRY describes, or null.  */
+static const struct ste_departed *
+find_departed (const struct ste_fleet *fleet, const struct cat_target *entry)
+{
+  uint64_t key = rw_hash (entry->id);
+  uint64_t identity = entry_identity (entry);
+  const struct ste_departed *found = NULL;
+  if (fleet->departed == NULL)
+    return NULL;
+  for (size_t i = 0; i < STE_MAX_DEPARTED; i++)
+    {
+      const struct ste_departed *d = &fleet->departed[i];
+      if (d->key == key && d->identity == identity && d->revision > 0
+          && (found == NULL || d->revision > found->revision))
+        found = d;
+    }
+  return found;
+}
+
+/* Takes TARGET off the list at REVISION.  It stays in memory until
+   ste_sweep.  */
+static void
+mark_gone (struct ste_fleet *fleet, struct ste_target *target,
+           int64_t revision, rw_time now)
 {
   start_leaving (fleet, target, now);
+  if (!target->gone)
+    remember_departed (fleet, target, revision);
   target->gone = true;
   if (rw_map_get (&fleet->targets, target->key) == target)
     rw_map_remove (&fleet->targets, target->key);
@@ -108,6 +165,22 @@
          && rw_str_eq_cstr (entry->service, target->service->name);
 }
 
+/* Applies what is known of an earlier departure of TARGET, which was added for
+   an entry of REVISION.  */
+static void
+apply_departure (struct ste_fleet *fleet, struct ste_target *target,
+                 const struct ste_departed *departed, int64_t revision,
+                 rw_time now)
+{
+  if (rw_revision_era (departed->revision) < rw_revision_era (revision))
+    target->doubtful_until = now + fleet->settings.entry_lifetime;
+  if (!departed->announced_leaving)
+    return;
+  target->announced_leaving = true;
+  target->draining = true;
+  target->usable_until = departed->usable_until;
+}
+
 struct ste_target *
 ste_put (struct ste_fleet *fleet, const struct cat_target *entry,
          int64_t revision, rw_time now)
@@ -118,39 +191,77 @@
     return NULL;
   if (target != NULL && !is_same_target (target, entry))
     {
-      mark_gone (fleet, target, now);
+      mark_gone (fleet, target, revision, now);
       target = NULL;
     }
   bool is_new = target == NULL;
+  bool is_restored
+      = !is_new
+        && rw_revision_era (target->revision) < rw_revision_era (revision);
+  rw_time cold_until = entry->warmup_left > 0 ? now + entry->warmup_left : 0;
   if (is_new)
-    target
-        = add_target (fleet, ste_service (fleet, entry->service), entry, key);
+    {
+      const struct ste_departed *departed = find_departed (fleet, entry);
+      target = add_target (fleet, ste_service (fleet, entry->service), entry,
+                           key);
+      if (departed != NULL)
+        apply_departure (fleet, target, departed, revision, now);
+    }
   target->revision = revision;
   target->dc = rw_hash (entry->dc);
   target->slots = entry->slots > 0 ? entry->slots : 1;
-  target->cold_until = entry->warmup_left > 0 ? now + entry->warmup_left : 0;
+  if (!is_restored || cold_until > target->cold_until)
+    target->cold_until = cold_until;
+  if (is_restored && target->draining && !entry->draining)
+    target->doubtful_until = now + fleet->settings.entry_lifetime;
   /* If a target is already leaving when it is first seen, it is not known how
-     long ago that began.  Its usable_until stays 0: nothing is sent to it.  */
-  if (entry->draining && !is_new)
+     long ago that began: nothing is sent to it.  */
+  if (entry->draining && is_new)
+    target->usable_until = now;
+  else if (entry->draining)
     start_leaving (fleet, target, now);
-  target->draining = entry->draining;
+  target->draining = entry->draining || target->announced_leaving;
   return target;
 }
 
+bool
+ste_on_leaving (struct ste_fleet *fleet, struct ste_target *target,
+                rw_time now)
+{
+  if (target->announced_leaving)
+    return false;
+  start_leaving (fleet, target, now);
+  target->announced_leaving = true;
+  target->draining = true;
+  return true;
+}
+
+void
+ste_hold (struct ste_target *target, rw_time delay, rw_time now)
+{
+  rw_time until
+      = now + (delay < STE_MAX_HOLD_TIME ? delay : STE_MAX_HOLD_TIME);
+  if (delay <= 0)
+    return;
+  if (until > target->held_until)
+    target->held_until = until;
+  target->recovering = true;
+}
+
 void
 ste_remove (struct ste_fleet *fleet, struct rw_str id, int64_t revision,
             rw_time now)
 {
   struct ste_target *target = rw_map_get (&fleet->targets, rw_hash (id));
   if (target != NULL && target->revision < revision)
-    mark_gone (fleet, target, now);
+    mark_gone (fleet, target, revision, now);
 }
 
 void
 ste_mark_replaced (struct ste_fleet *fleet, struct ste_target *target,
                    rw_time now)
 {
-  mark_gone (fleet, target, now);
+  mark_gone (fleet, target, target->revision, now);
   target->usable_until = now;
 }
 
@@ -195,3 +306,27 @@
     memcpy (fleet->dcs_out, dcs, count * sizeof *dcs);
   fleet->dcs_out_count = count;
 }
+
+void
+ste_hold_dc_out (struct ste_fleet *fleet, uint64_t dc, rw_time now)
+{
+  struct ste_held_dc *free_entry = NULL;
+  for (size_t i = 0; i < STE_MAX_DCS_OUT; i++)
+    {
+      struct ste_held_dc *held = &fleet->held_dcs[i];
+      if (held->dc == dc && held->until > now)
+        return;
+      if (held->until <= now)
+        free_entry = held;
+    }
+  if (free_entry != NULL)
+    *free_entry = (struct ste_held_dc){ dc, now + STE_DC_HOLD_TIME };
+}
+
+void
+ste_release_dc (struct ste_fleet *fleet, uint64_t dc)
+{
+  for (size_t i = 0; i < STE_MAX_DCS_OUT; i++)
+    if (fleet->held_dcs[i].dc == dc)
+      fleet->held_dcs[i].until = 0;
+}
--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -131,11 +131,14 @@
 }
 
 static bool
-dc_is_out (const struct ste_fleet *fleet, uint64_t dc)
+dc_is_out (const struct ste_fleet *fleet, uint64_t dc, rw_time now)
 {
   for (size_t i = 0; i < fleet->dcs_out_count; i++)
     if (fleet->dcs_out[i] == dc)
       return true;
+  for (size_t i = 0; i < STE_MAX_DCS_OUT; i++)
+    if (fleet->held_dcs[i].until > now && fleet->held_dcs[i].dc == dc)
+      return true;
   return false;
 }
 
@@ -145,7 +148,9 @@
 {
   if ((target->draining || target->gone) && now >= target->usable_until)
     return false;
-  return !dc_is_out (fleet, target->dc);
+  if (now < target->doubtful_until || now < target->held_until)
+    return false;
+  return !dc_is_out (fleet, target->dc, now);
 }
 
 static bool
@@ -193,6 +198,23 @@
   return target != NULL;
 }
 
+double
+ste_time_until_usable (const struct ste_fleet *fleet,
+                       const struct ste_service *service, rw_time now)
+{
+  double best = INFINITY;
+  for (const struct ste_target *t = service->targets; t != NULL; t = t->next)
+    {
+      rw_time at = t->held_until > t->doubtful_until ? t->held_until
+                                                     : t->doubtful_until;
+      if (ste_usable (fleet, t, now))
+        return 0;
+      if (ste_usable (fleet, t, at))
+        best = fmin (best, (double)(at - now));
+    }
+  return best;
+}
+
 bool
 ste_stalled (const struct ste_target *target, rw_time now)
 {
@@ -359,6 +381,7 @@
   for (struct ste_target *t = service->targets; t != NULL; t = t->next)
     {
       if (is_tried (t, tried, tried_n) || !ste_usable (fleet, t, now)
+          || (t->recovering && t->in_flight > 0)
           || !warmup_allows (fleet, t, now))
         continue;
       double time = ste_expected_time (fleet, t, latency, now)
@@ -498,6 +521,7 @@
       update_failure_rate (target, 0, now);
       target->backoff_count = 0;
       target->backoff_until = 0;
+      target->recovering = false;
       target->last_reply = now;
       break;
     case STE_SHED:
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -42,9 +42,15 @@
   int64_t start_time_ms; /* of its process, as listed; 0: not stated */
   int64_t revision;      /* of the list entry */
   bool draining;
-  bool gone;            /* removed from the list, or replaced */
-  bool outside_subset;  /* see ste_choose_subsets */
-  rw_time usable_until; /* no sends from then on, if draining or gone */
+  bool announced_leaving; /* in a reply; holds as long as the process runs */
+  bool gone;              /* removed from the list, or replaced */
+  bool outside_subset;    /* see ste_choose_subsets */
+  rw_time usable_until;   /* no sends from then on, if draining or gone; 0:
+                             it did not begin to leave */
+  rw_time doubtful_until; /* no sends before, as the list entry may be out of
+                             date; 0: it is not */
+  rw_time held_until; /* no sends before, as the target asked; 0: it did not */
+  bool recovering;    /* was held, and has not answered since */
   rw_time cold_until;
   double warmup_tokens; /* at most 1; a request to a cold target takes 1 */
   rw_time warmup_refilled_at; /* 0: never */
@@ -108,9 +114,34 @@
      share.  */
   size_t shard_sharers;
   rw_time leave_time; /* how long a leaving target may still be used */
+  /* How long the entry of a target that has ended may stay on the list.  */
+  rw_time entry_lifetime;
 };
 
 #define STE_MAX_DCS_OUT 64
+/* A store that lost the order to leave a data centre gets it again; until then
+   the data centre counts as out of service, at most for this time.  */
+#define STE_DC_HOLD_TIME (30 * RW_SEC)
+
+/* A data centre out of service by an order that the store has lost.  */
+struct ste_held_dc
+{
+  uint64_t dc; /* hash of the name */
+  rw_time until;
+};
+
+/* What is kept of a target that left the list: its entry may come back, as the
+   store can be restored from an older copy.  */
+struct ste_departed
+{
+  uint64_t key;      /* of the id */
+  uint64_t identity; /* hash of what tells its process from others */
+  int64_t revision;  /* at which it left; 0: unused */
+  rw_time usable_until;
+  bool announced_leaving;
+};
+/* The oldest is dropped for a new one.  */
+#define STE_MAX_DEPARTED 1024
 
 struct ste_fleet
 {
@@ -121,6 +152,9 @@
   struct rw_map targets;             /* those on the list, by key */
   uint64_t dcs_out[STE_MAX_DCS_OUT]; /* data centres out, by hash */
   size_t dcs_out_count;
+  struct ste_held_dc held_dcs[STE_MAX_DCS_OUT];
+  struct ste_departed *departed; /* STE_MAX_DEPARTED of them; null: none yet */
+  size_t departed_next;          /* index of the next one to be written */
   rw_time next_subset_choice;
 };
 
@@ -139,7 +173,13 @@
    and ste_sweep frees, or null if REVISION is not above the known one.  An
    entry with another address, start time or service than the known target of
    its id makes a new target; the old one is gone.  The revision of a removed
-   entry is not kept, so the caller must leave out entries older than that.  */
+   entry is not kept, so the caller must leave out entries older than that.
+
+   In a new era of the store (see rw_revision_make) an entry may be older than
+   what is known.  A target that was leaving or gone is then not used until it
+   is certain that the entry is not that of an ended process, and a cold one
+   stays cold.  A target that announced in a reply that it leaves, leaves
+   whatever the entry says.  */
 struct ste_target *ste_put (struct ste_fleet *fleet,
                             const struct cat_target *entry, int64_t revision,
                             rw_time now);
@@ -147,6 +187,16 @@
    above the known one.  */
 void ste_remove (struct ste_fleet *fleet, struct rw_str id, int64_t revision,
                  rw_time now);
+/* Records that TARGET announced in a reply that it is about to stop: it is
+   used for leave_time, and only if no other is usable.  Returns whether that
+   is news.  */
+bool ste_on_leaving (struct ste_fleet *fleet, struct ste_target *target,
+                     rw_time now);
+/* Records that TARGET refused a request and wants none for DELAY, which counts
+   as at most STE_MAX_HOLD_TIME.  Afterwards it gets one request at a time
+   until it answers one.  */
+#define STE_MAX_HOLD_TIME (300 * RW_SEC)
+void ste_hold (struct ste_target *target, rw_time delay, rw_time now);
 /* Marks TARGET gone at once, as another target answers at its address.
    Nothing more is sent to it.  A later list entry of its id makes a new
    target.  */
@@ -173,13 +223,26 @@
 void ste_set_dcs_out (struct ste_fleet *fleet, const uint64_t *dcs,
                       size_t count);
 
+/* Counts the data centre DC, a hash, as out of service for STE_DC_HOLD_TIME,
+   as the store lost the order without taking it back.  Does nothing if
+   STE_MAX_DCS_OUT are held.  */
+void ste_hold_dc_out (struct ste_fleet *fleet, uint64_t dc, rw_time now);
+/* Ends that: the order was given again, or taken back.  */
+void ste_release_dc (struct ste_fleet *fleet, uint64_t dc);
+
 /* Returns whether a request may be sent to TARGET: its data centre is not out,
-   and it is not past its leaving time.  */
+   it is not past its leaving time, its entry is not doubtful, and it did not
+   ask to be left alone.  */
 bool ste_usable (const struct ste_fleet *fleet,
                  const struct ste_target *target, rw_time now);
 /* Returns whether SERVICE has a usable target.  */
 bool ste_any_usable (const struct ste_fleet *fleet,
                      const struct ste_service *service, rw_time now);
+/* Returns the time in microseconds, from NOW, until SERVICE has a usable
+   target as far as is known: 0 if it has one, infinity if that cannot be
+   known.  */
+double ste_time_until_usable (const struct ste_fleet *fleet,
+                              const struct ste_service *service, rw_time now);
 /* State of a target.  If several apply, leaving takes precedence over cold,
    and cold over stalled.  */
 enum ste_state
--- a/tests/fuzz/fuzz_page.c
+++ b/tests/fuzz/fuzz_page.c
@@ -12,7 +12,7 @@
   struct rw_str name;
   rw_arena_init (&arena, 4096);
   struct rw_str text = { (const char *)data, size };
-  if (plt_decode_page (&arena, text, &page, &err) == 0)
+  if (plt_decode_page (&arena, text, 0, &page, &err) == 0)
     for (size_t i = 0; i < page.count; i++)
       {
         plt_classify_key (page.changes[i].key, &name);
--- a/tests/rwfsite/control.c
+++ b/tests/rwfsite/control.c
@@ -6,7 +6,14 @@
 
 /* PUT /item/KEY (body: the value), DELETE /item/KEY
    POST /store/up|busy|silent|reset|compact
-   POST /searcher/ID/none|hang|error|shed|reset|drain|stop|start
+   POST /store/backup
+   POST /store/restore (goes back to the backup, in the next era)
+   POST /store/era (states an era from now on)
+   POST /searcher/ID/none|hang|error|shed|reset|drain|stop
+   POST /searcher/ID/start (as another process, if it had stopped or announced)
+   POST /searcher/ID/publish (writes its entry again)
+   POST /searcher/ID/announce/0|1 (says in its answers that it leaves)
+   POST /searcher/ID/hold/MS (Retry-After of its refusals; 0: none)
    POST /searcher/ID/pause/MS, POST /searcher/ID/work/MS
    POST /searcher/ID/waiting/N (requests that it reports as waiting)
    GET /report, GET /ran/SERVICE/ID  */
@@ -31,6 +38,12 @@
     site->mode = SITE_STORE_RESET;
   else if (rw_str_eq_cstr (mode, "compact"))
     site->compacted = site->revision;
+  else if (rw_str_eq_cstr (mode, "backup"))
+    site_backup (site);
+  else if (rw_str_eq_cstr (mode, "restore"))
+    site_restore (site);
+  else if (rw_str_eq_cstr (mode, "era"))
+    site->era = site->era > 0 ? site->era : 1;
   else
     return false;
   return true;
@@ -65,8 +78,12 @@
   else if (rw_str_eq_cstr (what, "stop"))
     s->stopped = true;
   else if (rw_str_eq_cstr (what, "start"))
-    s->stopped = s->draining = false;
-  else
+    {
+      s->born += s->stopped || s->announces;
+      s->stopped = s->draining = s->announces = false;
+      s->announced = 0;
+    }
+  else if (!rw_str_eq_cstr (what, "publish"))
     return false;
   s->changed = s->stopped || s->draining ? rw_now () : 0;
   site_searcher_publish (s);
@@ -92,6 +109,13 @@
         s->work = number * RW_MSEC;
       else if (rw_str_eq_cstr (what, "waiting"))
         s->waiting = (unsigned int)number;
+      else if (rw_str_eq_cstr (what, "announce"))
+        {
+          s->announces = number != 0;
+          s->announced = 0;
+        }
+      else if (rw_str_eq_cstr (what, "hold"))
+        s->hold_ms = (unsigned int)number;
       else if (!set_fault (s, what) && !set_state (s, what))
         return false;
       return true;
@@ -104,14 +128,20 @@
 {
   struct rw_buf out;
   uint64_t late = 0;
+  uint64_t uninvited = 0;
   for (size_t i = 0; i < site->searcher_count; i++)
-    late += site->searchers[i].late;
+    {
+      late += site->searchers[i].late;
+      uninvited += site->searchers[i].uninvited;
+    }
   rw_buf_init (&out);
-  rw_buf_printf (&out, "calls=%llu ran=%llu twice=%llu late=%llu over=%llu\n",
-                 (unsigned long long)site->calls,
-                 (unsigned long long)site->ran,
-                 (unsigned long long)site->twice, (unsigned long long)late,
-                 (unsigned long long)site->over);
+  rw_buf_printf (
+      &out,
+      "calls=%llu ran=%llu twice=%llu late=%llu "
+      "uninvited=%llu over=%llu\n",
+      (unsigned long long)site->calls, (unsigned long long)site->ran,
+      (unsigned long long)site->twice, (unsigned long long)late,
+      (unsigned long long)uninvited, (unsigned long long)site->over);
   answer (conn, 200, rw_buf_str (&out));
   rw_buf_finish (&out);
 }
--- a/tests/rwfsite/main.c
+++ b/tests/rwfsite/main.c
@@ -161,6 +161,7 @@
     }
   put_config (&site, &options);
   add_searchers (&site, &options);
+  site_backup (&site);
   printf ("store=%u control=%u\n", site_server_port (&site.store),
           site_server_port (&site.control));
   fflush (stdout);
--- a/tests/rwfsite/searcher.c
+++ b/tests/rwfsite/searcher.c
@@ -10,6 +10,8 @@
 /* A request that reaches a searcher later than its drain time plus this is
    late.  */
 #define LATE_SLACK (200 * RW_MSEC)
+/* A searcher that named a time may still be reached for this long.  */
+#define HOLD_SLACK (500 * RW_MSEC)
 
 struct job
 {
@@ -72,6 +74,12 @@
                  "X-Redwingfork-Server-Stamp: %s.%s\r\n"
                  "X-Redwingfork-Server-Load: 1,%u,2\r\n",
                  job->id, searcher->id, job->id, searcher->waiting);
+  if (searcher->announces)
+    {
+      rw_buf_printf (&headers, "Server-Leaving: 1\r\n");
+      if (searcher->announced == 0)
+        searcher->announced = rw_now ();
+    }
   if (searcher->fault == SITE_FAULT_ERROR)
     reply.status = 500;
   reply.headers = rw_buf_str (&headers);
@@ -122,15 +130,36 @@
   job->timer.data = job;
   h1_conn_set_data (conn, job);
   count_run (searcher, job->id, repeatable);
-  if (searcher->changed > 0
-      && rw_now () - searcher->changed
-             > searcher->site->drain_time + LATE_SLACK)
+  rw_time leaving_since
+      = searcher->announced > 0 ? searcher->announced : searcher->changed;
+  if (leaving_since > 0
+      && rw_now () - leaving_since > searcher->site->drain_time + LATE_SLACK)
     searcher->late++;
   if (searcher->fault != SITE_FAULT_HANG)
     uv_timer_start (&job->timer, on_job, (uint64_t)(searcher->work / RW_MSEC),
                     0);
 }
 
+/* Refuses because of load, and names a time if it is to.  */
+static void
+shed (struct site_searcher *searcher, struct h1_conn *conn)
+{
+  char headers[128];
+  rw_time now = rw_now ();
+  rw_time until = now + searcher->hold_ms * RW_MSEC;
+  snprintf (headers, sizeof headers, "X-Redwingfork-Not-Executed: 1\r\n");
+  if (searcher->hold_ms > 0)
+    snprintf (headers, sizeof headers,
+              "X-Redwingfork-Not-Executed: 1\r\nRetry-After: %.3f\r\n",
+              searcher->hold_ms / 1000.0);
+  if (searcher->hold_ms > 0 && until > searcher->held_until)
+    {
+      searcher->held_since = now;
+      searcher->held_until = until;
+    }
+  refuse (conn, 503, headers);
+}
+
 static void
 on_request (void *arg, struct h1_conn *conn, const struct h1_message *message)
 {
@@ -138,12 +167,15 @@
   struct rw_str expected
       = h1_header_value (message, "X-Redwingfork-Expect-Instance");
   h1_conn_set_data (conn, NULL);
+  rw_time now = rw_now ();
   searcher->arrivals++;
+  if (now > searcher->held_since + HOLD_SLACK && now < searcher->held_until)
+    searcher->uninvited++;
   if (searcher->stopped
       || (expected.len > 0 && !rw_str_eq_cstr (expected, searcher->id)))
     refuse (conn, 421, "X-Redwingfork-Instance-Id: another\r\n");
   else if (searcher->fault == SITE_FAULT_SHED)
-    refuse (conn, 503, "X-Redwingfork-Not-Executed: 1\r\n");
+    shed (searcher, conn);
   else
     run (searcher, conn, message);
 }
@@ -174,6 +206,7 @@
   struct site_searcher *s = &site->searchers[site->searcher_count++];
   s->site = site;
   s->work = work;
+  s->born = 1;
   snprintf (s->id, sizeof s->id, "%s", id);
   snprintf (s->service, sizeof s->service, "%s", service);
   snprintf (s->dc, sizeof s->dc, "%s", dc);
@@ -196,8 +229,8 @@
                       "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\","
                       "\"zone\":\"%s\",\"version\":\"v1\",\"capacity\":2,"
                       "\"state\":\"%s\",\"warmupLeftMs\":0,\"sequence\":1,"
-                      "\"born\":1}",
+                      "\"born\":%u}",
                       s->service, s->port, s->dc,
-                      s->draining ? "draining" : "ready");
+                      s->draining ? "draining" : "ready", s->born);
   site_put (s->site, key, s->stopped ? NULL : value, (size_t)len);
 }
--- a/tests/rwfsite/site.h
+++ b/tests/rwfsite/site.h
@@ -53,11 +53,18 @@
   char service[64];
   char dc[32];
   uint16_t port;
+  unsigned int born; /* which start of the searcher this is, from 1 */
   bool draining;
   bool stopped; /* its entry is gone and its id is not known any more */
   enum site_fault fault;
   rw_time work;
   unsigned int waiting; /* requests in its queue, as it reports */
+  bool announces;       /* in each answer, that it leaves */
+  rw_time announced;    /* first such answer; 0: none */
+  unsigned int hold_ms; /* Retry-After of its refusals; 0: none */
+  rw_time held_since;   /* of the refusal whose time ends last */
+  rw_time held_until;
+  uint64_t uninvited; /* requests in that time, less the first half second */
   rw_time paused_until;
   uint64_t arrivals;
   rw_time changed; /* when it began to leave */
@@ -73,6 +80,14 @@
   uint32_t count;
 };
 
+/* A copy of the store that can be restored.  */
+struct site_backup
+{
+  struct site_item items[SITE_MAX_ITEMS];
+  size_t item_count;
+  int64_t revision;
+};
+
 struct site
 {
   uv_loop_t loop;
@@ -84,6 +99,8 @@
   size_t item_count;
   int64_t revision;
   int64_t compacted; /* history up to it is gone */
+  int64_t era;       /* 0: not stated */
+  struct site_backup backup;
   uint64_t calls;
   struct site_watch watches[SITE_MAX_WATCHES];
   uv_timer_t timer;
@@ -100,6 +117,10 @@
 /* Sets an item, or removes it if VALUE is null.  */
 void site_put (struct site *site, const char *key, const char *value,
                size_t len);
+/* Copies the present items, to be restored later.  */
+void site_backup (struct site *site);
+/* Goes back to that copy, in the next era.  */
+void site_restore (struct site *site);
 int site_control_init (struct site *site, uint16_t port);
 struct site_searcher *site_searcher_add (struct site *site, const char *id,
                                          const char *service, const char *dc,
--- a/tests/rwfsite/store.c
+++ b/tests/rwfsite/store.c
@@ -47,6 +47,48 @@
   item->value_len = len;
 }
 
+static void
+free_items (struct site_item *items, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    free (items[i].value);
+}
+
+static size_t
+copy_items (struct site_item *to, const struct site_item *from, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      to[i] = from[i];
+      if (from[i].value == NULL)
+        continue;
+      to[i].value = rw_xmalloc (from[i].value_len + 1);
+      memcpy (to[i].value, from[i].value, from[i].value_len);
+    }
+  return count;
+}
+
+void
+site_backup (struct site *site)
+{
+  struct site_backup *backup = &site->backup;
+  free_items (backup->items, backup->item_count);
+  backup->item_count
+      = copy_items (backup->items, site->items, site->item_count);
+  backup->revision = site->revision;
+}
+
+void
+site_restore (struct site *site)
+{
+  const struct site_backup *backup = &site->backup;
+  free_items (site->items, site->item_count);
+  site->item_count
+      = copy_items (site->items, backup->items, backup->item_count);
+  site->revision = backup->revision;
+  site->era++;
+}
+
 static void
 append_item (struct rw_buf *out, const struct site_item *item)
 {
@@ -67,13 +109,19 @@
 }
 
 static void
-answer (struct h1_conn *conn, int status, struct rw_buf *body)
+answer (const struct site *site, struct h1_conn *conn, int status,
+        struct rw_buf *body)
 {
-  struct h1_reply reply
-      = { .status = status,
-          .headers = RW_LIT ("Content-Type: application/json\r\n"),
-          .body = rw_buf_str (body) };
+  struct rw_buf headers;
+  rw_buf_init (&headers);
+  rw_buf_printf (&headers, "Content-Type: application/json\r\n");
+  if (site->era > 0)
+    rw_buf_printf (&headers, "Store-Era: %lld\r\n", (long long)site->era);
+  struct h1_reply reply = { .status = status,
+                            .headers = rw_buf_str (&headers),
+                            .body = rw_buf_str (body) };
   h1_conn_reply (conn, &reply);
+  rw_buf_finish (&headers);
   rw_buf_finish (body);
 }
 
@@ -119,7 +167,7 @@
     }
   rw_buf_printf (&body, "],\"hasMore\":%s,\"at\":%lld}",
                  more ? "true" : "false", (long long)site->revision);
-  answer (conn, 200, &body);
+  answer (site, conn, 200, &body);
 }
 
 /* Answers a watch if there are changes, or if its time is over.  */
@@ -143,7 +191,7 @@
       return false;
     }
   rw_buf_printf (&body, "],\"at\":%lld}", (long long)site->revision);
-  answer (conn, 200, &body);
+  answer (site, conn, 200, &body);
   return true;
 }
 
@@ -155,10 +203,10 @@
   struct rw_buf body;
   rw_str_to_int (query_value (target, "after"), 0, INT64_MAX, &after);
   rw_str_to_int (query_value (target, "waitMs"), 0, 30000, &wait);
-  if (after < site->compacted)
+  if (after < site->compacted || after > site->revision)
     {
       rw_buf_init (&body);
-      answer (conn, 410, &body);
+      answer (site, conn, 410, &body);
       return;
     }
   if (answer_watch (site, conn, after, false))
@@ -171,7 +219,7 @@
         return;
       }
   rw_buf_init (&body);
-  answer (conn, 429, &body);
+  answer (site, conn, 429, &body);
 }
 
 static void
@@ -190,7 +238,7 @@
       return;
     case SITE_STORE_BUSY:
       rw_buf_init (&body);
-      answer (conn, 503, &body);
+      answer (site, conn, 503, &body);
       return;
     case SITE_STORE_UP:
       break;
@@ -202,7 +250,7 @@
   else
     {
       rw_buf_init (&body);
-      answer (conn, 404, &body);
+      answer (site, conn, 404, &body);
     }
 }
 
@@ -233,7 +281,14 @@
       if (watch.conn == NULL)
         continue;
       site->watches[i].conn = NULL;
-      if (!answer_watch (site, watch.conn, watch.after, now >= watch.until))
+      if (watch.after > site->revision)
+        {
+          struct rw_buf body;
+          rw_buf_init (&body);
+          answer (site, watch.conn, 410, &body);
+        }
+      else if (!answer_watch (site, watch.conn, watch.after,
+                              now >= watch.until))
         site->watches[i] = watch;
     }
 }
--- a/tests/soak/fault.c
+++ b/tests/soak/fault.c
@@ -23,9 +23,16 @@
   FAULT_STORE, /* from here on only where the store is disturbed */
   FAULT_COMPACT,
   FAULT_PROXY,
+  FAULT_RESTORE, /* from here on only in drills */
+  FAULT_ANNOUNCE,
+  FAULT_HOLD,
   FAULT_COUNT
 };
 
+/* The time after a restore of the store in which what it lost is written
+   again.  */
+#define REWRITE_TIME (800 * RW_MSEC)
+
 static uint64_t
 below (struct sok_soak *soak, uint64_t bound)
 {
@@ -81,6 +88,42 @@
                NULL, 0);
 }
 
+/* Sends WHAT to every searcher.  */
+static void
+to_all_searchers (struct sok_soak *soak, const char *what)
+{
+  char path[96];
+  for (size_t i = 0; i < soak->shards + 1; i++)
+    for (int j = 0; j < 2; j++)
+      {
+        if (i < soak->shards)
+          snprintf (path, sizeof path, "/searcher/s%zu-%d/%s", i, j, what);
+        else
+          snprintf (path, sizeof path, "/searcher/one-%d/%s", j, what);
+        sok_command (soak, "POST", path, "", NULL, 0);
+      }
+}
+
+/* Takes a backup of the store, or goes back to the last one.  */
+static void
+restore_store (struct sok_soak *soak)
+{
+  bool back = below (soak, 2) == 0;
+  sok_command (soak, "POST", back ? "/store/restore" : "/store/backup", "",
+               NULL, 0);
+  if (back)
+    soak->restored = rw_now ();
+}
+
+/* Writes again what a restored store has lost.  */
+static void
+rewrite_store (struct sok_soak *soak)
+{
+  soak->restored = 0;
+  to_all_searchers (soak, "publish");
+  sok_put_config (soak);
+}
+
 static void
 strike (struct sok_soak *soak)
 {
@@ -90,7 +133,10 @@
       = { "pause/100", "pause/200", "pause/800" };
   static const char *const leaves[] = { "drain", "stop", "start", "start" };
   struct sok_daemon *daemon = &soak->daemons[below (soak, soak->daemon_count)];
-  size_t kinds = soak->store_faults ? FAULT_COUNT : FAULT_STORE;
+  static const char *const holds[] = { "hold/300", "hold/1500", "hold/0" };
+  size_t kinds = soak->store_faults ? FAULT_RESTORE : FAULT_STORE;
+  if (soak->drills)
+    kinds = FAULT_COUNT;
   switch ((enum fault)below (soak, kinds))
     {
     case FAULT_KILL:
@@ -136,6 +182,16 @@
     case FAULT_PROXY:
       sok_proxy_set (&daemon->proxy, (enum sok_proxy_mode)below (soak, 4));
       break;
+    case FAULT_RESTORE:
+      restore_store (soak);
+      break;
+    case FAULT_ANNOUNCE:
+      searcher_fault (soak, below (soak, 2) == 0 ? "announce/1" : "start");
+      break;
+    case FAULT_HOLD:
+      searcher_fault (soak, holds[below (soak, RW_ARRAY_LEN (holds))]);
+      searcher_fault (soak, "shed");
+      break;
     case FAULT_COUNT:
       break;
     }
@@ -144,7 +200,6 @@
 static void
 heal (struct sok_soak *soak)
 {
-  char path[96];
   soak->healing = true;
   sok_command (soak, "POST", "/store/up", "", NULL, 0);
   for (size_t i = 0; i < soak->daemon_count; i++)
@@ -152,17 +207,10 @@
       thaw (&soak->daemons[i]);
       sok_proxy_set (&soak->daemons[i].proxy, SOK_PROXY_PASS);
     }
-  for (size_t i = 0; i < soak->shards + 1; i++)
-    for (int j = 0; j < 2; j++)
-      for (int k = 0; k < 2; k++)
-        {
-          const char *what = k == 0 ? "none" : "start";
-          if (i < soak->shards)
-            snprintf (path, sizeof path, "/searcher/s%zu-%d/%s", i, j, what);
-          else
-            snprintf (path, sizeof path, "/searcher/one-%d/%s", j, what);
-          sok_command (soak, "POST", path, "", NULL, 0);
-        }
+  to_all_searchers (soak, "none");
+  to_all_searchers (soak, "start");
+  if (soak->restored > 0)
+    rewrite_store (soak);
 }
 
 static void
@@ -178,6 +226,8 @@
       else if (daemon->frozen && below (soak, 3) == 0)
         thaw (daemon);
     }
+  if (soak->restored > 0 && rw_now () - soak->restored > REWRITE_TIME)
+    rewrite_store (soak);
   if (elapsed > soak->length + HEAL_TIME)
     {
       uv_stop (&soak->loop);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -21,6 +21,10 @@
 /* A daemon that was disturbed less than this time ago is not judged.  */
 #define SOK_CALM (4 * RW_SEC)
 
+/* Seeds from here on add faults of the store and of targets; those below draw
+   the same faults as they did before these were added.  */
+#define SOK_FIRST_DRILL_SEED 2000
+
 struct sok_soak;
 
 enum sok_proxy_mode
@@ -92,6 +96,8 @@
   bool healing;
   bool ended;
   bool store_faults; /* this seed disturbs the store */
+  bool drills;      /* this seed restores it, and targets announce their end */
+  rw_time restored; /* the store, and not written again yet; 0: it is */
   uint64_t next_id;
   char refused[SOK_MAX_REFUSED][32]; /* unsafe requests answered 503 */
   size_t refused_count;
