--- a/cmd/rwfront/answer.c
+++ b/cmd/rwfront/answer.c
@@ -64,7 +64,7 @@
   while (query->parts[i].state == GAT_PART_DONE)
     i++;
   for (const struct frn_send *s = request->sends; s != NULL; s = s->next)
-    if (s->part == i && s->target->service == request->services[i]
+    if (s->scope != FRN_SCOPE_QUERY && frn_send_has_part (s, i)
         && (send == NULL || s->steer.sent_at > send->steer.sent_at))
       send = s;
   if (send == NULL)
@@ -96,14 +96,17 @@
                   && request->retry_after >= 0;
   char details[512];
 
-  struct frn_route_metrics *metrics = frn_metrics_for_route (
-      &daemon->metrics, request->stats, request->route->name);
-  sta_inc (metrics->outcome[outcome]);
-  sta_observe (metrics->latency, latency);
+  if (request->order == NULL)
+    {
+      struct frn_route_metrics *metrics = frn_metrics_for_route (
+          &daemon->metrics, request->stats, request->route->name);
+      sta_inc (metrics->outcome[outcome]);
+      sta_observe (metrics->latency, latency);
+    }
   evt_line (
       &daemon->log,
       complete && latency < request->route->aim ? EVT_SAMPLED : EVT_NORMAL,
-      "request", now,
+      request->order == NULL ? "request" : "subquery", now,
       "%s: id=%s route=%s status=%d ms=%lld aim_ms=%lld parts=%zu/%zu "
       "lost=%zu sends=%zu denied=%u%s error=\"%s\" at=%s version=%llu "
       "age_ms=%lld",
@@ -223,7 +226,9 @@
 frn_answer_query (struct frn_request *request, bool success)
 {
   request->ended = true;
-  if (!success)
+  if (request->order != NULL)
+    frn_subquery_answer (request);
+  else if (!success)
     answer_failure (request);
   else if (request->route->kind == CAT_ROUTE_GATHER
            && request->mode == FRN_MODE_LOCAL)
--- a/cmd/rwfront/callers.c
+++ b/cmd/rwfront/callers.c
@@ -40,7 +40,8 @@
       frn_answer_refusal (conn, 400, -1);
       return;
     }
-  frn_request_begin (daemon, conn, message, route, &head, start, relayed);
+  frn_request_begin (daemon, conn, message, route, &head, start, relayed,
+                     NULL);
 }
 
 /* Answers 503 because no configuration is known.  */
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -16,7 +16,9 @@
    callers.c    requests as they arrive, and those that wait for a
                 configuration
    request.c    one request from its arrival to its last send
+   peerlist.c   the peers that take requests: larger ones, and delegates
    relay.c      forwarding of requests to larger peers
+   subquery.c   parts that are left to a delegate in another data centre
    overload.c   refusal of requests that targets have no room for
    pool.c       connection pool of each target
    answer.c     answers to the caller, and the log line of each request
@@ -40,6 +42,7 @@
 #include "shed.h"
 #include "stat.h"
 #include "steer.h"
+#include "subquery.h"
 
 /* Fleet-wide limits (retry budgets, connections to targets, requests to cold
    targets) are divided by the number of daemons.  After a start this is at
@@ -137,6 +140,8 @@
   struct sta_series *hedges;
   struct sta_series *budget_empty; /* retries and hedges without budget */
   struct sta_series *relays;
+  struct sta_series *subqueries;
+  struct sta_series *subqueries_served;
   struct sta_series *conns_opened;
   struct sta_series *store_calls;
   struct sta_series *store_errors;
@@ -159,6 +164,8 @@
 {
   struct ste_latency part_latency;
   struct ste_latency relay_latency; /* of whole requests at larger peers */
+  struct ste_latency subquery_latency;
+  struct sbq_sizes sizes;
   int64_t max_time_left_ms; /* largest value that a caller has stated */
   struct shd_route shed;
   rw_time shed_logged_at;  /* last line about it; 0: none since it began */
@@ -176,6 +183,15 @@
   bool dcs_out_changed; /* the list of data centres out of service */
 };
 
+#define FRN_MAX_DELEGATE_DCS GOS_MAX_DELEGATE_DCS
+
+/* The delegates of another data centre.  */
+struct frn_delegates
+{
+  uint32_t dc; /* as in gos_member */
+  struct ste_service *service;
+};
+
 /* The other daemons: gossip of members and revisions over UDP, and over TCP
    transfers of newer items and forwarded requests.  */
 struct frn_peers
@@ -196,10 +212,13 @@
   bool notify_due;         /* peers are to be told of a change */
   rw_time no_read_before;  /* until then, only peers are asked */
   struct ste_service *larger_peers; /* its targets are the larger peers */
-  rw_time larger_peers_next;        /* next update of that list */
-  int64_t larger_peers_revision;    /* last one given to an entry of it */
-  size_t gatherer_count;            /* 0: all have a similar capacity */
-  bool is_gatherer;                 /* this daemon is one of them */
+  struct frn_delegates delegates[FRN_MAX_DELEGATE_DCS];
+  size_t delegate_dc_count;
+  rw_time lists_next;     /* next update of these lists */
+  int64_t lists_revision; /* last one given to an entry of them */
+  size_t gatherer_count;  /* 0: all have a similar capacity */
+  bool is_gatherer;       /* this daemon is one of them */
+  uint32_t max_capacity;  /* of all daemons, in thousandths of a core */
 };
 
 /* The connection to the store and the call that is in progress.  */
@@ -344,8 +363,11 @@
                        const struct frn_request *request, rw_time now);
 /* Whether there is a larger peer that is neither in backoff nor stalled.  */
 bool frn_relay_available (const struct frn_daemon *daemon, rw_time now);
-/* Periodic work: updates the list of larger peers from the gossip members.  */
-void frn_relay_tick (struct frn_daemon *daemon, rw_time now);
+/* Periodic work: updates the lists of larger peers and of delegates from the
+   gossip members.  */
+void frn_peerlist_tick (struct frn_daemon *daemon, rw_time now);
+/* Processor capacity of this daemon in thousandths of a core.  */
+uint32_t frn_own_capacity (const struct frn_daemon *daemon);
 /* The number by which this daemon divides the limits of the shards' targets.
    It differs between gatherers and other daemons, as the gatherers send most
    of the requests; the shares of all daemons add up to at most the limit.  */
@@ -359,6 +381,41 @@
    an answer, if it is not a forwarded request.  */
 bool frn_relay_serve (struct frn_daemon *daemon, struct h1_conn *conn,
                       const struct h1_message *message);
+/* Whether this daemon takes requests of peers now whose configuration has
+   VERSION.  */
+bool frn_serves_peers (const struct frn_daemon *daemon, uint64_t version);
+/* Answers a peer's request that this daemon does not begin.  */
+void frn_refuse_peer (struct h1_conn *conn);
+
+/* Subqueries: see lib/subquery.  */
+
+/* Holds back the first send of PART to TARGET if it may become part of a
+   subquery.  Returns whether it did; frn_subquery_flush then sends it.  */
+bool frn_subquery_collect (struct frn_request *request, size_t part,
+                           struct ste_target *target, rw_time now);
+/* Sends the parts held back, to delegates or else to their targets.  */
+void frn_subquery_flush (struct frn_request *request, rw_time now);
+/* Appends the header that says which parts SEND, a subquery, asks for.  */
+void frn_subquery_write_header (const struct frn_send *send,
+                                struct rw_buf *out);
+bool frn_is_subquery_header (struct rw_str name);
+/* Takes the delegate's reply to SEND.  */
+void frn_subquery_take_reply (struct frn_send *send,
+                              const struct h1_message *message);
+/* Records that SEND, a subquery, ended without a reply.  */
+void frn_subquery_fail (struct frn_send *send, enum gat_failure failure,
+                        rw_time now);
+/* Gives up the subqueries that are overdue at a delegate that has stalled.  */
+void frn_subquery_expire (struct frn_request *request, rw_time now);
+/* Returns when to do that again, RW_TIME_NEVER if no subquery is open.  */
+rw_time frn_subquery_expiry (const struct frn_request *request, rw_time now);
+/* Serves a subquery from the peer port, or refuses it.  Returns false, without
+   an answer, if MESSAGE is none.  */
+bool frn_subquery_serve (struct frn_daemon *daemon, struct h1_conn *conn,
+                         const struct h1_message *message);
+/* Answers the subquery that REQUEST serves, with the parts that arrived.  */
+void frn_subquery_answer (struct frn_request *request);
+
 /* Serves a request that arrived at START; a configuration must be known.
    RELAYED: a peer forwarded it.  */
 void frn_request_serve (struct frn_daemon *daemon, struct h1_conn *conn,
@@ -379,7 +436,8 @@
 {
   struct frn_daemon *daemon;
   enum frn_mode mode;
-  bool relayed;         /* a smaller peer forwarded it to this daemon */
+  bool relayed;            /* a peer forwarded it to this daemon */
+  struct sbq_order *order; /* the subquery that it serves; null: none */
   int64_t time_left_ms; /* stated by the caller on arrival; -1: not stated */
   rw_time time_spent;   /* by earlier attempts of the caller, as estimated */
   struct rw_arena arena;
@@ -388,9 +446,12 @@
   struct cat_route *route;
   struct frn_route_stats *stats;
   struct gat_query query;
-  struct ste_service **services; /* of each part */
-  struct ste_target **tried;     /* targets of all sends; see tried_of */
-  struct frn_send *sends;        /* newest first */
+  struct ste_service **services;   /* of each part */
+  struct ste_target **tried;       /* targets of all sends; see tried_of */
+  struct sbq_part *far_parts;      /* held back; null: none was yet */
+  struct ste_target **far_targets; /* of each part that is held back */
+  size_t far_count;
+  struct frn_send *sends; /* newest first */
   uv_timer_t timer;
   rw_time start;
   rw_time deadline;        /* when to answer at the latest */
@@ -416,12 +477,27 @@
 
 extern const struct h1_server_ops frn_caller_ops;
 /* Starts the request MESSAGE, which arrived at START, on ROUTE of the current
-   configuration.  HEAD is the decoded head of MESSAGE.  */
+   configuration.  HEAD is the decoded head of MESSAGE.  ORDER, which is
+   copied, says which subquery is asked for; null for a whole request.  */
 void frn_request_begin (struct frn_daemon *daemon, struct h1_conn *conn,
                         const struct h1_message *message,
                         struct cat_route *route,
                         const struct plt_request *head, rw_time start,
-                        bool relayed);
+                        bool relayed, const struct sbq_order *order);
+/* Sends the parts that are due, then answers, fails or waits for the next
+   event.  */
+void frn_request_run (struct frn_request *request);
+/* Frees the request if it has ended and no send is queued or in flight.  */
+void frn_request_release (struct frn_request *request);
+/* Sends PART for the first time, to TARGET.  */
+void frn_send_first (struct frn_request *request, size_t part,
+                     struct ste_target *target, rw_time now);
+/* Adds SEND, whose scope and target are set, to the request and sends it.  */
+void frn_send_start (struct frn_request *request, struct frn_send *send,
+                     enum gat_send_kind kind, rw_time now);
+/* Records for the log that SEND failed for REASON, a static string.  */
+void frn_set_last_error (struct frn_request *request,
+                         const struct frn_send *send, const char *reason);
 /* Called after the answer, or after the caller disconnected.  Abandons queued
    sends at once, and sends in flight at once or after a linger time in which
    they may end by themselves.  The request is freed after the last one.  */
@@ -485,13 +561,31 @@
   FRN_SEND_ENDED
 };
 
-/* One send of one part to one target.  In the arena of its request.  */
+/* What a send carries.  */
+enum frn_scope
+{
+  FRN_SCOPE_PART,     /* one part, to a target */
+  FRN_SCOPE_SUBQUERY, /* several parts, to a delegate */
+  FRN_SCOPE_QUERY     /* the whole request, to a larger peer */
+};
+
+/* One send to one target or peer.  In the arena of its request.  */
 struct frn_send
 {
   struct ste_send steer; /* first: frn_pool_close casts a pointer to it */
   struct frn_request *request;
   struct frn_send *next; /* next older send of the request */
-  size_t part;
+  enum frn_scope scope;
+  union
+  {
+    size_t part; /* PART; QUERY: 0, its only part */
+    struct
+    {
+      uint32_t *parts;
+      size_t count;
+      unsigned int attempts; /* of each part */
+    } subquery;
+  } u;
   enum frn_send_state state;
   enum gat_send_kind kind;
   enum ste_outcome outcome; /* ENDED */
@@ -527,6 +621,8 @@
   rw_time last_used; /* last call of frn_pool_send; 0: never */
 };
 
+/* Whether SEND carries PART.  */
+bool frn_send_has_part (const struct frn_send *send, size_t part);
 /* Sends SEND to its target, or queues it until a connection is free.  */
 void frn_pool_send (struct frn_daemon *daemon, struct frn_send *send);
 /* Cancels a send whose result is not needed: takes it from the queue, or
--- a/cmd/rwfront/metrics.c
+++ b/cmd/rwfront/metrics.c
@@ -113,6 +113,12 @@
                      "hedges and retries postponed for lack of budget", none);
   m->relays = sta_counter (&m->set, "rwf_relays_total",
                            "requests forwarded to a larger peer", none);
+  m->subqueries = sta_counter (
+      &m->set, "rwf_subqueries_total",
+      "groups of parts left to a daemon of another data centre", none);
+  m->subqueries_served
+      = sta_counter (&m->set, "rwf_subqueries_served_total",
+                     "such groups that peers left to this daemon", none);
   m->conns_opened = sta_counter (&m->set, "rwf_links_opened_total",
                                  "connections opened to targets", none);
   m->store_calls = sta_counter (&m->set, "rwf_store_calls_total",
--- a/cmd/rwfront/peers.c
+++ b/cmd/rwfront/peers.c
@@ -257,7 +257,8 @@
   struct rw_str prefix = RW_LIT (VIEW_PATH);
   int64_t after = 0;
   h1_conn_set_data (conn, NULL);
-  if (frn_relay_serve (daemon, conn, message))
+  if (frn_relay_serve (daemon, conn, message)
+      || frn_subquery_serve (daemon, conn, message))
     return;
   if (rw_str_starts (message->target, prefix))
     {
@@ -330,7 +331,7 @@
   if (peers->notify_due && now - peers->notified_at > MIN_NOTICE_INTERVAL)
     send_notices (daemon, now);
   fetch_if_behind (daemon, now);
-  frn_relay_tick (daemon, now);
+  frn_peerlist_tick (daemon, now);
   daemon->fleet.settings.daemon_count = gos_daemon_count (&peers->gossip, now);
   daemon->fleet.settings.shard_sharers = frn_shard_sharers (daemon);
   ste_choose_subsets (&daemon->fleet, now);
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -209,7 +209,7 @@
             const struct plt_reply *reply, rw_time now)
 {
   struct frn_send *send = conn->send;
-  bool relay = send->request->mode == FRN_MODE_RELAY;
+  bool to_peer = send->scope != FRN_SCOPE_PART;
   if (reply->has_load)
     ste_on_load_report (conn->pool->target, reply->running, reply->waiting,
                         reply->slots, now);
@@ -218,14 +218,14 @@
   /* A reply that lacks its request's id or its stamp, which is a signature, is
      not trusted: it may come from something else at the target's address.
      Replies of peers are not signed.  */
-  bool valid = relay || (reply->request_id.len > 0 && reply->stamp.len > 0);
-  if (reply->not_run || (relay && message->status == 503))
+  bool valid = to_peer || (reply->request_id.len > 0 && reply->stamp.len > 0);
+  if (reply->not_run || (to_peer && message->status == 503))
     end_send (send, STE_SHED, now);
-  else if (valid && (relay || message->status < 500))
+  else if (valid && (to_peer || message->status < 500))
     end_send (send, STE_OK, now);
   else
     end_send (send, STE_FAILED, now);
-  if (reply->misdirected && !relay)
+  if (reply->misdirected && !to_peer)
     drop_target (conn->pool, now);
   if (!valid && !reply->not_run)
     {
@@ -247,7 +247,7 @@
   rw_time now = rw_now ();
 
   plt_read_reply (message, &reply);
-  bool withdraw = request->mode != FRN_MODE_RELAY
+  bool withdraw = conn->send->scope == FRN_SCOPE_PART
                   && note_target_state (pool, &reply, now);
   /* Skips a reply to an earlier request.  */
   if (reply.request_id.len > 0 && !rw_str_eq (reply.request_id, request->id))
@@ -259,14 +259,14 @@
   return result;
 }
 
-/* A larger peer still works on a relayed request, or a target tells its
+/* A peer still works on a relayed request or a subquery, or a target tells its
    state.  */
 static void
 on_interim (struct h1_client *h1, const struct h1_message *message)
 {
   struct frn_pool_conn *conn = h1->arg;
   struct plt_reply reply;
-  if (conn->send->request->mode == FRN_MODE_RELAY)
+  if (conn->send->scope != FRN_SCOPE_PART)
     {
       ste_on_progress (conn->pool->target, rw_now ());
       return;
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -15,6 +15,8 @@
 /* Added to this margin for a relayed request, as the smaller peer is slow to
    forward the answer.  */
 #define RELAY_MARGIN (6 * RW_MSEC)
+/* The answer of a subquery is sent this long before it is due.  */
+#define SUBQUERY_MARGIN (3 * RW_MSEC)
 /* A part is hedged after this multiple of the 0.9 quantile of its route's
    latency, but not before 1/10 of the aim, and at the latest after 1/3 of it,
    so that the hedge can still succeed in time.  A request for one target waits
@@ -52,7 +54,6 @@
    fraction of the time after it, not all at once.  */
 #define RETURN_SPREAD_DIVISOR 4
 
-static void run_request (struct frn_request *request);
 static void start_local (struct frn_request *request);
 
 /* The statistics of ROUTE, created at the first request.  */
@@ -68,6 +69,7 @@
       stats = rw_xcalloc (1, sizeof *stats);
       ste_latency_init (&stats->part_latency, route->aim);
       ste_latency_init (&stats->relay_latency, route->aim * 2);
+      ste_latency_init (&stats->subquery_latency, route->aim * 2);
       shd_init (&stats->shed);
       rw_rng_init (&stats->split_rng, rw_rng_next (&daemon->fleet.rng));
       rw_map_put (&daemon->route_stats, key, stats);
@@ -114,7 +116,12 @@
       break;
     case CAT_ROUTE_GATHER:
       for (size_t i = 0; i < parts; i++)
-        request->services[i] = services[route->u.gather.services[i]].user;
+        {
+          size_t shard
+              = request->order != NULL ? request->order->shards[i] : i;
+          request->services[i]
+              = services[route->u.gather.services[shard]].user;
+        }
       break;
     }
 }
@@ -127,6 +134,20 @@
   return value < high ? value : high;
 }
 
+/* Limits PLAN to what the subquery that REQUEST serves asks for.  */
+static void
+limit_plan (const struct frn_request *request, struct gat_plan *plan)
+{
+  const struct sbq_order *order = request->order;
+  plan->part_count = order->shard_count;
+  plan->min_parts
+      = sbq_min_parts (order->shard_count, request->route->u.gather.min_share);
+  if (order->max_attempts < plan->max_attempts)
+    plan->max_attempts = order->max_attempts;
+  plan->soft_deadline
+      = request->start + order->soft_ms * RW_MSEC - SUBQUERY_MARGIN;
+}
+
 /* Returns the parts, times and limits of a request.  If the caller states less
    time left than the most stated on this route, the difference is taken as
    spent on earlier attempts, and the time for a full-value answer is reduced
@@ -140,9 +161,9 @@
   int64_t time_left_ms = request->time_left_ms;
   rw_time max_hedge_delay = route->aim * SINGLE_MAX_HEDGE_DELAY_PERCENT / 100;
 
-  if (time_left_ms > stats->max_time_left_ms)
+  if (time_left_ms > stats->max_time_left_ms && request->order == NULL)
     stats->max_time_left_ms = time_left_ms;
-  if (time_left_ms >= 0)
+  if (time_left_ms >= 0 && request->order == NULL)
     request->time_spent = (stats->max_time_left_ms - time_left_ms) * RW_MSEC;
   if (route->kind == CAT_ROUTE_GATHER)
     {
@@ -165,6 +186,8 @@
                        - AIM_MARGIN - route->aim / AIM_MARGIN_DIVISOR
                        - (request->relayed ? RELAY_MARGIN : 0);
   plan.deadline = request->deadline;
+  if (request->order != NULL)
+    limit_plan (request, &plan);
   return plan;
 }
 
@@ -195,7 +218,7 @@
       struct rw_str name = message->headers[i].name;
       if (!h1_is_hop_by_hop (message, name) && !plt_sets_header (name)
           && !h1_name_eq (name, "Content-Length")
-          && !frn_is_relay_header (name))
+          && !frn_is_relay_header (name) && !frn_is_subquery_header (name))
         append_header (&lines, &message->headers[i]);
     }
   request->header_lines = rw_arena_str (&request->arena, rw_buf_str (&lines));
@@ -219,10 +242,18 @@
                  RW_STR_ARG (request->path_query));
   rw_buf_append_str (out, request->header_lines);
   plt_write_time_left (out, left > 0 ? left / RW_MSEC : 0);
-  if (request->mode == FRN_MODE_RELAY)
-    frn_relay_write_header (send, out);
-  else
-    plt_write_expected_target (out, send->target->id);
+  switch (send->scope)
+    {
+    case FRN_SCOPE_PART:
+      plt_write_expected_target (out, send->target->id);
+      break;
+    case FRN_SCOPE_SUBQUERY:
+      frn_subquery_write_header (send, out);
+      break;
+    case FRN_SCOPE_QUERY:
+      frn_relay_write_header (send, out);
+      break;
+    }
   if (needs_content_length (request))
     rw_buf_printf (out, "Content-Length: %zu\r\n", request->body.len);
   rw_buf_append (out, "\r\n", 2);
@@ -251,9 +282,8 @@
   return false;
 }
 
-/* Frees the request if it has ended and no send is queued or in flight.  */
-static void
-release_if_done (struct frn_request *request)
+void
+frn_request_release (struct frn_request *request)
 {
   if (!request->ended || request->closing || has_open_sends (request))
     return;
@@ -261,13 +291,27 @@
   uv_close ((uv_handle_t *)&request->timer, on_timer_closed);
 }
 
-/* The latency statistics of what the request sends in its present mode: parts,
-   or the whole request to a peer.  */
+/* The latency statistics of what a send of SCOPE carries.  */
 static struct ste_latency *
-latency_of (const struct frn_request *request)
+latency_of (const struct frn_request *request, enum frn_scope scope)
+{
+  switch (scope)
+    {
+    case FRN_SCOPE_PART:
+      break;
+    case FRN_SCOPE_SUBQUERY:
+      return &request->stats->subquery_latency;
+    case FRN_SCOPE_QUERY:
+      return &request->stats->relay_latency;
+    }
+  return &request->stats->part_latency;
+}
+
+/* What the sends of the parts of the request carry in its present mode.  */
+static enum frn_scope
+scope_of (const struct frn_request *request)
 {
-  return request->mode == FRN_MODE_RELAY ? &request->stats->relay_latency
-                                         : &request->stats->part_latency;
+  return request->mode == FRN_MODE_RELAY ? FRN_SCOPE_QUERY : FRN_SCOPE_PART;
 }
 
 static void
@@ -277,19 +321,39 @@
     frn_send_abandon (s);
 }
 
-/* Abandons the sends of PART, or of ALL_PARTS, as their results are not
-   needed: queued sends always, sends in flight if that is cheaper for the
-   target than finishing the work.  A target drops a request when its
-   connection closes, but the next connection costs it a handshake.  */
+bool
+frn_send_has_part (const struct frn_send *send, size_t part)
+{
+  if (send->scope != FRN_SCOPE_SUBQUERY)
+    return send->u.part == part;
+  for (size_t i = 0; i < send->u.subquery.count; i++)
+    if (send->u.subquery.parts[i] == part)
+      return true;
+  return false;
+}
+
+/* Returns whether closing the connection of SEND costs less than letting it
+   end.  A target drops a request when its connection closes, but the next
+   connection costs it a handshake.  A delegate has several targets at work. */
+static bool
+is_abandon_cheaper (const struct frn_request *request,
+                    const struct frn_send *send)
+{
+  return send->state == FRN_SEND_QUEUED || send->scope == FRN_SCOPE_SUBQUERY
+         || latency_of (request, send->scope)->work.mean
+                > (double)send->target->service->handshake_time
+                      * MIN_ABANDON_HANDSHAKES;
+}
+
+/* Abandons the sends of PART alone, or of ALL_PARTS, as their results are not
+   needed, if that is cheaper.  */
 static void
 abandon_if_cheaper (struct frn_request *request, size_t part)
 {
   for (struct frn_send *s = request->sends; s != NULL; s = s->next)
-    if ((part == ALL_PARTS || s->part == part)
-        && (s->state == FRN_SEND_QUEUED
-            || latency_of (request)->work.mean
-                   > (double)s->target->service->handshake_time
-                         * MIN_ABANDON_HANDSHAKES))
+    if ((part == ALL_PARTS
+         || (s->scope != FRN_SCOPE_SUBQUERY && s->u.part == part))
+        && is_abandon_cheaper (request, s))
       frn_send_abandon (s);
 }
 
@@ -300,11 +364,11 @@
 {
   struct frn_request *request = timer->data;
   if (!request->ended)
-    run_request (request);
+    frn_request_run (request);
   else
     {
       abandon_sends (request);
-      release_if_done (request);
+      frn_request_release (request);
     }
 }
 
@@ -315,7 +379,7 @@
   request->conn = NULL;
   abandon_if_cheaper (request, ALL_PARTS);
   uv_timer_start (&request->timer, on_timer, LINGER_TIME / RW_MSEC, 0);
-  release_if_done (request);
+  frn_request_release (request);
 }
 
 /* Tells the peer that relayed the request that this daemon still works on it,
@@ -337,6 +401,9 @@
   rw_time next = gat_next_event (&request->query, now);
   if (request->relayed && request->next_interim < next)
     next = request->next_interim;
+  rw_time expiry = frn_subquery_expiry (request, now);
+  if (expiry < next)
+    next = expiry;
   /* Rounded up to ms, so that the timer does not fire early.  */
   uint64_t ms = (uint64_t)((next - now + RW_MSEC - 1) / RW_MSEC);
   uv_timer_start (&request->timer, on_timer, ms, 0);
@@ -349,6 +416,20 @@
   return request->tried + part * gat_max_sends (&request->query.plan);
 }
 
+void
+frn_send_start (struct frn_request *request, struct frn_send *send,
+                enum gat_send_kind kind, rw_time now)
+{
+  send->request = request;
+  send->kind = kind;
+  send->target->refs++;
+  send->next = request->sends;
+  request->sends = send;
+  ste_on_sent (&send->steer, send->target, latency_of (request, send->scope),
+               now);
+  frn_pool_send (request->daemon, send);
+}
+
 /* Sends PART to TARGET and records the send in the request, the query and the
    target's state.  */
 static void
@@ -358,16 +439,12 @@
   struct frn_send *send = rw_arena_zalloc (&request->arena, 1, sizeof *send);
   size_t count = request->query.parts[part].sends;
   tried_of (request, part)[count] = target;
-  send->request = request;
-  send->part = part;
-  send->kind = kind;
+  send->scope = scope_of (request);
+  send->u.part = part;
   send->target = target;
-  target->refs++;
-  send->next = request->sends;
-  request->sends = send;
+  sta_inc (request->daemon->metrics.admission[ste_state_of (target, now)]);
   gat_on_sent (&request->query, part, now);
-  ste_on_sent (&send->steer, target, latency_of (request), now);
-  frn_pool_send (request->daemon, send);
+  frn_send_start (request, send, kind, now);
 }
 
 /* The limits of the retry budget of SERVICE.  Its rounding differs between
@@ -386,6 +463,17 @@
                               .rounding = ldexp ((double)hash, -64) };
 }
 
+void
+frn_send_first (struct frn_request *request, size_t part,
+                struct ste_target *target, rw_time now)
+{
+  struct ste_service *service = request->services[part];
+  struct ext_limits limits = budget_limits (request->daemon, service);
+  ext_count_request (&service->budget, &limits, now);
+  sta_inc (request->daemon->metrics.first_sends);
+  send_part (request, part, target, GAT_SEND_FIRST, now);
+}
+
 /* Selects a target for PART and sends it there, or postpones the send.
 
    A retry may go to a target that was tried before if there is no other.  A
@@ -399,7 +487,7 @@
 {
   struct frn_daemon *daemon = request->daemon;
   struct ste_service *service = request->services[part];
-  struct ste_latency *latency = latency_of (request);
+  struct ste_latency *latency = latency_of (request, scope_of (request));
   struct ext_limits limits = budget_limits (daemon, service);
   size_t tried_n = request->query.parts[part].sends;
   struct ste_target *target
@@ -428,8 +516,9 @@
     sta_inc (daemon->metrics.relays);
   else if (kind == GAT_SEND_FIRST)
     {
-      ext_count_request (&service->budget, &limits, now);
-      sta_inc (daemon->metrics.first_sends);
+      if (!frn_subquery_collect (request, part, target, now))
+        frn_send_first (request, part, target, now);
+      return;
     }
   else if (gat_send_is_extra (&request->query, part)
            && !ext_take (&service->budget, &limits, now))
@@ -442,7 +531,6 @@
   else
     sta_inc (kind == GAT_SEND_HEDGE ? daemon->metrics.hedges
                                     : daemon->metrics.retries);
-  sta_inc (daemon->metrics.admission[ste_state_of (target, now)]);
   send_part (request, part, target, kind, now);
 }
 
@@ -472,16 +560,15 @@
   return false;
 }
 
-/* Sends the parts that are due, then answers, fails or waits for the next
-   event.  */
-static void
-run_request (struct frn_request *request)
+void
+frn_request_run (struct frn_request *request)
 {
   rw_time now = rw_now ();
   size_t position = 0;
   size_t part;
   enum gat_send_kind kind;
 
+  frn_subquery_expire (request, now);
   enum gat_decision decision = gat_decide (&request->query, now);
   while (decision == GAT_WAIT
          && gat_next_send (&request->query, now, &position, &part, &kind))
@@ -491,6 +578,10 @@
         return;
       decision = gat_decide (&request->query, now);
     }
+  frn_subquery_flush (request, now);
+  if (request->ended)
+    return;
+  decision = gat_decide (&request->query, now);
   if (decision == GAT_WAIT)
     {
       show_progress (request, now);
@@ -526,9 +617,9 @@
   rw_buf_finish (&lines);
 }
 
-static void
-set_last_error (struct frn_request *request, const struct frn_send *send,
-                const char *reason)
+void
+frn_set_last_error (struct frn_request *request, const struct frn_send *send,
+                    const char *reason)
 {
   request->last_error = reason;
   rw_str_copy (request->last_target, sizeof request->last_target,
@@ -545,11 +636,11 @@
   gat_on_failure (&request->query, part, failure, rw_now (),
                   may_have_run ? 0 : REFUSED_BACKOFF);
   if (request->ended)
-    release_if_done (request);
+    frn_request_release (request);
   else if (request->mode == FRN_MODE_RELAY && !may_have_run)
     start_local (request);
   else
-    run_request (request);
+    frn_request_run (request);
 }
 
 void
@@ -558,8 +649,11 @@
 {
   struct frn_request *request = send->request;
   sta_inc (request->daemon->metrics.send_outcome[FRN_SEND_BROKEN]);
-  set_last_error (request, send, reason);
-  handle_failure (request, send->part, failure);
+  frn_set_last_error (request, send, reason);
+  if (send->scope == FRN_SCOPE_SUBQUERY)
+    frn_subquery_fail (send, failure, rw_now ());
+  else
+    handle_failure (request, send->u.part, failure);
 }
 
 /* Takes the reply of a larger peer.  It is final, also if the peer refused the
@@ -570,22 +664,22 @@
 {
   struct frn_request *request = send->request;
   /* No error, but the log line names the peer.  */
-  set_last_error (request, send, "");
+  frn_set_last_error (request, send, "");
   if (request->ended)
     {
-      release_if_done (request);
+      frn_request_release (request);
       return;
     }
   if (frn_relay_refused (message))
     {
-      set_last_error (request, send, "peer refused");
-      handle_failure (request, send->part, GAT_FAIL_NOT_RUN);
+      frn_set_last_error (request, send, "peer refused");
+      handle_failure (request, send->u.part, GAT_FAIL_NOT_RUN);
       return;
     }
   keep_target_reply (request, message);
   gat_on_part (&request->query, 0, (struct rw_str){ NULL, 0 },
                (struct rw_str){ NULL, 0 });
-  run_request (request);
+  frn_request_run (request);
 }
 
 void
@@ -597,41 +691,49 @@
   bool is_gather = request->route->kind == CAT_ROUTE_GATHER;
   bool success = message->status >= 200 && message->status < 300;
 
-  if (request->mode == FRN_MODE_RELAY)
+  switch (send->scope)
     {
+    case FRN_SCOPE_PART:
+      break;
+    case FRN_SCOPE_SUBQUERY:
+      frn_subquery_take_reply (send, message);
+      return;
+    case FRN_SCOPE_QUERY:
       take_relay_reply (send, message);
       return;
     }
   if (reply->not_run)
     {
       sta_inc (metrics->send_outcome[FRN_SEND_REFUSED]);
-      set_last_error (request, send, "target refused");
-      handle_failure (request, send->part, GAT_FAIL_NOT_RUN);
+      frn_set_last_error (request, send, "target refused");
+      handle_failure (request, send->u.part, GAT_FAIL_NOT_RUN);
       return;
     }
   if (!success && (is_gather || message->status >= 500))
     {
       sta_inc (metrics->send_outcome[FRN_SEND_BROKEN]);
-      set_last_error (request, send, "target failed");
+      frn_set_last_error (request, send, "target failed");
       if (!is_gather && !request->ended)
         keep_target_reply (request, message);
-      handle_failure (request, send->part, GAT_FAIL_RAN);
+      handle_failure (request, send->u.part, GAT_FAIL_RAN);
       return;
     }
   sta_inc (metrics->send_outcome[FRN_SEND_OK]);
+  if (is_gather)
+    sbq_count_part (&request->stats->sizes, message->body.len);
   if (request->ended)
     {
-      release_if_done (request);
+      frn_request_release (request);
       return;
     }
   if (!is_gather)
     keep_target_reply (request, message);
-  gat_on_part (&request->query, send->part,
+  gat_on_part (&request->query, send->u.part,
                rw_arena_str (&request->arena, reply->stamp),
                is_gather ? rw_arena_str (&request->arena, message->body)
                          : (struct rw_str){ NULL, 0 });
-  abandon_if_cheaper (request, send->part);
-  run_request (request);
+  abandon_if_cheaper (request, send->u.part);
+  frn_request_run (request);
 }
 
 rw_time
@@ -676,10 +778,15 @@
   init_query (request, &plan);
   bind_services (request);
   rw_time now = rw_now ();
+  if (request->order != NULL)
+    {
+      frn_request_run (request);
+      return;
+    }
   if (frn_time_until_servable (request, now) == 0)
     {
       if (frn_overload_admit (request))
-        run_request (request);
+        frn_request_run (request);
       return;
     }
   request->last_error = "no target";
@@ -702,13 +809,14 @@
   request->mode = FRN_MODE_RELAY;
   init_query (request, &plan);
   request->services = &request->daemon->peers.larger_peers;
-  run_request (request);
+  frn_request_run (request);
 }
 
 void
 frn_request_begin (struct frn_daemon *daemon, struct h1_conn *conn,
                    const struct h1_message *message, struct cat_route *route,
-                   const struct plt_request *head, rw_time start, bool relayed)
+                   const struct plt_request *head, rw_time start, bool relayed,
+                   const struct sbq_order *order)
 {
   struct frn_request *request = rw_xcalloc (1, sizeof *request);
   rw_time limit = route->timeout;
@@ -729,6 +837,16 @@
   request->deadline = start + limit - DEADLINE_MARGIN;
   rw_arena_init (&request->arena, ARENA_BLOCK);
   copy_message (request, message, head->id);
+  if (order != NULL)
+    {
+      request->order
+          = rw_arena_zalloc (&request->arena, 1, sizeof *request->order);
+      *request->order = *order;
+      request->order->shards = rw_arena_alloc (
+          &request->arena, order->shard_count * sizeof *order->shards);
+      memcpy (request->order->shards, order->shards,
+              order->shard_count * sizeof *order->shards);
+    }
   uv_timer_init (daemon->loop, &request->timer);
   request->timer.data = request;
   daemon->request_count++;
--- a/cmd/rwfront/span.c
+++ b/cmd/rwfront/span.c
@@ -57,9 +57,12 @@
 {
   rw_time end = send->state == FRN_SEND_ENDED ? send->ended_at : now;
   evt_line (&request->daemon->log, EVT_SAMPLED, "span", now,
-            "%s: id=%s part=%zu service=%s target=%s kind=%s at_ms=%lld "
-            "ms=%lld",
-            send_state_name (send), evt_value (request->id).text, send->part,
+            "%s: id=%s part=%zu parts=%zu service=%s target=%s kind=%s "
+            "at_ms=%lld ms=%lld",
+            send_state_name (send), evt_value (request->id).text,
+            send->scope == FRN_SCOPE_SUBQUERY ? send->u.subquery.parts[0]
+                                              : send->u.part,
+            send->scope == FRN_SCOPE_SUBQUERY ? send->u.subquery.count : 1,
             send->target->service->name, send->target->id,
             kind_name (send->kind),
             (long long)((send->steer.sent_at - request->start) / RW_MSEC),
--- a/cmd/rwfront/test_relay.c
+++ b/cmd/rwfront/test_relay.c
@@ -42,7 +42,7 @@
                       RW_SEC);
     }
   f->daemon.fleet.settings.daemon_count = large + small + 1;
-  frn_relay_tick (&f->daemon, RW_SEC);
+  frn_peerlist_tick (&f->daemon, RW_SEC);
 }
 
 /* Guards against fleet-wide limits that are exceeded when 6 large daemons and
@@ -54,8 +54,8 @@
   assert_true (f->daemon.peers.is_gatherer);
   sum += 6.0 / (double)frn_shard_sharers (&f->daemon);
   f->daemon.settings.cores = 0.084;
-  f->daemon.peers.larger_peers_next = 0;
-  frn_relay_tick (&f->daemon, RW_SEC);
+  f->daemon.peers.lists_next = 0;
+  frn_peerlist_tick (&f->daemon, RW_SEC);
   assert_false (f->daemon.peers.is_gatherer);
   sum += 111.0 / (double)frn_shard_sharers (&f->daemon);
   assert_true (sum <= 1);
@@ -110,9 +110,9 @@
   struct gos_message leaving = { .leaving = true };
   set_fleet (f, 0.084, 2, 30);
   gos_on_message (&f->daemon.peers.gossip, 2, &leaving, 2 * RW_SEC);
-  frn_relay_tick (&f->daemon, 2 * RW_SEC);
+  frn_peerlist_tick (&f->daemon, 2 * RW_SEC);
   assert_true (frn_relay_available (&f->daemon, 2 * RW_SEC));
   gos_on_message (&f->daemon.peers.gossip, 3, &leaving, 3 * RW_SEC);
-  frn_relay_tick (&f->daemon, 3 * RW_SEC);
+  frn_peerlist_tick (&f->daemon, 3 * RW_SEC);
   assert_false (frn_relay_available (&f->daemon, 3 * RW_SEC));
 }
--- a/lib/gather/gather.c
+++ b/lib/gather/gather.c
@@ -78,6 +78,23 @@
       = may_hedge (query, p) ? now + query->plan.hedge_delay : RW_TIME_NEVER;
 }
 
+void
+gat_on_delegated (struct gat_query *query, size_t part, unsigned int attempts,
+                  rw_time now)
+{
+  struct gat_part *p = &query->parts[part];
+  p->attempts += attempts - 1;
+  gat_on_sent (query, part, now);
+}
+
+void
+gat_on_returned (struct gat_query *query, size_t part, unsigned int attempts,
+                 enum gat_failure failure, rw_time now)
+{
+  query->parts[part].attempts -= attempts - 1;
+  gat_on_failure (query, part, failure, now, 0);
+}
+
 static void
 mark_lost (struct gat_query *query, struct gat_part *p)
 {
@@ -131,6 +148,16 @@
   return true;
 }
 
+void
+gat_on_delegated_part (struct gat_query *query, size_t part,
+                       struct rw_str stamp, struct rw_str body)
+{
+  if (gat_on_part (query, part, stamp, body))
+    return;
+  query->parts[part].stamp = stamp;
+  query->parts[part].body = body;
+}
+
 void
 gat_on_failure (struct gat_query *query, size_t part, enum gat_failure failure,
                 rw_time now, rw_time backoff)
--- a/lib/gather/gather.h
+++ b/lib/gather/gather.h
@@ -90,6 +90,22 @@
 /* Records that PART was sent at NOW; if it may be hedged, it is due again
    after plan.hedge_delay.  */
 void gat_on_sent (struct gat_query *query, size_t part, rw_time now);
+/* Records that PART was left at NOW to another daemon, which may send it up to
+   ATTEMPTS times; at least 1.  It counts as one send in flight.  */
+void gat_on_delegated (struct gat_query *query, size_t part,
+                       unsigned int attempts, rw_time now);
+/* Records that PART, which was left to a daemon with ATTEMPTS, certainly did
+   not run: FAILURE is GAT_FAIL_UNSENT or GAT_FAIL_NOT_RUN.  The part is due
+   again at once.  */
+void gat_on_returned (struct gat_query *query, size_t part,
+                      unsigned int attempts, enum gat_failure failure,
+                      rw_time now);
+/* Records the answer of PART as part of a list that the other daemon merged
+   from several: it takes the place of an answer of its own, which would count
+   twice.  The BODY of the list belongs to one of its parts, and is empty for
+   the others.  The strings are not copied and must outlive the query.  */
+void gat_on_delegated_part (struct gat_query *query, size_t part,
+                            struct rw_str stamp, struct rw_str body);
 /* Records that PART was due at NOW but is not sent, for lack of a suitable
    target or of retry budget.  The part is due again after DELAY.  A negative
    DELAY means that there is no target at all: a pending part is lost, and a
--- a/lib/gather/test_gather.c
+++ b/lib/gather/test_gather.c
@@ -259,3 +259,76 @@
   assert_int_equal (gat_decide (&f->query, 5 * MS), GAT_WAIT);
   assert_int_equal (send_due_parts (f, 25 * MS, GAT_SEND_RETRY), 1);
 }
+
+/* A query of which three parts are left to another daemon.  Guards against
+   sending such a part again, which could run it too often, and against a query
+   that waits for parts that the other daemon has lost.  */
+TEST_WITH_FIXTURE (a_delegated_part_that_failed_is_lost)
+{
+  struct gat_plan plan = make_plan (8, 5);
+  gat_init (&f->query, &f->arena, &plan, 0);
+  for (size_t part = 0; part < 3; part++)
+    gat_on_delegated (&f->query, part, 2, 0);
+  assert_int_equal (send_due_parts (f, 0, GAT_SEND_FIRST), 5);
+  for (size_t part = 3; part < 8; part++)
+    receive_part (f, part);
+  assert_int_equal (send_due_parts (f, 49 * MS, GAT_SEND_HEDGE), 0);
+  for (size_t part = 0; part < 3; part++)
+    gat_on_failure (&f->query, part, GAT_FAIL_UNKNOWN, 30 * MS, 0);
+  assert_int_equal (f->query.lost, 3);
+  assert_int_equal (gat_decide (&f->query, 30 * MS), GAT_ANSWER);
+}
+
+/* Guards against parts that are lost because a delegate refused them, or had
+   no target for them, and against counting a first arrival at a target as an
+   extra one, or an extra one as the first.  */
+TEST_WITH_FIXTURE (delegated_parts_that_did_not_run_are_sent)
+{
+  struct gat_plan plan = make_plan (2, 2);
+  gat_init (&f->query, &f->arena, &plan, 0);
+  gat_on_delegated (&f->query, 0, 2, 0);
+  gat_on_delegated (&f->query, 1, 2, 0);
+  assert_true (gat_send_is_extra (&f->query, 0));
+  gat_on_returned (&f->query, 0, 2, GAT_FAIL_UNSENT, 5 * MS);
+  gat_on_returned (&f->query, 1, 2, GAT_FAIL_NOT_RUN, 5 * MS);
+  assert_false (gat_send_is_extra (&f->query, 0));
+  assert_true (gat_send_is_extra (&f->query, 1));
+  assert_int_equal (send_due_parts (f, 5 * MS, GAT_SEND_RETRY), 2);
+  assert_int_equal (send_due_parts (f, 30 * MS, GAT_SEND_HEDGE), 2);
+}
+
+/* Guards against records that count twice: a part of a delegate's list that
+   has also been answered by itself.  */
+TEST_WITH_FIXTURE (a_merged_list_replaces_an_answer_of_its_own)
+{
+  static const char own[] = "aaaaaaaaaaaaaaaa";
+  static const char list[] = "aaaaaaaaaaaaaaaabbbbbbbbbbbbbbbb";
+  struct gat_plan plan = make_plan (2, 2);
+  gat_init (&f->query, &f->arena, &plan, 0);
+  gat_on_delegated (&f->query, 0, 1, 0);
+  gat_on_delegated (&f->query, 1, 1, 0);
+  assert_int_equal (send_due_parts (f, 20 * MS, GAT_SEND_HEDGE), 2);
+  gat_on_part (&f->query, 0, RW_LIT ("own"), rw_str_from (own));
+  gat_on_delegated_part (&f->query, 0, RW_LIT ("x"), rw_str_from (list));
+  gat_on_delegated_part (&f->query, 1, RW_LIT ("y"), RW_LIT (""));
+  /* The answer of its own that comes later is not taken.  */
+  assert_false (gat_on_part (&f->query, 1, RW_LIT ("own"), rw_str_from (own)));
+  assert_int_equal (gat_decide (&f->query, 20 * MS), GAT_ANSWER);
+  assert_true (rw_str_eq_cstr (f->query.parts[0].stamp, "x"));
+  assert_true (rw_str_eq_cstr (f->query.parts[1].stamp, "y"));
+  struct rw_str merged = gat_merge (&f->query, 10, &f->arena);
+  assert_int_equal (merged.len, 2 * GAT_RECORD_SIZE);
+}
+
+/* Guards against refusals that tell callers to return before enough parts can
+   be sent, or much later.  */
+TEST (a_query_can_be_sent_when_enough_parts_can)
+{
+  double times[] = { 300, 0, 100, 0, 200 };
+  struct gat_plan plan = make_plan (5, 2);
+  assert_true (gat_time_until_enough (times, &plan) == 0);
+  plan.min_parts = 4;
+  assert_true (gat_time_until_enough (times, &plan) == 200);
+  plan.min_parts = 0;
+  assert_true (gat_time_until_enough (times, &plan) == 0);
+}
--- a/lib/gossip/gossip.c
+++ b/lib/gossip/gossip.c
@@ -343,6 +343,55 @@
   return NULL;
 }
 
+/* Rank of MEMBER as a delegate of the daemon OWN_IP.  */
+static uint64_t
+delegate_rank (uint32_t own_ip, const struct gos_member *member)
+{
+  return rw_hash_u64 (own_ip, member->ip);
+}
+
+/* Inserts MEMBER into DELEGATES, which are sorted by rank, unless they are
+   full and it ranks behind them.  */
+static void
+insert_delegate (struct gos_delegates *delegates, uint32_t own_ip,
+                 const struct gos_member *member)
+{
+  uint64_t rank = delegate_rank (own_ip, member);
+  size_t at = delegates->count;
+  while (at > 0 && delegate_rank (own_ip, delegates->members[at - 1]) > rank)
+    at--;
+  if (at == GOS_DELEGATES_PER_DC)
+    return;
+  if (delegates->count < GOS_DELEGATES_PER_DC)
+    delegates->count++;
+  memmove (&delegates->members[at + 1], &delegates->members[at],
+           (delegates->count - 1 - at) * sizeof delegates->members[0]);
+  delegates->members[at] = member;
+}
+
+size_t
+gos_pick_delegates (const struct gos_gossip *gossip, uint32_t capacity,
+                    rw_time now, struct gos_delegates *out)
+{
+  size_t dc_count = 0;
+  size_t position = 0;
+  const struct gos_member *member;
+  while ((member = gos_next_member (gossip, capacity, now, &position)) != NULL)
+    {
+      size_t i = 0;
+      if (member->dc == gossip->settings.dc)
+        continue;
+      while (i < dc_count && out[i].dc != member->dc)
+        i++;
+      if (i == GOS_MAX_DELEGATE_DCS)
+        continue;
+      if (i == dc_count)
+        out[dc_count++] = (struct gos_delegates){ .dc = member->dc };
+      insert_delegate (&out[i], gossip->settings.ip, member);
+    }
+  return dc_count;
+}
+
 size_t
 gos_live_count (const struct gos_gossip *gossip, rw_time now)
 {
--- a/lib/gossip/gossip.h
+++ b/lib/gossip/gossip.h
@@ -156,6 +156,25 @@
 const struct gos_member *gos_next_member (const struct gos_gossip *gossip,
                                           uint32_t capacity, rw_time now,
                                           size_t *position);
+#define GOS_MAX_DELEGATE_DCS 16
+#define GOS_DELEGATES_PER_DC 3
+
+/* The members of another data centre that take work from this daemon.  */
+struct gos_delegates
+{
+  uint32_t dc;
+  size_t count;
+  const struct gos_member *members[GOS_DELEGATES_PER_DC];
+};
+
+/* Stores in OUT, which has room for GOS_MAX_DELEGATE_DCS, the delegates of
+   each other data centre, and returns the number of data centres.  They are
+   the live members with at least CAPACITY that rank lowest for this daemon by
+   rendezvous hashing, so the daemons spread evenly over them and one that
+   comes or goes changes few choices.  The members are valid until the next
+   message is processed.  */
+size_t gos_pick_delegates (const struct gos_gossip *gossip, uint32_t capacity,
+                           rw_time now, struct gos_delegates *out);
 /* Returns the number of live members, without this daemon.  */
 size_t gos_live_count (const struct gos_gossip *gossip, rw_time now);
 /* Returns the address of a random live member whose copy has at least
--- a/lib/gossip/test_gossip.c
+++ b/lib/gossip/test_gossip.c
@@ -354,3 +354,59 @@
   assert_true (passed_on <= DAEMONS * 20 * GOS_CONFIRM_FANOUT);
   stop_all ();
 }
+
+/* Guards against delegates that take the work of too many daemons, against
+   small ones, and against choices that all change when one daemon leaves.  */
+TEST (the_daemons_spread_over_the_delegates)
+{
+  enum
+  {
+    DAEMONS = 120,
+    DCS = 3
+  };
+  size_t load[DAEMONS + 1] = { 0 };
+  start_all (DAEMONS, DCS);
+  for (size_t i = 0; i < DAEMONS; i++)
+    fleet.daemons[i].settings.capacity = i % 4 == 0 ? 500 : 80;
+  run (0, 4 * RW_SEC);
+  size_t changed = 0;
+  for (size_t i = 0; i < DAEMONS; i++)
+    {
+      struct gos_delegates before[GOS_MAX_DELEGATE_DCS];
+      struct gos_delegates after[GOS_MAX_DELEGATE_DCS];
+      struct gos_gossip *gossip = &fleet.daemons[i];
+      size_t dcs = gos_pick_delegates (gossip, 400, 4 * RW_SEC, before);
+      assert_int_equal (dcs, DCS - 1);
+      for (size_t d = 0; d < dcs; d++)
+        {
+          assert_int_equal (before[d].count, GOS_DELEGATES_PER_DC);
+          assert_int_not_equal (before[d].dc, gossip->settings.dc);
+          for (size_t j = 0; j < before[d].count; j++)
+            {
+              assert_int_equal (before[d].members[j]->capacity, 500);
+              load[before[d].members[j]->ip]++;
+            }
+        }
+      /* The daemon with the address 1 leaves.  */
+      struct gos_message leaving = { .leaving = true };
+      gos_on_message (gossip, 1, &leaving, 4 * RW_SEC);
+      gos_pick_delegates (gossip, 400, 4 * RW_SEC, after);
+      for (size_t d = 0; d < dcs; d++)
+        for (size_t j = 0; j < after[d].count; j++)
+          {
+            bool known = false;
+            for (size_t k = 0; k < dcs * GOS_DELEGATES_PER_DC; k++)
+              known = known
+                      || before[k / GOS_DELEGATES_PER_DC]
+                                 .members[k % GOS_DELEGATES_PER_DC]
+                             == after[d].members[j];
+            changed += !known;
+          }
+    }
+  /* 30 daemons are large: each is a delegate of 80 daemons' 3 of 10.  */
+  for (size_t ip = 1; ip <= DAEMONS; ip++)
+    if ((ip - 1) % 4 == 0)
+      assert_in_range (load[ip], 8, 48);
+  assert_true (changed <= load[1]);
+  stop_all ();
+}
--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -256,9 +256,27 @@
   return backlog_of (target, now) < 1;
 }
 
+/* The delay in the queues of SERVICE that a peer last reported.  */
+static double
+peer_delay_of (const struct ste_service *service, rw_time now)
+{
+  if (service->peer_delay_at == 0)
+    return 0;
+  return decayed (service->peer_delay, 0,
+                  service->peer_delay_at + BACKLOG_HOLD_TIME, now,
+                  BACKLOG_DECAY_TIME);
+}
+
+void
+ste_on_delay_report (struct ste_service *service, double delay, rw_time now)
+{
+  service->peer_delay = delay;
+  service->peer_delay_at = now;
+}
+
 double
-ste_queue_delay (const struct ste_fleet *fleet,
-                 const struct ste_service *service, rw_time now)
+ste_own_queue_delay (const struct ste_fleet *fleet,
+                     const struct ste_service *service, rw_time now)
 {
   double best = INFINITY;
   for (const struct ste_target *t = service->targets; t != NULL; t = t->next)
@@ -278,6 +296,14 @@
   return best;
 }
 
+double
+ste_queue_delay (const struct ste_fleet *fleet,
+                 const struct ste_service *service, rw_time now)
+{
+  return fmax (ste_own_queue_delay (fleet, service, now),
+               peer_delay_of (service, now));
+}
+
 /* Returns the time in microseconds until a target of SLOTS that has QUEUE_LEN
    requests of WORK each, running or waiting, begins another one.  */
 static double
@@ -320,7 +346,11 @@
   double run_time = latency->mean * latency_ratio;
   double work = target->service->work.mean;
   double time = run_time;
-  time += queue_time (queue_len, target->slots, work > 0 ? work : run_time);
+  double wait
+      = queue_time (queue_len, target->slots, work > 0 ? work : run_time);
+  if (target->dc != fleet->settings.dc)
+    wait = fmax (wait, peer_delay_of (target->service, now));
+  time += wait;
   time += OVERDUE_WEIGHT * fmax (quiet_time (target, now) - time, 0);
   if (target->dc != fleet->settings.dc)
     time += OTHER_DC_PENALTY;
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -101,6 +101,8 @@
   double warmup_limit_per_s;    /* to a cold target, all daemons; 0: none */
   rw_time handshake_time;       /* moving average; 0: not known */
   struct ste_work work;         /* of requests of all routes */
+  double peer_delay;            /* in microseconds; see ste_on_delay_report */
+  rw_time peer_delay_at;        /* 0: none was reported */
   bool is_shard;                /* a shard of a route that gathers */
 };
 
@@ -262,11 +264,19 @@
 /* Returns whether fewer than one request per slot waits at TARGET, as far as
    is known.  */
 bool ste_has_room (const struct ste_target *target, rw_time now);
+/* Records the delay, as ste_own_queue_delay returns it, that a peer knows
+   which sends to SERVICE for this daemon.  */
+void ste_on_delay_report (struct ste_service *service, double delay,
+                          rw_time now);
 /* Returns the time in microseconds that a request waits at the best target of
-   SERVICE before that works on it, as far as is known; infinity if no target
-   is usable.  */
+   SERVICE before that works on it, as far as is known here or at a peer;
+   infinity if no target is usable.  */
 double ste_queue_delay (const struct ste_fleet *fleet,
                         const struct ste_service *service, rw_time now);
+/* The same from what is known here alone: what peers reported must not be
+   reported to them again.  */
+double ste_own_queue_delay (const struct ste_fleet *fleet,
+                            const struct ste_service *service, rw_time now);
 /* Returns the expected time in microseconds until TARGET answers a request of
    the route of LATENCY.  It includes penalties, such as those for another data
    centre, a stall, failures or leaving.  */
--- a/lib/steer/test_steer.c
+++ b/lib/steer/test_steer.c
@@ -503,3 +503,28 @@
   assert_int_equal (released, 1);
   assert_int_equal (f->service->target_count, 1);
 }
+
+/* Guards against an overload that is not seen by daemons which leave the sends
+   to peers, and against reports that keep each other alive.  */
+TEST_WITH_FIXTURE (a_delay_that_a_peer_reports_counts_for_a_time)
+{
+  warm_up (f);
+  ste_on_delay_report (f->service, 40 * MS, WARM);
+  double delay = ste_queue_delay (&f->fleet, f->service, WARM + 50 * MS);
+  assert_in_range ((rw_time)delay, 39 * MS, 40 * MS);
+  assert_true (ste_own_queue_delay (&f->fleet, f->service, WARM + 50 * MS)
+               == 0);
+  delay = ste_queue_delay (&f->fleet, f->service, WARM + 2 * RW_SEC);
+  assert_in_range ((rw_time)delay, 0, MS);
+}
+
+/* Guards against preferring targets of another data centre because their
+   queues are not reported here.  */
+TEST_WITH_FIXTURE (a_reported_delay_counts_for_targets_of_other_data_centres)
+{
+  warm_up (f);
+  ste_on_load_report (f->a, 2, 3, 2, WARM);
+  assert_ptr_equal (pick (f, WARM + MS), f->b);
+  ste_on_delay_report (f->service, 200 * MS, WARM);
+  assert_ptr_equal (pick (f, WARM + MS), f->a);
+}
