Send the parts of other data centres to one of them

Hypothesis: a shard without a copy at home has its two copies in two other data centres, and the choice of the sooner one splits the parts into two subqueries of three; one of seven needs fewer bytes and messages.

Change: sbq_join moves parts to the data centre that suits most of them, if they are answered at most 8 ms later there; the request's id decides between equal ones. Load pattern: test_subquery, parts_with_copies_in_several_data_centres.

--- a/cmd/rwfront/subquery.c
+++ b/cmd/rwfront/subquery.c
@@ -14,6 +14,9 @@
 #define MAX_DELAY (60 * RW_SEC)
 /* A request with a larger sum of headers and body is not delegated.  */
 #define MAX_DELEGATED_BYTES 4096
+/* Parts go to another data centre than that of their best target if they are
+   answered at most this much later there.  */
+#define MAX_DETOUR (8 * RW_MSEC)
 /* Parts that are held back get their turn again after this time, should they
    not be sent at once.  */
 #define COLLECT_TIME (20 * RW_MSEC)
@@ -101,6 +104,22 @@
   frn_send_start (request, send, GAT_SEND_FIRST, now);
 }
 
+/* Lets the COUNT parts held back go to few data centres.  */
+static void
+join_parts (struct frn_request *request, size_t count, rw_time now)
+{
+  struct sbq_choices choices = { .dc_count = 0 };
+  choices.times = rw_arena_alloc (&request->arena,
+                                  count * SBQ_MAX_DCS * sizeof (double));
+  for (size_t i = 0; i < count; i++)
+    ste_times_by_dc (
+        &request->daemon->fleet, request->services[request->far_parts[i].part],
+        &request->stats->part_latency, choices.dcs, &choices.dc_count,
+        SBQ_MAX_DCS, &choices.times[i * SBQ_MAX_DCS], now);
+  sbq_join (request->far_parts, count, &choices, (double)MAX_DETOUR,
+            rw_hash (request->id));
+}
+
 void
 frn_subquery_flush (struct frn_request *request, rw_time now)
 {
@@ -110,6 +129,7 @@
   if (count == 0)
     return;
   request->far_count = 0;
+  join_parts (request, count, now);
   size_t group_count
       = sbq_group (request->far_parts, count, groups, FRN_MAX_DELEGATE_DCS);
   for (size_t i = 0; i < group_count && !request->ended; i++)
--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -368,6 +368,29 @@
   return time;
 }
 
+void
+ste_times_by_dc (const struct ste_fleet *fleet,
+                 const struct ste_service *service,
+                 const struct ste_latency *latency, uint64_t *dcs,
+                 size_t *dc_count, size_t max, double *times, rw_time now)
+{
+  for (size_t i = 0; i < max; i++)
+    times[i] = INFINITY;
+  for (const struct ste_target *t = service->targets; t != NULL; t = t->next)
+    {
+      size_t i = 0;
+      if (t->dc == fleet->settings.dc || !ste_usable (fleet, t, now))
+        continue;
+      while (i < *dc_count && dcs[i] != t->dc)
+        i++;
+      if (i == max)
+        continue;
+      if (i == *dc_count)
+        dcs[(*dc_count)++] = t->dc;
+      times[i] = fmin (times[i], ste_expected_time (fleet, t, latency, now));
+    }
+}
+
 /* Returns whether the warm-up limit allows a request to TARGET now.  Refills
    its token bucket with this daemon's share of the limit.  The bucket starts
    at a random level below one token, so that the daemons do not all send as
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -283,6 +283,15 @@
 double ste_expected_time (const struct ste_fleet *fleet,
                           const struct ste_target *target,
                           const struct ste_latency *latency, rw_time now);
+/* Stores in TIMES the shortest expected time of the usable targets of SERVICE
+   in each of the data centres DCS, and infinity for the others; TIMES has room
+   for MAX.  Data centres that are not among the *DC_COUNT known ones are
+   added, but for this daemon's, up to MAX.  */
+void ste_times_by_dc (const struct ste_fleet *fleet,
+                      const struct ste_service *service,
+                      const struct ste_latency *latency, uint64_t *dcs,
+                      size_t *dc_count, size_t max, double *times,
+                      rw_time now);
 /* Returns the usable target with the shortest expected time plus a random
    jitter, or null if there is none.  Targets among TRIED are left out.  A cold
    target of a service with a warm-up limit needs a token, which is spent if
--- a/lib/subquery/subquery.c
+++ b/lib/subquery/subquery.c
@@ -17,6 +17,63 @@
 #define FAILED_MARK "-"
 #define NOT_RUN_MARK "!"
 
+/* Returns whether part I of CHOICES is answered soon enough at data centre
+   J.  */
+static bool
+suits (const struct sbq_choices *choices, size_t i, size_t j, double detour)
+{
+  const double *times = &choices->times[i * SBQ_MAX_DCS];
+  double best = times[j];
+  for (size_t k = 0; k < choices->dc_count; k++)
+    if (times[k] < best)
+      best = times[k];
+  return times[j] < (double)RW_TIME_NEVER && times[j] <= best + detour;
+}
+
+/* Returns the data centre that suits most of the parts that are not JOINED, as
+   an index, and stores their number in *MOST.  The search begins at FIRST.  */
+static size_t
+find_best_dc (const struct sbq_choices *choices, const bool *joined,
+              size_t count, double detour, size_t first, size_t *most)
+{
+  size_t best = 0;
+  *most = 0;
+  for (size_t n = 0; n < choices->dc_count; n++)
+    {
+      size_t j = (first + n) % choices->dc_count;
+      size_t suited = 0;
+      for (size_t i = 0; i < count; i++)
+        suited += !joined[i] && suits (choices, i, j, detour);
+      if (suited > *most)
+        {
+          *most = suited;
+          best = j;
+        }
+    }
+  return best;
+}
+
+void
+sbq_join (struct sbq_part *parts, size_t count,
+          const struct sbq_choices *choices, double detour, uint64_t seed)
+{
+  bool joined[SBQ_MAX_SHARDS] = { false };
+  size_t most = 1;
+  if (choices->dc_count == 0 || count > SBQ_MAX_SHARDS)
+    return;
+  size_t first = (size_t)(seed % choices->dc_count);
+  while (most > 0)
+    {
+      size_t dc = find_best_dc (choices, joined, count, detour, first, &most);
+      for (size_t i = 0; i < count && most > 0; i++)
+        if (!joined[i] && suits (choices, i, dc, detour))
+          {
+            parts[i].dc = choices->dcs[dc];
+            joined[i] = true;
+          }
+    }
+}
+
 static int
 compare_parts (const void *a, const void *b)
 {
--- a/lib/subquery/subquery.h
+++ b/lib/subquery/subquery.h
@@ -16,6 +16,26 @@
   uint64_t dc;   /* hash of the data centre's name */
 };
 
+/* The data centres that have targets of some parts, and for each part the
+   expected times in microseconds.  */
+#define SBQ_MAX_DCS 16
+struct sbq_choices
+{
+  uint64_t dcs[SBQ_MAX_DCS];
+  size_t dc_count;
+  double *times; /* of part I at data centre J: times[I * SBQ_MAX_DCS + J];
+                    infinity: no target */
+};
+
+/* Moves PARTS to other data centres so that they form few groups: those that
+   are answered there at most DETOUR microseconds later than at the best.
+   CHOICES has the times of PARTS in the same order.  Where several data
+   centres suit as many parts, SEED decides, so that different queries go to
+   different ones.  */
+void sbq_join (struct sbq_part *parts, size_t count,
+               const struct sbq_choices *choices, double detour,
+               uint64_t seed);
+
 /* Parts that go to one data centre: a slice of the array of parts.  */
 struct sbq_group
 {
--- a/lib/subquery/test_subquery.c
+++ b/lib/subquery/test_subquery.c
@@ -42,6 +42,37 @@
   assert_int_equal (sbq_group (parts, 0, groups, 4), 0);
 }
 
+/* Seven parts that have a copy in each of two other data centres, which their
+   best targets alternate between.  Guards against two subqueries where one
+   serves, against a data centre whose copy of a part is slow, and against one
+   data centre that gets the parts of all queries.  */
+TEST (parts_with_copies_in_several_data_centres_go_to_one)
+{
+  double times[8 * SBQ_MAX_DCS];
+  struct sbq_choices choices
+      = { .dcs = { 4, 9, 7 }, .dc_count = 3, .times = times };
+  size_t seen[10] = { 0 };
+  for (uint64_t seed = 0; seed < 30; seed++)
+    {
+      struct sbq_part parts[8];
+      for (uint32_t i = 0; i < 8; i++)
+        {
+          parts[i] = (struct sbq_part){ i, i % 2 == 0 ? 4 : 9 };
+          times[i * SBQ_MAX_DCS] = i == 7 ? 1 / 0.0 : 30000;
+          times[i * SBQ_MAX_DCS + 1] = i == 6 ? 60000 : 31000;
+          times[i * SBQ_MAX_DCS + 2] = i == 7 ? 30000 : 1 / 0.0;
+        }
+      sbq_join (parts, 8, &choices, 8000, seed);
+      for (size_t i = 1; i < 6; i++)
+        assert_int_equal (parts[i].dc, parts[0].dc);
+      assert_int_equal (parts[6].dc, 4);
+      assert_true (parts[7].dc == 9 || parts[7].dc == 7);
+      seen[parts[0].dc]++;
+    }
+  assert_true (seen[4] >= 9);
+  assert_true (seen[9] >= 9);
+}
+
 /* Parts of 1,000 bytes of which 50 records are wanted, and parts of 100 bytes
    of which 5 are.  Guards against subqueries that cost more bytes than they
    save: a single part, or small parts of which a long list is wanted.  */
