Count a crossing between data centres in proportion to long work

Its work of 220 ms differs from request to request by more than the 8 ms that a crossing counts, so equal targets elsewhere are chosen for noise.

Change: a crossing counts as a quarter of the route's mean latency, at least 8 ms. Test: long_requests_stay_in_the_data_centre, which fails without it.

--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -58,8 +58,11 @@
 /* Penalties: times added to the expected time of a target.  */
 
 /* A message takes about 1.5 ms in each direction, and traffic between data
-   centres has a cost.  */
+   centres has a cost.  On routes with long work the differences between targets
+   that are as good are larger than that: there it is this fraction of the mean
+   latency.  */
 #define OTHER_DC_PENALTY (8 * RW_MSEC)
+#define OTHER_DC_LATENCY_FRACTION 0.25
 #define COLD_PENALTY (25 * RW_MSEC)
 /* A new connection takes 6 ms, and the target may have too many already.  */
 #define OUTSIDE_SUBSET_PENALTY (15 * RW_MSEC)
@@ -353,7 +356,7 @@
   time += wait;
   time += OVERDUE_WEIGHT * fmax (quiet_time (target, now) - time, 0);
   if (target->dc != fleet->settings.dc)
-    time += OTHER_DC_PENALTY;
+    time += fmax (OTHER_DC_PENALTY, latency->mean * OTHER_DC_LATENCY_FRACTION);
   if (target->outside_subset)
     time += OUTSIDE_SUBSET_PENALTY;
   if (is_cold (target, now))
--- a/lib/steer/test_steer.c
+++ b/lib/steer/test_steer.c
@@ -528,3 +528,29 @@
   ste_on_delay_report (f->service, 200 * MS, WARM);
   assert_ptr_equal (pick (f, WARM + MS), f->a);
 }
+
+/* Requests of 220 ms work each for targets in all data centres.  Guards against
+   answers of 6,000 bytes that cross between data centres because one of two
+   equal targets had a few short requests.  */
+TEST_WITH_FIXTURE (long_requests_stay_in_the_data_centre)
+{
+  struct ste_latency slow;
+  ste_latency_init (&slow, 800 * MS);
+  for (int i = 0; i < 40; i++)
+    {
+      struct ste_send near;
+      struct ste_send far;
+      ste_on_sent (&near, f->a, &slow, i * 600 * MS);
+      ste_on_sent (&far, f->b, &slow, i * 600 * MS);
+      ste_on_result (&far, STE_OK, (i * 600 + 210) * MS);
+      ste_on_result (&near, STE_OK, (i * 600 + 240) * MS);
+    }
+  rw_time now = 40 * 600 * MS;
+  for (int i = 0; i < 50; i++)
+    assert_ptr_equal (
+        ste_pick (&f->fleet, f->service, &slow, NULL, 0, now), f->a);
+  /* A busy one does not keep them.  */
+  ste_on_load_report (f->a, 2, 2, 2, now);
+  assert_ptr_equal (ste_pick (&f->fleet, f->service, &slow, NULL, 0, now),
+                    f->b);
+}
