--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -140,8 +140,8 @@
 {
   const struct sbq_order *order = request->order;
   plan->part_count = order->shard_count;
-  plan->min_parts
-      = sbq_min_parts (order->shard_count, request->route->u.gather.min_share);
+  /* One late part does not keep the others from the sender.  */
+  plan->min_parts = 1;
   if (order->max_attempts < plan->max_attempts)
     plan->max_attempts = order->max_attempts;
   plan->soft_deadline
--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -58,9 +58,9 @@
 /* Penalties: times added to the expected time of a target.  */
 
 /* A message takes about 1.5 ms in each direction, and traffic between data
-   centres has a cost.  On routes with long work the differences between targets
-   that are as good are larger than that: there it is this fraction of the mean
-   latency.  */
+   centres has a cost.  On routes with long work the differences between
+   targets that are as good are larger than that: there it is this fraction of
+   the mean latency.  */
 #define OTHER_DC_PENALTY (8 * RW_MSEC)
 #define OTHER_DC_LATENCY_FRACTION 0.25
 #define COLD_PENALTY (25 * RW_MSEC)
--- a/lib/subquery/subquery.c
+++ b/lib/subquery/subquery.c
@@ -235,10 +235,3 @@
     *result = SBQ_DONE;
   return true;
 }
-
-size_t
-sbq_min_parts (size_t count, double min_share)
-{
-  size_t parts = (size_t)((double)count * min_share);
-  return parts > 0 ? parts : 1;
-}
--- a/lib/subquery/subquery.h
+++ b/lib/subquery/subquery.h
@@ -69,7 +69,7 @@
 {
   uint64_t version;          /* of the sender's configuration */
   unsigned int max_attempts; /* of each part, by the delegate */
-  int64_t soft_ms;           /* until the answer is due if it has most parts */
+  int64_t soft_ms;           /* until the answer is due, if it has any part */
   uint32_t *shards;          /* indices in the route, ascending */
   size_t shard_count;        /* at least 1 */
 };
@@ -102,9 +102,4 @@
 bool sbq_read_result (struct rw_str *text, enum sbq_result *result,
                       struct rw_str *stamp);
 
-/* Returns how many of COUNT parts the delegate waits for beyond the soft time,
-   if an answer to the whole query needs MIN_SHARE of the parts: at least one,
-   so that one late part does not keep the others.  */
-size_t sbq_min_parts (size_t count, double min_share);
-
 #endif
