Send answers earlier by what they are late

Change: a moving average of how late such answers are makes the next ones due earlier. Test: answers_are_due_earlier_where_they_are_late.

--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -272,8 +272,9 @@
   uv_signal_t sigterm;
   uv_signal_t sighup;
   rw_time last_tick;
-  rw_time loop_lag;     /* delay of the last tick */
-  size_t request_count; /* requests that are not freed yet */
+  rw_time loop_lag;             /* delay of the last tick */
+  struct gat_lateness lateness; /* of answers that were due */
+  size_t request_count;         /* requests that are not freed yet */
   struct frn_parked parked[FRN_MAX_PARKED];
   size_t parked_count;
   bool stopping; /* SIGTERM was received */
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -185,6 +185,7 @@
   plan.soft_deadline = request->start + route->aim - request->time_spent
                        - AIM_MARGIN - route->aim / AIM_MARGIN_DIVISOR
                        - (request->relayed ? RELAY_MARGIN : 0);
+  plan.soft_deadline -= gat_lateness_margin (&request->daemon->lateness);
   plan.deadline = request->deadline;
   if (request->order != NULL)
     limit_plan (request, &plan);
@@ -593,6 +594,9 @@
       arm_timer (request, now);
       return;
     }
+  if (decision == GAT_ANSWER && request->query.unfinished > 0)
+    gat_count_lateness (&request->daemon->lateness,
+                        request->query.plan.soft_deadline, now);
   frn_answer_query (request, decision == GAT_ANSWER);
   frn_request_end (request);
 }
--- a/lib/gather/gather.c
+++ b/lib/gather/gather.c
@@ -8,6 +8,13 @@
    limit keeps refusals from being retried without end.  */
 #define MAX_REFUSED_SENDS 4
 
+/* Weight of one query in the average lateness, and the multiple of the average
+   that is allowed for.  */
+#define LATENESS_WEIGHT 0.05
+#define LATENESS_FACTOR 1.5
+/* A query that is decided still later was not late, but waited for a part.  */
+#define MAX_LATENESS (10 * RW_MSEC)
+
 size_t
 gat_max_sends (const struct gat_plan *plan)
 {
@@ -235,3 +242,18 @@
     }
   return next > now ? next : now;
 }
+
+void
+gat_count_lateness (struct gat_lateness *lateness, rw_time soft_deadline,
+                    rw_time now)
+{
+  rw_time late = now - soft_deadline;
+  if (late >= 0 && late <= MAX_LATENESS)
+    lateness->mean += LATENESS_WEIGHT * ((double)late - lateness->mean);
+}
+
+rw_time
+gat_lateness_margin (const struct gat_lateness *lateness)
+{
+  return (rw_time)(lateness->mean * LATENESS_FACTOR);
+}
--- a/lib/gather/gather.h
+++ b/lib/gather/gather.h
@@ -142,6 +142,19 @@
    be called again.  */
 rw_time gat_next_event (const struct gat_query *query, rw_time now);
 
+/* How much later than their soft deadline queries are decided, as a moving
+   average: timers fire late, and other work waits for the processor too.  */
+struct gat_lateness
+{
+  double mean; /* microseconds */
+};
+
+/* Counts a query that was answered at NOW without all parts.  */
+void gat_count_lateness (struct gat_lateness *lateness, rw_time soft_deadline,
+                         rw_time now);
+/* Returns by how much a soft deadline is to be set earlier.  */
+rw_time gat_lateness_margin (const struct gat_lateness *lateness);
+
 #define GAT_RECORD_SIZE 16 /* bytes */
 /* Returns the TOP_K greatest records, or all if there are fewer, of the parts
    that are done, greatest first.  Records are compared as unsigned bytes;
--- a/lib/gather/test_gather.c
+++ b/lib/gather/test_gather.c
@@ -332,3 +332,22 @@
   plan.min_parts = 0;
   assert_true (gat_time_until_enough (times, &plan) == 0);
 }
+
+/* An urgent route on a busy VM whose timers fire 2 ms late.  Guards against
+   answers that are sent when they are due and reach the caller too late, and
+   against counting queries that waited for their parts.  */
+TEST (answers_are_due_earlier_where_they_are_late)
+{
+  struct gat_lateness lateness = { 0 };
+  assert_int_equal (gat_lateness_margin (&lateness), 0);
+  for (int i = 0; i < 200; i++)
+    {
+      gat_count_lateness (&lateness, 50 * MS, 52 * MS);
+      gat_count_lateness (&lateness, 50 * MS, 180 * MS);
+      gat_count_lateness (&lateness, 50 * MS, 30 * MS);
+    }
+  assert_in_range (gat_lateness_margin (&lateness), 2 * MS, 4 * MS);
+  for (int i = 0; i < 200; i++)
+    gat_count_lateness (&lateness, 50 * MS, 50 * MS);
+  assert_in_range (gat_lateness_margin (&lateness), 0, MS / 10);
+}
