Tell returned callers from those that state another time

Cause: a daemon took the difference between the longest time that any caller of a route had stated and that of a request for time spent on earlier attempts.

Change: the usual times of a route are its frequent values (Misra and Gries); a caller that states one of them has spent nothing, another one what it lacks to the next. A relayed request carries what its caller has spent.

--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -166,7 +166,7 @@
   struct ste_latency relay_latency; /* of whole requests at larger peers */
   struct ste_latency subquery_latency;
   struct sbq_sizes sizes;
-  int64_t max_time_left_ms; /* largest value that a caller has stated */
+  struct gat_patience patience;
   struct shd_route shed;
   rw_time shed_logged_at;  /* last line about it; 0: none since it began */
   struct rw_rng split_rng; /* draws the service of a split route */
@@ -376,6 +376,9 @@
 bool frn_is_relay_header (struct rw_str name);
 /* Appends the header that marks a forwarded request.  */
 void frn_relay_write_header (const struct frn_send *send, struct rw_buf *out);
+/* Returns the time that the caller of a forwarded request has spent, as the
+   sender states; 0 if it does not.  */
+rw_time frn_relay_time_spent (const struct h1_message *message);
 /* Whether the peer answered that it did not begin the forwarded request.  */
 bool frn_relay_refused (const struct h1_message *message);
 /* Serves a request from the peer port, or refuses it.  Returns false, without
--- a/cmd/rwfront/relay.c
+++ b/cmd/rwfront/relay.c
@@ -6,6 +6,9 @@
    configuration.  A peer with another version refuses the request, so that the
    callers of one daemon never see an older version after a newer one.  */
 #define RELAY_HEADER "X-Rwf-Relay"
+/* The time in milliseconds that the caller has spent, at this daemon too.  */
+#define SPENT_HEADER "X-Rwf-Spent-Ms"
+#define MAX_SPENT_MS 86400000
 /* In a 503 reply: the peer did not begin the forwarded request.  */
 #define RELAY_REFUSED_HEADER "X-Rwf-Relay-Refused"
 /* A request with fewer parts is sent by this daemon: forwarding costs more. */
@@ -39,14 +42,28 @@
 bool
 frn_is_relay_header (struct rw_str name)
 {
-  return h1_name_eq (name, RELAY_HEADER);
+  return h1_name_eq (name, RELAY_HEADER) || h1_name_eq (name, SPENT_HEADER);
 }
 
 void
 frn_relay_write_header (const struct frn_send *send, struct rw_buf *out)
 {
-  rw_buf_printf (out, RELAY_HEADER ": %llu\r\n",
-                 (unsigned long long)send->request->config->version);
+  const struct frn_request *request = send->request;
+  rw_time spent = request->time_spent + rw_now () - request->start;
+  rw_buf_printf (out, RELAY_HEADER ": %llu\r\n" SPENT_HEADER ": %lld\r\n",
+                 (unsigned long long)request->config->version,
+                 (long long)(spent / RW_MSEC));
+}
+
+rw_time
+frn_relay_time_spent (const struct h1_message *message)
+{
+  int64_t spent_ms;
+  if (rw_str_to_int (h1_header_value (message, SPENT_HEADER), 0, MAX_SPENT_MS,
+                     &spent_ms)
+      != 0)
+    return 0;
+  return spent_ms * RW_MSEC;
 }
 
 bool
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -148,23 +148,30 @@
       = request->start + order->soft_ms * RW_MSEC - SUBQUERY_MARGIN;
 }
 
-/* Returns the parts, times and limits of a request.  If the caller states less
-   time left than the most stated on this route, the difference is taken as
-   spent on earlier attempts, and the time for a full-value answer is reduced
-   by it.  */
+/* Returns the time that the caller of a request has spent on earlier attempts:
+   as the peer that forwarded it states, or else as estimated.  */
+static rw_time
+time_spent_of (struct frn_request *request, const struct h1_message *message)
+{
+  struct gat_patience *patience = &request->stats->patience;
+  if (request->relayed)
+    return frn_relay_time_spent (message);
+  if (request->time_left_ms < 0)
+    return 0;
+  gat_count_patience (patience, request->time_left_ms);
+  return gat_time_spent (patience, request->time_left_ms);
+}
+
+/* Returns the parts, times and limits of a request.  The time for a full-value
+   answer is reduced by what the caller has spent on earlier attempts.  */
 static struct gat_plan
 make_plan (struct frn_request *request)
 {
   const struct cat_route *route = request->route;
   struct frn_route_stats *stats = request->stats;
   struct gat_plan plan = { .part_count = 1, .min_parts = 1 };
-  int64_t time_left_ms = request->time_left_ms;
   rw_time max_hedge_delay = route->aim * SINGLE_MAX_HEDGE_DELAY_PERCENT / 100;
 
-  if (time_left_ms > stats->max_time_left_ms && request->order == NULL)
-    stats->max_time_left_ms = time_left_ms;
-  if (time_left_ms >= 0 && request->order == NULL)
-    request->time_spent = (stats->max_time_left_ms - time_left_ms) * RW_MSEC;
   if (route->kind == CAT_ROUTE_GATHER)
     {
       double share = route->u.gather.min_share * (double)route->u.gather.count;
@@ -840,6 +847,7 @@
   request->next_interim = start + route->aim;
   request->deadline = start + limit - DEADLINE_MARGIN;
   rw_arena_init (&request->arena, ARENA_BLOCK);
+  request->time_spent = time_spent_of (request, message);
   copy_message (request, message, head->id);
   if (order != NULL)
     {
--- a/lib/gather/gather.h
+++ b/lib/gather/gather.h
@@ -142,6 +142,27 @@
    be called again.  */
 rw_time gat_next_event (const struct gat_query *query, rw_time now);
 
+/* The times that callers of a route state they will wait.  Callers that begin
+   state one of a few usual times; those that return state what is left.  */
+#define GAT_MAX_USUAL 8
+struct gat_stated
+{
+  int64_t time_left_ms;
+  unsigned int count; /* 0: unused */
+};
+struct gat_patience
+{
+  struct gat_stated stated[GAT_MAX_USUAL];
+};
+
+/* Counts a caller that stated TIME_LEFT_MS.  */
+void gat_count_patience (struct gat_patience *patience, int64_t time_left_ms);
+/* Returns the time that a caller who states TIME_LEFT_MS has probably spent on
+   earlier attempts: what it lacks to the next usual time, 0 if that is its own
+   or if none is longer.  */
+rw_time gat_time_spent (const struct gat_patience *patience,
+                        int64_t time_left_ms);
+
 /* How much later than their soft deadline queries are decided, as a moving
    average: timers fire late, and other work waits for the processor too.  */
 struct gat_lateness
--- a/lib/gather/test_gather.c
+++ b/lib/gather/test_gather.c
@@ -351,3 +351,43 @@
     gat_count_lateness (&lateness, 50 * MS, 50 * MS);
   assert_in_range (gat_lateness_margin (&lateness), 0, MS / 10);
 }
+
+/* A route whose callers wait 1,200 ms, some of them 2,500 ms, and return with
+   what is left.  Guards against taking all callers for returned ones because
+   one states a longer time, which made every answer partial for good.  */
+TEST (callers_that_state_a_usual_time_have_spent_none)
+{
+  struct gat_patience patience = { 0 };
+  struct rw_rng rng;
+  rw_rng_init (&rng, 1);
+  assert_int_equal (gat_time_spent (&patience, 1200), 0);
+  gat_count_patience (&patience, 9000);
+  for (int i = 0; i < 2000; i++)
+    {
+      int64_t left = 1200;
+      if (i % 5 == 0)
+        left = 2500;
+      else if (i % 3 == 0)
+        left = 200 + (int64_t)rw_rng_below (&rng, 990);
+      gat_count_patience (&patience, left);
+    }
+  assert_int_equal (gat_time_spent (&patience, 1200), 0);
+  assert_int_equal (gat_time_spent (&patience, 2500), 0);
+  assert_int_equal (gat_time_spent (&patience, 9000), 0);
+  assert_int_equal (gat_time_spent (&patience, 950), 250 * MS);
+  assert_int_equal (gat_time_spent (&patience, 1300), 1200 * MS);
+}
+
+/* A burst in which most callers return.  Guards against forgetting the usual
+   time.  */
+TEST (the_usual_time_stays_known_while_most_callers_return)
+{
+  struct gat_patience patience = { 0 };
+  struct rw_rng rng;
+  rw_rng_init (&rng, 2);
+  for (int i = 0; i < 3000; i++)
+    gat_count_patience (
+        &patience, i % 3 == 0 ? 500 : 100 + (int64_t)rw_rng_below (&rng, 390));
+  assert_int_equal (gat_time_spent (&patience, 500), 0);
+  assert_int_equal (gat_time_spent (&patience, 430), 70 * MS);
+}
