--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -50,6 +50,22 @@
 #define FRN_ASSUMED_DAEMONS 20
 #define FRN_MAX_SEEDS 8
 
+/* What RWF_WITHOUT can switch off.  */
+enum frn_mechanism
+{
+  FRN_MECH_HEDGES,     /* a second send of a part that is late */
+  FRN_MECH_PARTIAL,    /* answers without late parts when they are due */
+  FRN_MECH_ABANDON,    /* ending sends whose result is not needed */
+  FRN_MECH_RELAYS,     /* queries left to larger peers */
+  FRN_MECH_SUBQUERIES, /* parts left to daemons of other data centres */
+  FRN_MECH_OVERLOAD,   /* refusals of what targets cannot answer in time */
+  FRN_MECH_RETURNED,   /* estimate of the time that callers have spent */
+  FRN_MECH_LATENESS,   /* answers sent earlier by what they are late */
+  FRN_MECH_SUBSETS,    /* connections to some targets of a service only */
+  FRN_MECH_PREOPEN,    /* connections opened in advance */
+  FRN_MECH_COUNT
+};
+
 /* The settings file; see rwfront(8).  */
 struct frn_settings
 {
@@ -70,6 +86,7 @@
   double budget_ratio;       /* hedges and retries per first send */
   double budget_slack;       /* additional ones per window, all daemons */
   rw_time budget_window;
+  bool without[FRN_MECH_COUNT];
 };
 
 /* Parses lines NAME=VALUE.  Blank lines, lines that begin with # and unknown
@@ -86,6 +103,9 @@
 #define FRN_REVISION_ARGS(r)                                                  \
   (long long)rw_revision_era (r), (long long)rw_revision_number (r)
 
+/* The name of MECHANISM in RWF_WITHOUT, a static string.  */
+const char *frn_mechanism_name (enum frn_mechanism mechanism);
+
 /* How a request ended.  */
 enum frn_outcome
 {
--- a/cmd/rwfront/overload.c
+++ b/cmd/rwfront/overload.c
@@ -93,6 +93,8 @@
 {
   struct frn_route_stats *stats = request->stats;
   rw_time now = rw_now ();
+  if (request->daemon->settings.without[FRN_MECH_OVERLOAD])
+    return true;
   if (shd_update_due (&stats->shed, now))
     update_share (request, now);
   enum shd_order order = shd_order_of (request->time_spent,
--- a/cmd/rwfront/peers.c
+++ b/cmd/rwfront/peers.c
@@ -334,7 +334,8 @@
   frn_peerlist_tick (daemon, now);
   daemon->fleet.settings.daemon_count = gos_daemon_count (&peers->gossip, now);
   daemon->fleet.settings.shard_sharers = frn_shard_sharers (daemon);
-  ste_choose_subsets (&daemon->fleet, now);
+  if (!daemon->settings.without[FRN_MECH_SUBSETS])
+    ste_choose_subsets (&daemon->fleet, now);
 }
 
 void
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -496,8 +496,10 @@
 {
   /* None is opened while the number of daemons, which share the targets'
      connections, is not known.  */
-  size_t opens_left
-      = gos_is_joining (&daemon->peers.gossip, now) ? 0 : MAX_PREOPENS;
+  size_t opens_left = gos_is_joining (&daemon->peers.gossip, now)
+                              || daemon->settings.without[FRN_MECH_PREOPEN]
+                          ? 0
+                          : MAX_PREOPENS;
   bool relay_available = frn_relay_available (daemon, now);
   for (struct ste_service *s = daemon->fleet.first_service; s != NULL;
        s = s->next)
--- a/cmd/rwfront/relay.c
+++ b/cmd/rwfront/relay.c
@@ -32,7 +32,8 @@
 frn_should_relay (struct frn_daemon *daemon, const struct frn_request *request,
                   rw_time now)
 {
-  if (request->relayed || request->route->kind != CAT_ROUTE_GATHER
+  if (request->relayed || daemon->settings.without[FRN_MECH_RELAYS]
+      || request->route->kind != CAT_ROUTE_GATHER
       || request->route->u.gather.count < MIN_RELAY_PARTS
       || request->header_lines.len + request->body.len > MAX_RELAY_BYTES)
     return false;
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -156,7 +156,8 @@
   struct gat_patience *patience = &request->stats->patience;
   if (request->relayed)
     return frn_relay_time_spent (message);
-  if (request->time_left_ms < 0)
+  if (request->time_left_ms < 0
+      || request->daemon->settings.without[FRN_MECH_RETURNED])
     return 0;
   gat_count_patience (patience, request->time_left_ms);
   return gat_time_spent (patience, request->time_left_ms);
@@ -192,8 +193,13 @@
   plan.soft_deadline = request->start + route->aim - request->time_spent
                        - AIM_MARGIN - route->aim / AIM_MARGIN_DIVISOR
                        - (request->relayed ? RELAY_MARGIN : 0);
-  plan.soft_deadline -= gat_lateness_margin (&request->daemon->lateness);
+  if (!request->daemon->settings.without[FRN_MECH_LATENESS])
+    plan.soft_deadline -= gat_lateness_margin (&request->daemon->lateness);
   plan.deadline = request->deadline;
+  if (request->daemon->settings.without[FRN_MECH_PARTIAL])
+    plan.soft_deadline = plan.deadline;
+  if (request->daemon->settings.without[FRN_MECH_HEDGES])
+    plan.hedge_delay = RW_TIME_NEVER / 2;
   if (request->order != NULL)
     limit_plan (request, &plan);
   return plan;
@@ -358,6 +364,8 @@
 static void
 abandon_if_cheaper (struct frn_request *request, size_t part)
 {
+  if (request->daemon->settings.without[FRN_MECH_ABANDON])
+    return;
   for (struct frn_send *s = request->sends; s != NULL; s = s->next)
     if ((part == ALL_PARTS
          || (s->scope != FRN_SCOPE_SUBQUERY && s->u.part == part))
--- a/cmd/rwfront/settings.c
+++ b/cmd/rwfront/settings.c
@@ -85,6 +85,56 @@
   return 0;
 }
 
+const char *
+frn_mechanism_name (enum frn_mechanism mechanism)
+{
+  switch (mechanism)
+    {
+    case FRN_MECH_HEDGES:
+      return "hedges";
+    case FRN_MECH_PARTIAL:
+      return "partial";
+    case FRN_MECH_ABANDON:
+      return "abandon";
+    case FRN_MECH_RELAYS:
+      return "relays";
+    case FRN_MECH_SUBQUERIES:
+      return "subqueries";
+    case FRN_MECH_OVERLOAD:
+      return "overload";
+    case FRN_MECH_RETURNED:
+      return "returned";
+    case FRN_MECH_LATENESS:
+      return "lateness";
+    case FRN_MECH_SUBSETS:
+      return "subsets";
+    case FRN_MECH_PREOPEN:
+      return "preopen";
+    case FRN_MECH_COUNT:
+      break;
+    }
+  return "unknown";
+}
+
+/* Parses a list of mechanisms separated by commas.  */
+static int
+parse_without (struct rw_str text, struct frn_settings *s)
+{
+  struct rw_str word;
+  while ((word = rw_str_trim (rw_str_token (&text, ","))).len > 0)
+    {
+      int i = 0;
+      while (i < FRN_MECH_COUNT
+             && !rw_str_eq_cstr (word,
+                                 frn_mechanism_name ((enum frn_mechanism)i)))
+        i++;
+      if (i == FRN_MECH_COUNT)
+        return RW_E_PARSE;
+      s->without[i] = true;
+    }
+  return 0;
+}
+
 static int
 parse_setting (struct rw_str name, struct rw_str value, struct frn_settings *s)
 {
@@ -120,6 +170,8 @@
     return parse_number (value, &s->budget_slack);
   else if (rw_str_eq_cstr (name, "RWF_EXTRA_WINDOW_S"))
     return parse_time (value, RW_SEC, &s->budget_window);
+  else if (rw_str_eq_cstr (name, "RWF_WITHOUT"))
+    return parse_without (value, s);
   return 0; /* unknown names may be settings of a later version */
 }
 
--- a/cmd/rwfront/subquery.c
+++ b/cmd/rwfront/subquery.c
@@ -28,7 +28,8 @@
 static bool
 may_delegate (const struct frn_request *request)
 {
-  return request->mode == FRN_MODE_LOCAL && request->order == NULL
+  return !request->daemon->settings.without[FRN_MECH_SUBQUERIES]
+         && request->mode == FRN_MODE_LOCAL && request->order == NULL
          && request->route->kind == CAT_ROUTE_GATHER && !request->is_head
          && request->header_lines.len + request->body.len
                 <= MAX_DELEGATED_BYTES;
--- a/cmd/rwfront/test_settings.c
+++ b/cmd/rwfront/test_settings.c
@@ -21,9 +21,12 @@
   assert_int_equal (
       parse ("# comment\n\n" REQUIRED
              "RWF_SEEDS=10.0.0.1:9,10.0.0.2:9\nRWF_EXTRA_RATIO=0.2\n"
-             "RWF_TARGET_DRAIN_MS=3000\nRWF_STOP_S=6\nRWF_LATER=x\n",
+             "RWF_TARGET_DRAIN_MS=3000\nRWF_STOP_S=6\nRWF_LATER=x\n"
+             "RWF_WITHOUT=hedges, subsets\n",
              &s),
       0);
+  assert_true (s.without[FRN_MECH_HEDGES] && s.without[FRN_MECH_SUBSETS]);
+  assert_false (s.without[FRN_MECH_RELAYS]);
   assert_int_equal (s.seed_count, 2);
   assert_true (s.budget_ratio > 0.19 && s.budget_ratio < 0.21);
   assert_int_equal (s.target_drain_time, 3 * RW_SEC);
@@ -38,6 +41,7 @@
                                      "RWF_CALLERS=10.0.0.1:1\n",
                                      REQUIRED "RWF_STOP_S=soon\n",
                                      REQUIRED "nonsense\n",
+                                     REQUIRED "RWF_WITHOUT=hedges,x\n",
                                      REQUIRED "RWF_STORE=store:80\n",
                                      REQUIRED "RWF_EXTRA_WINDOW_S=0.1\n" };
   struct frn_settings s = { .name = "kept" };
