rwfront: request.c without the plan of a request and the sends of parts

Cause: request.c had grown to 878 lines with four tasks. Change: plan.c says what a request asks for, parts.c chooses targets and sends; no behaviour. request.c has 504 lines.

--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -15,7 +15,9 @@
    peers.c      gossip, and transfers of the store's items between daemons
    callers.c    requests as they arrive, and those that wait for a
                 configuration
-   request.c    one request from its arrival to its last send
+   request.c    one request from its arrival to its end
+   plan.c       the parts, times and limits of a request
+   parts.c      choice of targets, and the sends of parts
    peerlist.c   the peers that take requests: larger ones, and delegates
    relay.c      forwarding of requests to larger peers
    subquery.c   parts that are left to a delegate in another data centre
@@ -513,6 +515,34 @@
 void frn_request_run (struct frn_request *request);
 /* Frees the request if it has ended and no send is queued or in flight.  */
 void frn_request_release (struct frn_request *request);
+/* Returns the statistics of ROUTE, created at the first request.  */
+struct frn_route_stats *frn_route_stats_of (struct frn_daemon *daemon,
+                                            struct cat_route *route);
+/* Sets the service of each part.  */
+void frn_bind_services (struct frn_request *request);
+/* Returns the time that the caller of REQUEST, which is MESSAGE, has spent on
+   earlier attempts: as the peer that forwarded it states, or else as
+   estimated.  */
+rw_time frn_time_spent (struct frn_request *request,
+                        const struct h1_message *message);
+/* Returns the parts, times and limits of a request.  The time for a full-value
+   answer is reduced by what the caller has spent on earlier attempts.  */
+struct gat_plan frn_make_plan (struct frn_request *request);
+
+/* Selects a target for PART and sends it there, or postpones the send.
+
+   A retry may go to a target that was tried before if there is no other.  A
+   first send without any target fails the part at once; so does a retry if no
+   target of the service is usable, unless another send of the part is in
+   flight.  Hedges and retries take from the service's retry budget; relays do
+   not, as they have a single attempt.  */
+void frn_try_part (struct frn_request *request, size_t part,
+                   enum gat_send_kind kind, rw_time now);
+void frn_abandon_sends (struct frn_request *request);
+#define FRN_ALL_PARTS SIZE_MAX
+/* Abandons the sends of PART alone, or of FRN_ALL_PARTS, as their results are
+   not needed, if that is cheaper than to let them end.  */
+void frn_abandon_if_cheaper (struct frn_request *request, size_t part);
 /* Sends PART for the first time, to TARGET.  */
 void frn_send_first (struct frn_request *request, size_t part,
                      struct ste_target *target, rw_time now);
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -1,4 +1,3 @@
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -8,43 +7,12 @@
 /* The answer is sent this long before the caller's deadline, for its way to
    the caller and for timers that fire late.  */
 #define DEADLINE_MARGIN (15 * RW_MSEC)
-/* A partial answer is sent this long, plus 1/20 of the aim, before the aim
-   ends: the round trip to the caller takes up to 6 ms.  */
-#define AIM_MARGIN (6 * RW_MSEC)
-#define AIM_MARGIN_DIVISOR 20
-/* Added to this margin for a relayed request, as the smaller peer is slow to
-   forward the answer.  */
-#define RELAY_MARGIN (6 * RW_MSEC)
-/* The answer of a subquery is sent this long before it is due.  */
-#define SUBQUERY_MARGIN (3 * RW_MSEC)
-/* A part is hedged after this multiple of the 0.9 quantile of its route's
-   latency, but not before 1/10 of the aim, and at the latest after 1/3 of it,
-   so that the hedge can still succeed in time.  A request for one target waits
-   up to 60% of the aim, as its work takes a larger part of the aim.  */
-#define HEDGE_LATENCY_RATIO 1.5
-#define MIN_HEDGE_DELAY_DIVISOR 10
-#define MAX_HEDGE_DELAY_DIVISOR 3
-#define SINGLE_MAX_HEDGE_DELAY_PERCENT 60
 /* After the answer, sends in flight may still end by themselves for this long:
    longer than a pause of a target, shorter than the 500 ms after which a
    target should not work for a caller that disconnected.  */
 #define LINGER_TIME (300 * RW_MSEC)
-/* A hedge is tried again after this time if no target is fast enough for it.
- */
-#define HEDGE_POSTPONE_TIME (10 * RW_MSEC)
-/* Any send is tried again after this time if no target can take it or the
-   retry budget is empty.  */
-#define SEND_POSTPONE_TIME (20 * RW_MSEC)
-/* A send in flight is abandoned only if the work on it exceeds this number of
-   handshake times: closing its connection costs the target a handshake.  */
-#define MIN_ABANDON_HANDSHAKES 3
 /* A part that a target refused is sent again after this time.  */
 #define REFUSED_BACKOFF (1 * RW_MSEC)
-#define ALL_PARTS SIZE_MAX
-/* A hedge is sent neither to a target whose expected latency exceeds this
-   multiple of the aim, nor to one with a long queue: in an overload hedges
-   would only lengthen the queues.  */
-#define MAX_HEDGE_AIM_RATIO 1.0
 /* Aims after which a relay fails if the peer has stopped answering.  */
 #define RELAY_TIMEOUT_AIMS 3
 /* Retry-After of a refusal for lack of targets.  Short, as another daemon may
@@ -56,155 +24,6 @@
 
 static void start_local (struct frn_request *request);
 
-/* The statistics of ROUTE, created at the first request.  */
-static struct frn_route_stats *
-stats_of_route (struct frn_daemon *daemon, struct cat_route *route)
-{
-  if (route->user != NULL)
-    return route->user;
-  uint64_t key = rw_hash (route->name);
-  struct frn_route_stats *stats = rw_map_get (&daemon->route_stats, key);
-  if (stats == NULL)
-    {
-      stats = rw_xcalloc (1, sizeof *stats);
-      ste_latency_init (&stats->part_latency, route->aim);
-      ste_latency_init (&stats->relay_latency, route->aim * 2);
-      ste_latency_init (&stats->subquery_latency, route->aim * 2);
-      shd_init (&stats->shed);
-      rw_rng_init (&stats->split_rng, rw_rng_next (&daemon->fleet.rng));
-      rw_map_put (&daemon->route_stats, key, stats);
-    }
-  route->user = stats;
-  return stats;
-}
-
-/* Draws a service of a split route with probability proportional to its
-   weight.  */
-static uint32_t
-draw_service (const struct cat_route *route, struct frn_route_stats *stats)
-{
-  uint64_t draw = rw_rng_below (&stats->split_rng, route->u.split.total);
-  size_t last = 0;
-  for (size_t i = 0; i < route->u.split.count; i++)
-    {
-      const struct cat_share *share = &route->u.split.shares[i];
-      if (draw < share->weight)
-        return share->service;
-      draw -= share->weight;
-      last = i;
-    }
-  return route->u.split.shares[last].service;
-}
-
-/* Sets the service of each part.  */
-static void
-bind_services (struct frn_request *request)
-{
-  const struct cat_route *route = request->route;
-  const struct cat_service *services = request->config->services;
-  size_t parts = request->query.plan.part_count;
-  request->services = rw_arena_zalloc (&request->arena, parts,
-                                       sizeof (struct ste_service *));
-  switch (route->kind)
-    {
-    case CAT_ROUTE_SERVICE:
-      request->services[0] = services[route->u.service].user;
-      break;
-    case CAT_ROUTE_SPLIT:
-      request->services[0]
-          = services[draw_service (route, request->stats)].user;
-      break;
-    case CAT_ROUTE_GATHER:
-      for (size_t i = 0; i < parts; i++)
-        {
-          size_t shard
-              = request->order != NULL ? request->order->shards[i] : i;
-          request->services[i]
-              = services[route->u.gather.services[shard]].user;
-        }
-      break;
-    }
-}
-
-static rw_time
-clamp (rw_time value, rw_time low, rw_time high)
-{
-  if (value < low)
-    return low;
-  return value < high ? value : high;
-}
-
-/* Limits PLAN to what the subquery that REQUEST serves asks for.  */
-static void
-limit_plan (const struct frn_request *request, struct gat_plan *plan)
-{
-  const struct sbq_order *order = request->order;
-  plan->part_count = order->shard_count;
-  /* One late part does not keep the others from the sender.  */
-  plan->min_parts = 1;
-  if (order->max_attempts < plan->max_attempts)
-    plan->max_attempts = order->max_attempts;
-  plan->soft_deadline
-      = request->start + order->soft_ms * RW_MSEC - SUBQUERY_MARGIN;
-}
-
-/* Returns the time that the caller of a request has spent on earlier attempts:
-   as the peer that forwarded it states, or else as estimated.  */
-static rw_time
-time_spent_of (struct frn_request *request, const struct h1_message *message)
-{
-  struct gat_patience *patience = &request->stats->patience;
-  if (request->relayed)
-    return frn_relay_time_spent (message);
-  if (request->time_left_ms < 0
-      || request->daemon->settings.without[FRN_MECH_RETURNED])
-    return 0;
-  gat_count_patience (patience, request->time_left_ms);
-  return gat_time_spent (patience, request->time_left_ms);
-}
-
-/* Returns the parts, times and limits of a request.  The time for a full-value
-   answer is reduced by what the caller has spent on earlier attempts.  */
-static struct gat_plan
-make_plan (struct frn_request *request)
-{
-  const struct cat_route *route = request->route;
-  struct frn_route_stats *stats = request->stats;
-  struct gat_plan plan = { .part_count = 1, .min_parts = 1 };
-  rw_time max_hedge_delay = route->aim * SINGLE_MAX_HEDGE_DELAY_PERCENT / 100;
-
-  if (route->kind == CAT_ROUTE_GATHER)
-    {
-      double share = route->u.gather.min_share * (double)route->u.gather.count;
-      plan.part_count = route->u.gather.count;
-      /* Rounded up; the tolerance covers the rounding error of SHARE.  */
-      plan.min_parts = (size_t)share;
-      if ((double)plan.min_parts < share - 1e-9)
-        plan.min_parts++;
-      if (plan.min_parts == 0)
-        plan.min_parts = 1;
-      max_hedge_delay = route->aim / MAX_HEDGE_DELAY_DIVISOR;
-    }
-  plan.max_attempts = route->max_attempts;
-  plan.idempotent = route->idempotent;
-  plan.hedge_delay
-      = clamp ((rw_time)(stats->part_latency.p90 * HEDGE_LATENCY_RATIO),
-               route->aim / MIN_HEDGE_DELAY_DIVISOR, max_hedge_delay);
-  plan.soft_deadline = request->start + route->aim - request->time_spent
-                       - AIM_MARGIN - route->aim / AIM_MARGIN_DIVISOR
-                       - (request->relayed ? RELAY_MARGIN : 0);
-  if (!request->daemon->settings.without[FRN_MECH_LATENESS])
-    plan.soft_deadline -= gat_lateness_margin (&request->daemon->lateness);
-  plan.deadline = request->deadline;
-  if (request->daemon->settings.without[FRN_MECH_PARTIAL])
-    plan.soft_deadline = plan.deadline;
-  if (request->daemon->settings.without[FRN_MECH_HEDGES])
-    plan.hedge_delay = RW_TIME_NEVER / 2;
-  if (request->order != NULL)
-    limit_plan (request, &plan);
-  return plan;
-}
-
 static void
 append_header (struct rw_buf *out, const struct h1_header *header)
 {
@@ -305,74 +124,6 @@
   uv_close ((uv_handle_t *)&request->timer, on_timer_closed);
 }
 
-/* The latency statistics of what a send of SCOPE carries.  */
-static struct ste_latency *
-latency_of (const struct frn_request *request, enum frn_scope scope)
-{
-  switch (scope)
-    {
-    case FRN_SCOPE_PART:
-      break;
-    case FRN_SCOPE_SUBQUERY:
-      return &request->stats->subquery_latency;
-    case FRN_SCOPE_QUERY:
-      return &request->stats->relay_latency;
-    }
-  return &request->stats->part_latency;
-}
-
-/* What the sends of the parts of the request carry in its present mode.  */
-static enum frn_scope
-scope_of (const struct frn_request *request)
-{
-  return request->mode == FRN_MODE_RELAY ? FRN_SCOPE_QUERY : FRN_SCOPE_PART;
-}
-
-static void
-abandon_sends (struct frn_request *request)
-{
-  for (struct frn_send *s = request->sends; s != NULL; s = s->next)
-    frn_send_abandon (s);
-}
-
-bool
-frn_send_has_part (const struct frn_send *send, size_t part)
-{
-  if (send->scope != FRN_SCOPE_SUBQUERY)
-    return send->u.part == part;
-  for (size_t i = 0; i < send->u.subquery.count; i++)
-    if (send->u.subquery.parts[i] == part)
-      return true;
-  return false;
-}
-
-/* Returns whether closing the connection of SEND costs less than letting it
-   end.  A target drops a request when its connection closes, but the next
-   connection costs it a handshake.  A delegate has several targets at work. */
-static bool
-is_abandon_cheaper (const struct frn_request *request,
-                    const struct frn_send *send)
-{
-  return send->state == FRN_SEND_QUEUED || send->scope == FRN_SCOPE_SUBQUERY
-         || latency_of (request, send->scope)->work.mean
-                > (double)send->target->service->handshake_time
-                      * MIN_ABANDON_HANDSHAKES;
-}
-
-/* Abandons the sends of PART alone, or of ALL_PARTS, as their results are not
-   needed, if that is cheaper.  */
-static void
-abandon_if_cheaper (struct frn_request *request, size_t part)
-{
-  if (request->daemon->settings.without[FRN_MECH_ABANDON])
-    return;
-  for (struct frn_send *s = request->sends; s != NULL; s = s->next)
-    if ((part == ALL_PARTS
-         || (s->scope != FRN_SCOPE_SUBQUERY && s->u.part == part))
-        && is_abandon_cheaper (request, s))
-      frn_send_abandon (s);
-}
-
 /* Runs the request, or abandons its last sends when the linger time after its
    end is over.  */
 static void
@@ -383,7 +134,7 @@
     frn_request_run (request);
   else
     {
-      abandon_sends (request);
+      frn_abandon_sends (request);
       frn_request_release (request);
     }
 }
@@ -393,7 +144,7 @@
 {
   request->ended = true;
   request->conn = NULL;
-  abandon_if_cheaper (request, ALL_PARTS);
+  frn_abandon_if_cheaper (request, FRN_ALL_PARTS);
   uv_timer_start (&request->timer, on_timer, LINGER_TIME / RW_MSEC, 0);
   frn_request_release (request);
 }
@@ -425,131 +176,6 @@
   uv_timer_start (&request->timer, on_timer, ms, 0);
 }
 
-/* The targets of the sends of PART, oldest first.  */
-static struct ste_target **
-tried_of (struct frn_request *request, size_t part)
-{
-  return request->tried + part * gat_max_sends (&request->query.plan);
-}
-
-void
-frn_send_start (struct frn_request *request, struct frn_send *send,
-                enum gat_send_kind kind, rw_time now)
-{
-  send->request = request;
-  send->kind = kind;
-  send->target->refs++;
-  send->next = request->sends;
-  request->sends = send;
-  ste_on_sent (&send->steer, send->target, latency_of (request, send->scope),
-               now);
-  frn_pool_send (request->daemon, send);
-}
-
-/* Sends PART to TARGET and records the send in the request, the query and the
-   target's state.  */
-static void
-send_part (struct frn_request *request, size_t part, struct ste_target *target,
-           enum gat_send_kind kind, rw_time now)
-{
-  struct frn_send *send = rw_arena_zalloc (&request->arena, 1, sizeof *send);
-  size_t count = request->query.parts[part].sends;
-  tried_of (request, part)[count] = target;
-  send->scope = scope_of (request);
-  send->u.part = part;
-  send->target = target;
-  sta_inc (request->daemon->metrics.admission[ste_state_of (target, now)]);
-  gat_on_sent (&request->query, part, now);
-  frn_send_start (request, send, kind, now);
-}
-
-/* The limits of the retry budget of SERVICE.  Its rounding differs between
-   daemons and services.  */
-static struct ext_limits
-budget_limits (const struct frn_daemon *daemon,
-               const struct ste_service *service)
-{
-  uint64_t hash
-      = rw_hash_u64 (daemon->fleet.settings.daemon_key, service->key);
-  return (struct ext_limits){ .ratio = daemon->settings.budget_ratio,
-                              .slack = daemon->settings.budget_slack,
-                              .window = daemon->settings.budget_window,
-                              .sharers
-                              = ste_limit_sharers (&daemon->fleet, service),
-                              .rounding = ldexp ((double)hash, -64) };
-}
-
-void
-frn_send_first (struct frn_request *request, size_t part,
-                struct ste_target *target, rw_time now)
-{
-  struct ste_service *service = request->services[part];
-  struct ext_limits limits = budget_limits (request->daemon, service);
-  ext_count_request (&service->budget, &limits, now);
-  sta_inc (request->daemon->metrics.first_sends);
-  send_part (request, part, target, GAT_SEND_FIRST, now);
-}
-
-/* Selects a target for PART and sends it there, or postpones the send.
-
-   A retry may go to a target that was tried before if there is no other.  A
-   first send without any target fails the part at once; so does a retry if no
-   target of the service is usable, unless another send of the part is in
-   flight.  Hedges and retries take from the service's retry budget; relays do
-   not, as they have a single attempt.  */
-static void
-try_part (struct frn_request *request, size_t part, enum gat_send_kind kind,
-          rw_time now)
-{
-  struct frn_daemon *daemon = request->daemon;
-  struct ste_service *service = request->services[part];
-  struct ste_latency *latency = latency_of (request, scope_of (request));
-  struct ext_limits limits = budget_limits (daemon, service);
-  size_t tried_n = request->query.parts[part].sends;
-  struct ste_target *target
-      = ste_pick (&daemon->fleet, service, latency, tried_of (request, part),
-                  tried_n, now);
-  if (target == NULL && kind == GAT_SEND_RETRY)
-    target = ste_pick (&daemon->fleet, service, latency, NULL, 0, now);
-  if (target == NULL)
-    {
-      bool no_target = kind == GAT_SEND_FIRST
-                       || (kind == GAT_SEND_RETRY
-                           && !ste_any_usable (&daemon->fleet, service, now));
-      gat_postpone (&request->query, part, now,
-                    no_target ? -1 : SEND_POSTPONE_TIME);
-      return;
-    }
-  if (kind == GAT_SEND_HEDGE
-      && (!ste_has_room (target, now)
-          || ste_expected_time (&daemon->fleet, target, latency, now)
-                 > (double)request->route->aim * MAX_HEDGE_AIM_RATIO))
-    {
-      gat_postpone (&request->query, part, now, HEDGE_POSTPONE_TIME);
-      return;
-    }
-  if (request->mode == FRN_MODE_RELAY)
-    sta_inc (daemon->metrics.relays);
-  else if (kind == GAT_SEND_FIRST)
-    {
-      if (!frn_subquery_collect (request, part, target, now))
-        frn_send_first (request, part, target, now);
-      return;
-    }
-  else if (gat_send_is_extra (&request->query, part)
-           && !ext_take (&service->budget, &limits, now))
-    {
-      sta_inc (daemon->metrics.budget_empty);
-      request->denied_sends++;
-      gat_deny (&request->query, part, now, SEND_POSTPONE_TIME);
-      return;
-    }
-  else
-    sta_inc (kind == GAT_SEND_HEDGE ? daemon->metrics.hedges
-                                    : daemon->metrics.retries);
-  send_part (request, part, target, kind, now);
-}
-
 /* When a relay that had no reply is to be given up, seen at NOW.  */
 static rw_time
 relay_deadline (const struct frn_request *request, rw_time now)
@@ -589,7 +215,7 @@
   while (decision == GAT_WAIT
          && gat_next_send (&request->query, now, &position, &part, &kind))
     {
-      try_part (request, part, kind, now);
+      frn_try_part (request, part, kind, now);
       if (request->ended)
         return;
       decision = gat_decide (&request->query, now);
@@ -751,7 +377,7 @@
                rw_arena_str (&request->arena, reply->stamp),
                is_gather ? rw_arena_str (&request->arena, message->body)
                          : (struct rw_str){ NULL, 0 });
-  abandon_if_cheaper (request, send->u.part);
+  frn_abandon_if_cheaper (request, send->u.part);
   frn_request_run (request);
 }
 
@@ -792,10 +418,10 @@
 static void
 start_local (struct frn_request *request)
 {
-  struct gat_plan plan = make_plan (request);
+  struct gat_plan plan = frn_make_plan (request);
   request->mode = FRN_MODE_LOCAL;
   init_query (request, &plan);
-  bind_services (request);
+  frn_bind_services (request);
   rw_time now = rw_now ();
   if (request->order != NULL)
     {
@@ -849,13 +475,13 @@
   request->retry_after = -1;
   request->config = cat_config_ref (daemon->config);
   request->route = route;
-  request->stats = stats_of_route (daemon, route);
+  request->stats = frn_route_stats_of (daemon, route);
   request->start = start;
   request->caller_deadline = start + limit;
   request->next_interim = start + route->aim;
   request->deadline = start + limit - DEADLINE_MARGIN;
   rw_arena_init (&request->arena, ARENA_BLOCK);
-  request->time_spent = time_spent_of (request, message);
+  request->time_spent = frn_time_spent (request, message);
   copy_message (request, message, head->id);
   if (order != NULL)
     {
