--- a/cmd/rwfront/peerlist.c
+++ b/cmd/rwfront/peerlist.c
@@ -95,6 +95,8 @@
 drop_unlisted (struct frn_daemon *daemon, struct ste_service *service,
                int64_t before, rw_time now)
 {
+  if (service == NULL)
+    return;
   for (struct ste_target *t = service->targets; t != NULL; t = t->next)
     if (!t->gone && t->revision <= before)
       ste_remove (&daemon->fleet, rw_str_from (t->id),
--- a/lib/subquery/test_subquery.c
+++ b/lib/subquery/test_subquery.c
@@ -126,7 +126,8 @@
         sbq_read_order (rw_str_from (texts[i]), &f->arena, &order),
         RW_E_PARSE);
   memset (longest, 'f', sizeof longest);
-  memcpy (longest, "1 2 3 ", 6);
+  for (size_t i = 0; i < 6; i++)
+    longest[i] = "1 2 3 "[i];
   assert_int_equal (sbq_read_order ((struct rw_str){ longest, sizeof longest },
                                     &f->arena, &order),
                     RW_E_PARSE);
