--- a/cmd/rwfront/answer.c
+++ b/cmd/rwfront/answer.c
@@ -149,13 +149,25 @@
   frn_answer_refusal (request->conn, 503, retry_after);
 }
 
+void
+frn_answer_merged (struct frn_request *request, struct rw_str headers)
+{
+  const struct gat_query *query = &request->query;
+  struct h1_reply reply = { .status = 200, .headers = headers };
+  reply.body
+      = gat_merge (query, request->route->u.gather.top, &request->arena);
+  frn_log_outcome (
+      request, query->done == query->plan.part_count ? FRN_WHOLE : FRN_PARTIAL,
+      reply.status);
+  h1_conn_reply (request->conn, &reply);
+}
+
 /* Answers with the merged records of the parts that arrived, and headers with
    their stamps and the number of missing parts.  */
 static void
-answer_merged (struct frn_request *request)
+answer_gather (struct frn_request *request)
 {
   const struct gat_query *query = &request->query;
-  struct h1_reply reply = { .status = 200 };
   struct rw_buf stamps;
   struct rw_buf headers;
 
@@ -171,13 +183,7 @@
     }
   plt_write_parts (&headers, rw_buf_str (&stamps),
                    query->plan.part_count - query->done);
-  reply.headers = rw_buf_str (&headers);
-  reply.body
-      = gat_merge (query, request->route->u.gather.top, &request->arena);
-  frn_log_outcome (
-      request, query->done == query->plan.part_count ? FRN_WHOLE : FRN_PARTIAL,
-      reply.status);
-  h1_conn_reply (request->conn, &reply);
+  frn_answer_merged (request, rw_buf_str (&headers));
   rw_buf_finish (&stamps);
   rw_buf_finish (&headers);
 }
@@ -235,7 +241,7 @@
     answer_failure (request);
   else if (request->route->kind == CAT_ROUTE_GATHER
            && request->mode == FRN_MODE_LOCAL)
-    answer_merged (request);
+    answer_gather (request);
   else
     {
       int status = request->target_reply.status;
--- a/cmd/rwfront/callers.c
+++ b/cmd/rwfront/callers.c
@@ -9,25 +9,32 @@
    store nor a peer has the configuration.  */
 #define MAX_START_TIME (300 * RW_MSEC)
 
+struct cat_route *
+frn_find_route (const struct frn_daemon *daemon,
+                const struct h1_message *message)
+{
+  struct rw_str path = message->target;
+  const char *query = memchr (path.ptr, '?', path.len);
+  if (query != NULL)
+    path.len = (size_t)(query - path.ptr);
+  return cat_config_find_route (daemon->config,
+                                h1_header_value (message, "Host"), path);
+}
+
 void
 frn_request_serve (struct frn_daemon *daemon, struct h1_conn *conn,
                    const struct h1_message *message, rw_time start,
                    bool relayed)
 {
   struct plt_request head;
-  struct rw_str path = message->target;
-  const char *query = memchr (path.ptr, '?', path.len);
-  if (query != NULL)
-    path.len = (size_t)(query - path.ptr);
-  struct cat_route *route = cat_config_find_route (
-      daemon->config, h1_header_value (message, "Host"), path);
+  struct cat_route *route = frn_find_route (daemon, message);
   plt_read_request (message, &head);
   if (route == NULL)
     {
       sta_inc (daemon->metrics.no_route.outcome[FRN_NO_ROUTE]);
       evt_line (&daemon->log, EVT_NORMAL, "request", rw_now (),
                 "no route: id=%s path=%s version=%llu",
-                evt_value (head.id).text, evt_value (path).text,
+                evt_value (head.id).text, evt_value (message->target).text,
                 (unsigned long long)daemon->config->version);
       frn_answer_refusal (conn, 404, -1);
       return;
@@ -36,7 +43,7 @@
     {
       sta_inc (daemon->metrics.no_route.outcome[FRN_INVALID]);
       evt_line (&daemon->log, EVT_NORMAL, "request", rw_now (),
-                "without id: path=%s", evt_value (path).text);
+                "without id: path=%s", evt_value (message->target).text);
       frn_answer_refusal (conn, 400, -1);
       return;
     }
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -442,6 +442,9 @@
 /* Answers the subquery that REQUEST serves, with the parts that arrived.  */
 void frn_subquery_answer (struct frn_request *request);
 
+/* Returns the route of MESSAGE, or null; a configuration must be known.  */
+struct cat_route *frn_find_route (const struct frn_daemon *daemon,
+                                  const struct h1_message *message);
 /* Serves a request that arrived at START; a configuration must be known.
    RELAYED: a peer forwarded it.  */
 void frn_request_serve (struct frn_daemon *daemon, struct h1_conn *conn,
@@ -573,6 +576,9 @@
 /* If SUCCESS, answers with the merged parts or with the reply of the target or
    peer, else with a failure.  Marks the request as ended.  */
 void frn_answer_query (struct frn_request *request, bool success);
+/* Answers 200 with HEADERS and the merged records of the parts that
+   arrived.  */
+void frn_answer_merged (struct frn_request *request, struct rw_str headers);
 /* Answers STATUS without a body.  RETRY_AFTER is stated in a Retry-After
    header unless it is negative.  */
 void frn_answer_refusal (struct h1_conn *conn, int status,
--- a/cmd/rwfront/subquery.c
+++ b/cmd/rwfront/subquery.c
@@ -333,12 +333,7 @@
 route_of (const struct frn_daemon *daemon, const struct h1_message *message,
           const struct sbq_order *order)
 {
-  struct rw_str path = message->target;
-  const char *query = memchr (path.ptr, '?', path.len);
-  if (query != NULL)
-    path.len = (size_t)(query - path.ptr);
-  struct cat_route *route = cat_config_find_route (
-      daemon->config, h1_header_value (message, "Host"), path);
+  struct cat_route *route = frn_find_route (daemon, message);
   if (route == NULL || route->kind != CAT_ROUTE_GATHER
       || order->shards[order->shard_count - 1] >= route->u.gather.count)
     return NULL;
@@ -400,7 +395,6 @@
 frn_subquery_answer (struct frn_request *request)
 {
   struct gat_query *query = &request->query;
-  struct h1_reply reply = { .status = 200 };
   struct rw_buf results;
   struct rw_buf headers;
   rw_buf_init (&results);
@@ -412,13 +406,7 @@
   rw_buf_printf (&headers, RESULTS_HEADER ": %.*s\r\n",
                  RW_STR_ARG (rw_buf_str (&results)));
   write_delays (request, &headers);
-  reply.headers = rw_buf_str (&headers);
-  reply.body
-      = gat_merge (query, request->route->u.gather.top, &request->arena);
-  frn_log_outcome (
-      request, query->done == query->plan.part_count ? FRN_WHOLE : FRN_PARTIAL,
-      reply.status);
-  h1_conn_reply (request->conn, &reply);
+  frn_answer_merged (request, rw_buf_str (&headers));
   rw_buf_finish (&results);
   rw_buf_finish (&headers);
 }
