Log and count the limits that targets name

Change: the header is decoded and recorded with the target; a line when a limit begins, changes or ends, with the sends meanwhile; two counters. Nothing is decided by it yet.

--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -173,6 +173,8 @@
   struct sta_series *store_era;
   struct sta_series *targets_leaving;
   struct sta_series *targets_held;
+  struct sta_series *targets_limited;
+  struct sta_series *limited_sends[GAT_SEND_KIND_COUNT];
   struct sta_series *config_version;
   struct sta_series *config_age;
   struct sta_series *loop_lag;
@@ -600,6 +602,8 @@
 void frn_log_outcome (struct frn_request *request, enum frn_outcome outcome,
                       int status);
 
+/* The kind's name in logs and metrics, a static string.  */
+const char *frn_send_kind_name (enum gat_send_kind kind);
 /* Writes log lines for the sends of REQUEST: for each send if the request is
    sampled; else, unless it was answered IN_TIME, for each retry, hedge and
    first send without success.  */
--- a/cmd/rwfront/metrics.c
+++ b/cmd/rwfront/metrics.c
@@ -145,6 +145,15 @@
   m->targets_held = sta_counter (
       &m->set, "rwf_targets_held_total",
       "refusals that asked to send nothing for a stated time", none);
+  m->targets_limited = sta_counter (
+      &m->set, "rwf_targets_limited_total",
+      "limits named by targets, and changes of such limits", none);
+  for (int i = 0; i < GAT_SEND_KIND_COUNT; i++)
+    m->limited_sends[i] = sta_counter (
+        &m->set, "rwf_limited_sends_total",
+        "sends to targets that name a limit, by kind",
+        sta_label (label, sizeof label, "kind",
+                   rw_str_from (frn_send_kind_name ((enum gat_send_kind)i))));
   m->config_version = sta_gauge (&m->set, "rwf_config_version",
                                  "version in force, 0: none", none);
   m->config_age = sta_gauge (&m->set, "rwf_config_age_seconds",
--- a/cmd/rwfront/parts.c
+++ b/cmd/rwfront/parts.c
@@ -117,6 +117,8 @@
   send->u.part = part;
   send->target = target;
   sta_inc (request->daemon->metrics.admission[ste_state_of (target, now)]);
+  if (target->limited)
+    sta_inc (request->daemon->metrics.limited_sends[kind]);
   gat_on_sent (&request->query, part, now);
   frn_send_start (request, send, kind, now);
 }
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -171,18 +171,48 @@
     }
 }
 
+/* Records the limit that REPLY names.  SENT_AT is when its request was sent;
+   RW_TIME_NEVER if that is not known, so that it can only begin a limit.  */
+static void
+note_limit (struct frn_pool *pool, const struct plt_reply *reply,
+            rw_time sent_at, rw_time now)
+{
+  struct frn_daemon *daemon = pool->daemon;
+  struct ste_target *target = pool->target;
+  if (reply->names_limit && reply->limit_per_s < 0)
+    evt_line (&daemon->log, EVT_NORMAL, "target", now,
+              "limit that is no number: id=%s", target->id);
+  else if (reply->names_limit)
+    {
+      if (!ste_on_limit (target, reply->limit_per_s, now))
+        return;
+      sta_inc (daemon->metrics.targets_limited);
+      evt_line (&daemon->log, EVT_STATE, "target", now,
+                "limited: id=%s service=%s per_s=%.3f daemons=%zu", target->id,
+                target->service->name, target->limit_per_s,
+                ste_limit_sharers (&daemon->fleet, target->service));
+    }
+  else if (sent_at != RW_TIME_NEVER && ste_on_no_limit (target, sent_at))
+    evt_line (&daemon->log, EVT_STATE, "target", now,
+              "not limited any more: id=%s per_s=%.3f ms=%lld sends=%llu",
+              target->id, target->limit_per_s,
+              (long long)((now - target->limit_since) / RW_MSEC),
+              (unsigned long long)target->sends_in_limit);
+}
+
 /* Records what REPLY says about the target itself, whatever request it
-   answers.  Returns whether the target wants no further requests, so that the
-   caller must withdraw the queued sends.  */
+   answers; SENT_AT is as for note_limit.  Returns whether the target wants no
+   further requests, so that the caller must withdraw the queued sends.  */
 static bool
 note_target_state (struct frn_pool *pool, const struct plt_reply *reply,
-                   rw_time now)
+                   rw_time sent_at, rw_time now)
 {
   bool withdraw = false;
   struct frn_daemon *daemon = pool->daemon;
   struct ste_target *target = pool->target;
   if (reply->misdirected)
     return false; /* another target sent it */
+  note_limit (pool, reply, sent_at, now);
   if (reply->leaving && ste_on_leaving (&daemon->fleet, target, now))
     {
       sta_inc (daemon->metrics.targets_leaving);
@@ -247,10 +277,14 @@
   rw_time now = rw_now ();
 
   plt_read_reply (message, &reply);
+  bool is_earlier
+      = reply.request_id.len > 0 && !rw_str_eq (reply.request_id, request->id);
   bool withdraw = conn->send->scope == FRN_SCOPE_PART
-                  && note_target_state (pool, &reply, now);
-  /* Skips a reply to an earlier request.  */
-  if (reply.request_id.len > 0 && !rw_str_eq (reply.request_id, request->id))
+                  && note_target_state (pool, &reply,
+                                        is_earlier ? RW_TIME_NEVER
+                                                   : conn->send->steer.sent_at,
+                                        now);
+  if (is_earlier)
     result = H1_REPLY_SKIPPED;
   else
     take_reply (conn, message, &reply, now);
@@ -272,7 +306,7 @@
       return;
     }
   plt_read_reply (message, &reply);
-  if (note_target_state (conn->pool, &reply, rw_now ()))
+  if (note_target_state (conn->pool, &reply, RW_TIME_NEVER, rw_now ()))
     fail_queued (conn->pool, "target wants no requests", rw_now ());
 }
 
--- a/cmd/rwfront/span.c
+++ b/cmd/rwfront/span.c
@@ -8,8 +8,8 @@
    the log.  */
 #define MAX_SPANS 12
 
-static const char *
-kind_name (enum gat_send_kind kind)
+const char *
+frn_send_kind_name (enum gat_send_kind kind)
 {
   switch (kind)
     {
@@ -19,6 +19,8 @@
       return "retry";
     case GAT_SEND_HEDGE:
       return "hedge";
+    case GAT_SEND_KIND_COUNT:
+      break;
     }
   return "unknown";
 }
@@ -64,7 +66,7 @@
                                               : send->u.part,
             send->scope == FRN_SCOPE_SUBQUERY ? send->u.subquery.count : 1,
             send->target->service->name, send->target->id,
-            kind_name (send->kind),
+            frn_send_kind_name (send->kind),
             (long long)((send->steer.sent_at - request->start) / RW_MSEC),
             (long long)((end - send->steer.sent_at) / RW_MSEC));
 }
--- a/lib/gather/gather.h
+++ b/lib/gather/gather.h
@@ -55,7 +55,8 @@
 {
   GAT_SEND_FIRST,
   GAT_SEND_RETRY,
-  GAT_SEND_HEDGE
+  GAT_SEND_HEDGE,
+  GAT_SEND_KIND_COUNT
 };
 
 /* Whether a failed send ran on its target.  */
--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -476,6 +476,7 @@
     target->oldest_send = send;
   target->newest_send = send;
   target->in_flight++;
+  target->sends_in_limit += target->limited;
 }
 
 void
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -51,6 +51,11 @@
                              date; 0: it is not */
   rw_time held_until; /* no sends before, as the target asked; 0: it did not */
   bool recovering;    /* was held, and has not answered since */
+  bool limited;       /* names a limit of the requests that it takes */
+  double limit_per_s; /* from all daemons together; if LIMITED */
+  rw_time limit_since;     /* when it first named one */
+  rw_time limit_heard_at;  /* last reply that named it; 0: none */
+  uint64_t sends_in_limit; /* of this daemon, since LIMIT_SINCE */
   rw_time cold_until;
   double warmup_tokens; /* at most 1; a request to a cold target takes 1 */
   rw_time warmup_refilled_at; /* 0: never */
@@ -199,6 +204,14 @@
    until it answers one.  */
 #define STE_MAX_HOLD_TIME (300 * RW_SEC)
 void ste_hold (struct ste_target *target, rw_time delay, rw_time now);
+/* Records that TARGET takes at most PER_S requests a second, at least 0, from
+   all daemons together.  Returns whether that is news.  */
+bool ste_on_limit (struct ste_target *target, double per_s, rw_time now);
+/* Records that a reply of TARGET to a request of SENT_AT named no limit.  The
+   limit ends unless it was named after the request was sent: replies on
+   different connections may overtake each other.  Returns whether that is
+   news.  */
+bool ste_on_no_limit (struct ste_target *target, rw_time sent_at);
 /* Marks TARGET gone at once, as another target answers at its address.
    Nothing more is sent to it.  A later list entry of its id makes a new
    target.  */
