--- a/tests/rwfsite/control.c
+++ b/tests/rwfsite/control.c
@@ -14,6 +14,8 @@
    POST /searcher/ID/publish (writes its entry again)
    POST /searcher/ID/announce/0|1 (says in its answers that it leaves)
    POST /searcher/ID/hold/MS (Retry-After of its refusals; 0: none)
+   POST /searcher/ID/limit/N (names a limit of N tenths of a request a second
+   in its answers; 0: none)
    POST /searcher/ID/pause/MS, POST /searcher/ID/work/MS
    POST /searcher/ID/waiting/N (requests that it reports as waiting)
    GET /report, GET /ran/SERVICE/ID  */
@@ -114,6 +116,8 @@
           s->announces = number != 0;
           s->announced = 0;
         }
+      else if (rw_str_eq_cstr (what, "limit"))
+        site_searcher_limit (s, number > 0 ? (double)number / 10 : -1);
       else if (rw_str_eq_cstr (what, "hold"))
         s->hold_ms = (unsigned int)number;
       else if (!set_fault (s, what) && !set_state (s, what))
@@ -129,19 +133,22 @@
   struct rw_buf out;
   uint64_t late = 0;
   uint64_t uninvited = 0;
+  uint64_t over_limit = 0;
   for (size_t i = 0; i < site->searcher_count; i++)
     {
       late += site->searchers[i].late;
       uninvited += site->searchers[i].uninvited;
+      over_limit += site->searchers[i].over_limit;
     }
   rw_buf_init (&out);
-  rw_buf_printf (
-      &out,
-      "calls=%llu ran=%llu twice=%llu late=%llu "
-      "uninvited=%llu over=%llu\n",
-      (unsigned long long)site->calls, (unsigned long long)site->ran,
-      (unsigned long long)site->twice, (unsigned long long)late,
-      (unsigned long long)uninvited, (unsigned long long)site->over);
+  rw_buf_printf (&out,
+                 "calls=%llu ran=%llu twice=%llu late=%llu "
+                 "uninvited=%llu beyond=%llu over=%llu\n",
+                 (unsigned long long)site->calls,
+                 (unsigned long long)site->ran,
+                 (unsigned long long)site->twice, (unsigned long long)late,
+                 (unsigned long long)uninvited, (unsigned long long)over_limit,
+                 (unsigned long long)site->over);
   answer (conn, 200, rw_buf_str (&out));
   rw_buf_finish (&out);
 }
--- a/tests/rwfsite/searcher.c
+++ b/tests/rwfsite/searcher.c
@@ -13,6 +13,14 @@
 /* A searcher that named a time may still be reached for this long.  */
 #define HOLD_SLACK (500 * RW_MSEC)
 
+/* A searcher that names a limit may get, in any LIMIT_WINDOW, so many times
+   what that allows and so many requests more; not before daemons have had the
+   time to hear of it.  */
+#define LIMIT_WINDOW (4 * RW_SEC)
+#define LIMIT_TOLERANCE 1.5
+#define LIMIT_SLACK 5
+#define LIMIT_SETTLE_TIME (4 * RW_SEC)
+
 struct job
 {
   uv_timer_t timer;
@@ -74,6 +82,8 @@
                  "X-Redwingfork-Server-Stamp: %s.%s\r\n"
                  "X-Redwingfork-Server-Load: 1,%u,2\r\n",
                  job->id, searcher->id, job->id, searcher->waiting);
+  if (searcher->limit_per_s >= 0)
+    rw_buf_printf (&headers, "Server-Limit: %.1f\r\n", searcher->limit_per_s);
   if (searcher->announces)
     {
       rw_buf_printf (&headers, "Server-Leaving: 1\r\n");
@@ -160,6 +170,31 @@
   refuse (conn, 503, headers);
 }
 
+/* Counts an arrival against the limit that the searcher names.  */
+static void
+check_limit (struct site_searcher *searcher, rw_time now)
+{
+  size_t allowed = (size_t)(searcher->limit_per_s * LIMIT_TOLERANCE
+                                * (double)LIMIT_WINDOW / RW_SEC
+                            + LIMIT_SLACK);
+  uint64_t count = searcher->arrived_count;
+  if (searcher->limit_per_s < 0 || now - searcher->limited < LIMIT_SETTLE_TIME)
+    return;
+  if (allowed < SITE_MAX_ARRIVALS && count >= allowed
+      && now - searcher->arrived[(count - allowed) % SITE_MAX_ARRIVALS]
+             < LIMIT_WINDOW)
+    searcher->over_limit++;
+  searcher->arrived[searcher->arrived_count++ % SITE_MAX_ARRIVALS] = now;
+}
+
+void
+site_searcher_limit (struct site_searcher *searcher, double per_s)
+{
+  searcher->limit_per_s = per_s;
+  searcher->limited = rw_now ();
+  searcher->arrived_count = 0;
+}
+
 static void
 on_request (void *arg, struct h1_conn *conn, const struct h1_message *message)
 {
@@ -169,6 +204,7 @@
   h1_conn_set_data (conn, NULL);
   rw_time now = rw_now ();
   searcher->arrivals++;
+  check_limit (searcher, now);
   if (now > searcher->held_since + HOLD_SLACK && now < searcher->held_until)
     searcher->uninvited++;
   if (searcher->stopped
@@ -207,6 +243,7 @@
   s->site = site;
   s->work = work;
   s->born = 1;
+  s->limit_per_s = -1;
   snprintf (s->id, sizeof s->id, "%s", id);
   snprintf (s->service, sizeof s->service, "%s", service);
   snprintf (s->dc, sizeof s->dc, "%s", dc);
--- a/tests/rwfsite/site.h
+++ b/tests/rwfsite/site.h
@@ -12,6 +12,8 @@
 #define SITE_MAX_WATCHES 256
 #define SITE_MAX_SEARCHERS 256
 #define SITE_MAX_RUNS 200000
+/* Arrivals at one searcher that are kept to check its limit.  */
+#define SITE_MAX_ARRIVALS 4096
 
 enum site_store_mode
 {
@@ -65,6 +67,11 @@
   rw_time held_since;   /* of the refusal whose time ends last */
   rw_time held_until;
   uint64_t uninvited; /* requests in that time, less the first half second */
+  double limit_per_s; /* that it names in its answers; negative: none */
+  rw_time limited;    /* when it began to */
+  rw_time arrived[SITE_MAX_ARRIVALS]; /* since then, a ring */
+  uint64_t arrived_count;
+  uint64_t over_limit; /* arrivals beyond what the limit allows */
   rw_time paused_until;
   uint64_t arrivals;
   rw_time changed; /* when it began to leave */
@@ -126,6 +133,9 @@
                                          const char *service, const char *dc,
                                          uint16_t port, rw_time work);
 void site_searcher_publish (struct site_searcher *searcher);
+/* Makes SEARCHER name a limit of PER_S requests a second, or none if that is
+   negative.  */
+void site_searcher_limit (struct site_searcher *searcher, double per_s);
 uint16_t site_server_port (const struct h1_server *server);
 int site_listen (struct site *site, struct h1_server *server, uint16_t port,
                  const struct h1_server_ops *ops, void *arg);
--- a/tests/soak/check.c
+++ b/tests/soak/check.c
@@ -155,7 +155,7 @@
   if (sok_command (soak, "GET", "/report", "", text, sizeof text) != 0
       || sscanf (text,
                  "calls=%llu ran=%llu twice=%llu late=%llu uninvited=%*u "
-                 "over=%llu",
+                 "beyond=%*u over=%llu",
                  &calls, &ran, &twice, &late, &over)
              != 5)
     sok_fail (soak, "no report from the stand-ins");
