Keep to the limits that targets name, all daemons together

What callers and targets saw: a target that named the requests a second that it takes got as many as before, up to 1.4 times what it allows (LIMIT). Cause: nothing read the header; and no mechanism bounds what all daemons together send to one target while their loads differ. Class: a bound that a target states for the whole fleet, applied by each daemon alone. Evidence: one daemon of 15 sends two fifths of the load of a target, those of its data centre 95%; so neither equal shares of the load nor its history bound the sum. Tokens that are not used lapse, so that many daemons with small shares cannot save one each and spend them together. What no target can take is refused at once, and callers are told when any daemon may send. First sends, retries, hedges and delegated parts all take tokens.

--- a/cmd/rwfront/parts.c
+++ b/cmd/rwfront/parts.c
@@ -116,6 +116,7 @@
   send->scope = scope_of (request);
   send->u.part = part;
   send->target = target;
+  ste_spend_limit (&request->daemon->fleet, target, now);
   sta_inc (request->daemon->metrics.admission[ste_state_of (target, now)]);
   if (target->limited)
     sta_inc (request->daemon->metrics.limited_sends[kind]);
--- a/cmd/rwfront/peerlist.c
+++ b/cmd/rwfront/peerlist.c
@@ -89,6 +89,29 @@
   return (gatherers < all ? gatherers : all) * DAEMON_GROUPS;
 }
 
+/* Counts the daemons of each data centre by the weight that they have in
+   frn_shard_sharers.  */
+static void
+update_dc_sharers (struct frn_daemon *daemon, rw_time now)
+{
+  const struct frn_peers *peers = &daemon->peers;
+  struct ste_settings *steer = &daemon->fleet.settings;
+  struct gos_dc_count counts[GOS_MAX_DCS];
+  size_t dcs = gos_count_by_dc (&peers->gossip,
+                                peers->max_capacity / MIN_CAPACITY_RATIO + 1,
+                                now, counts);
+  size_t groups = peers->gatherer_count > 0 ? DAEMON_GROUPS : 1;
+  steer->dc_count = dcs < STE_MAX_DCS ? dcs : STE_MAX_DCS;
+  for (size_t i = 0; i < steer->dc_count; i++)
+    steer->dcs[i] = (struct ste_dc_sharers){
+      .dc = counts[i].dc,
+      .all = counts[i].all,
+      .shard
+      = groups
+        * (groups > 1 && peers->is_gatherer ? counts[i].large : counts[i].all),
+    };
+}
+
 /* Removes the peers of SERVICE whose entry has not been updated since the
    revision BEFORE.  */
 static void
@@ -172,6 +195,7 @@
                           ? now
                           : now + LIST_UPDATE_INTERVAL;
   update_gatherers (daemon, now);
+  update_dc_sharers (daemon, now);
   update_larger_peers (daemon, now);
   update_delegates (daemon, now);
 }
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -184,7 +184,7 @@
               "limit that is no number: id=%s", target->id);
   else if (reply->names_limit)
     {
-      if (!ste_on_limit (target, reply->limit_per_s, now))
+      if (!ste_on_limit (&daemon->fleet, target, reply->limit_per_s, now))
         return;
       sta_inc (daemon->metrics.targets_limited);
       evt_line (&daemon->log, EVT_STATE, "target", now,
--- a/lib/gossip/gossip.c
+++ b/lib/gossip/gossip.c
@@ -343,6 +343,39 @@
   return NULL;
 }
 
+/* Counts a daemon of DC.  Returns the new number of data centres.  */
+static size_t
+count_daemon (struct gos_dc_count *counts, size_t dcs, uint32_t dc,
+              bool is_large)
+{
+  size_t i = 0;
+  while (i < dcs && counts[i].dc != dc)
+    i++;
+  if (i == GOS_MAX_DCS)
+    return dcs;
+  if (i == dcs)
+    counts[dcs++] = (struct gos_dc_count){ .dc = dc };
+  counts[i].all++;
+  counts[i].large += is_large;
+  return dcs;
+}
+
+size_t
+gos_count_by_dc (const struct gos_gossip *gossip, uint32_t capacity,
+                 rw_time now, struct gos_dc_count *out)
+{
+  const struct gos_settings *s = &gossip->settings;
+  size_t dcs = count_daemon (out, 0, s->dc, s->capacity >= capacity);
+  for (size_t i = 0; i < gossip->count; i++)
+    {
+      const struct gos_member *member = &gossip->members[i];
+      if (!member->left && now - member->last_heard < GOS_COUNT_HOLD_TIME)
+        dcs = count_daemon (out, dcs, member->dc,
+                            member->capacity >= capacity);
+    }
+  return dcs;
+}
+
 /* Rank of MEMBER as a delegate of the daemon OWN_IP.  */
 static uint64_t
 delegate_rank (uint32_t own_ip, const struct gos_member *member)
--- a/lib/gossip/gossip.h
+++ b/lib/gossip/gossip.h
@@ -157,7 +157,25 @@
 const struct gos_member *gos_next_member (const struct gos_gossip *gossip,
                                           uint32_t capacity, rw_time now,
                                           size_t *position);
-#define GOS_MAX_DELEGATE_DCS 16
+#define GOS_MAX_DCS 16
+
+/* Daemons of one data centre.  */
+struct gos_dc_count
+{
+  uint32_t dc;
+  size_t all;
+  size_t large; /* those with at least a given capacity */
+};
+
+/* Counts the daemons by data centre, with this one, and those with at least
+   CAPACITY.  Daemons that were not heard of for a while count for
+   GOS_COUNT_HOLD_TIME, unless they said that they stop.  Stores the counts in
+   OUT, which has room for GOS_MAX_DCS, and returns the number of data centres;
+   daemons of further ones are not counted.  */
+size_t gos_count_by_dc (const struct gos_gossip *gossip, uint32_t capacity,
+                        rw_time now, struct gos_dc_count *out);
+
+#define GOS_MAX_DELEGATE_DCS GOS_MAX_DCS
 #define GOS_DELEGATES_PER_DC 3
 
 /* The members of another data centre that take work from this daemon.  */
--- a/lib/steer/fleet.c
+++ b/lib/steer/fleet.c
@@ -249,13 +249,15 @@
 }
 
 bool
-ste_on_limit (struct ste_target *target, double per_s, rw_time now)
+ste_on_limit (struct ste_fleet *fleet, struct ste_target *target, double per_s,
+              rw_time now)
 {
   bool is_news = !target->limited || target->limit_per_s != per_s;
   if (!target->limited)
     {
       target->limit_since = now;
       target->sends_in_limit = 0;
+      bkt_init (&target->limit, rw_rng_unit (&fleet->rng), now);
     }
   target->limited = true;
   target->limit_per_s = per_s;
--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -70,6 +70,10 @@
 #define STALL_PENALTY (150 * RW_MSEC)
 /* At a failure rate of 1.  */
 #define FAILURE_PENALTY (300 * RW_MSEC)
+/* A target that names a limit is in need, and its share is of use to parts
+   that are late elsewhere; but it is nearer than one of another data
+   centre.  */
+#define LIMITED_PENALTY (5 * RW_MSEC)
 /* So long that a leaving target is picked only if no other is usable.  */
 #define LEAVING_PENALTY (10 * RW_SEC)
 #define BACKOFF_PENALTY (2 * RW_SEC)
@@ -86,8 +90,18 @@
    flight, divided by the number of slots, are added to the factor.  */
 #define STALL_TIME_FACTOR 1.2
 #define STALL_MARGIN (12 * RW_MSEC)
-/* Fraction of the warm-up limit of a target that all daemons together use.  */
+/* Fractions of the limits of a target that all daemons together use.  The rest
+   covers daemons that disagree on how many they are.  */
 #define WARMUP_LIMIT_FRACTION 0.7
+#define NAMED_LIMIT_FRACTION 0.9
+/* How long an unused part of a share can be used, and saved.  */
+#define LIMIT_TOKEN_LIFE RW_SEC
+#define LIMIT_BURST_TIME (500 * RW_MSEC)
+/* The daemons of a target's data centre send it most of its requests, so they
+   share this fraction of its limit, and all others the rest.  */
+#define HOME_SHARE 0.75
+/* A lower limit counts as this, as only a reply shows its end.  */
+#define MIN_LIMIT_PER_S 0.2
 
 /* Number of results of a route after which its estimates move more slowly.  */
 #define INITIAL_RESULT_COUNT 50
@@ -156,6 +170,67 @@
   return !dc_is_out (fleet, target->dc, now);
 }
 
+/* Returns this daemon's share of PER_S requests a second that TARGET takes
+   from all daemons together.  */
+static double
+share_of (const struct ste_fleet *fleet, const struct ste_target *target,
+          double per_s)
+{
+  const struct ste_settings *s = &fleet->settings;
+  bool is_shard = target->service->is_shard;
+  double sharers = (double)ste_limit_sharers (fleet, target->service);
+  double known = 0;
+  double home = 0;
+  for (size_t i = 0; i < s->dc_count; i++)
+    {
+      double count = (double)(is_shard ? s->dcs[i].shard : s->dcs[i].all);
+      known += count;
+      if (s->dcs[i].dc == (uint32_t)target->dc)
+        home += count;
+    }
+  /* Daemons that are not known are taken to be spread like those that are.  */
+  if (known > 0 && known < sharers)
+    home = ceil (home * sharers / known);
+  if (home < 1 || home >= sharers)
+    return per_s / sharers;
+  if (target->dc == s->dc)
+    return per_s * HOME_SHARE / home;
+  return per_s * (1 - HOME_SHARE) / (sharers - home);
+}
+
+static struct bkt_rate
+limit_rate (const struct ste_fleet *fleet, const struct ste_target *target)
+{
+  double per_s = fmax (target->limit_per_s, MIN_LIMIT_PER_S);
+  return (struct bkt_rate){ .per_s = share_of (fleet, target, per_s)
+                                     * NAMED_LIMIT_FRACTION,
+                            .life = LIMIT_TOKEN_LIFE,
+                            .burst = LIMIT_BURST_TIME };
+}
+
+/* Returns whether the limit that TARGET names, if any, allows a request of
+   this daemon now.  */
+static bool
+limit_allows (const struct ste_fleet *fleet, const struct ste_target *target,
+              rw_time now)
+{
+  if (!target->limited)
+    return true;
+  struct bkt_rate rate = limit_rate (fleet, target);
+  return bkt_ready (&target->limit, &rate, now);
+}
+
+void
+ste_spend_limit (const struct ste_fleet *fleet, struct ste_target *target,
+                 rw_time now)
+{
+  if (!target->limited)
+    return;
+  struct bkt_rate rate = limit_rate (fleet, target);
+  bkt_take (&target->limit, &rate, now);
+  target->sends_in_limit++;
+}
+
 static bool
 is_cold (const struct ste_target *target, rw_time now)
 {
@@ -210,10 +285,19 @@
     {
       rw_time at = t->held_until > t->doubtful_until ? t->held_until
                                                      : t->doubtful_until;
-      if (ste_usable (fleet, t, now))
+      if (!ste_usable (fleet, t, now))
+        {
+          if (ste_usable (fleet, t, at))
+            best = fmin (best, (double)(at - now));
+          continue;
+        }
+      if (limit_allows (fleet, t, now))
         return 0;
-      if (ste_usable (fleet, t, at))
-        best = fmin (best, (double)(at - now));
+      struct bkt_rate rate = limit_rate (fleet, t);
+      double own_wait = (double)bkt_wait (&t->limit, &rate, now);
+      best = fmin (
+          best,
+          fmin (own_wait, RW_SEC / fmax (t->limit_per_s, MIN_LIMIT_PER_S)));
     }
   return best;
 }
@@ -284,7 +368,8 @@
   double best = INFINITY;
   for (const struct ste_target *t = service->targets; t != NULL; t = t->next)
     {
-      if (!ste_usable (fleet, t, now) || now < t->backoff_until)
+      if (!ste_usable (fleet, t, now) || now < t->backoff_until
+          || !limit_allows (fleet, t, now))
         continue;
       double delay = backlog_of (t, now) * service->work.mean;
       if (delay > 0)
@@ -361,6 +446,8 @@
     time += OUTSIDE_SUBSET_PENALTY;
   if (is_cold (target, now))
     time += COLD_PENALTY;
+  if (target->limited)
+    time += LIMITED_PENALTY;
   if (ste_stalled (target, now))
     time += STALL_PENALTY;
   time += failure_rate * FAILURE_PENALTY;
@@ -382,7 +469,8 @@
   for (const struct ste_target *t = service->targets; t != NULL; t = t->next)
     {
       size_t i = 0;
-      if (t->dc == fleet->settings.dc || !ste_usable (fleet, t, now))
+      if (t->dc == fleet->settings.dc || !ste_usable (fleet, t, now)
+          || !limit_allows (fleet, t, now))
         continue;
       while (i < *dc_count && dcs[i] != t->dc)
         i++;
@@ -438,7 +526,7 @@
     {
       if (is_tried (t, tried, tried_n) || !ste_usable (fleet, t, now)
           || (t->recovering && t->in_flight > 0)
-          || !warmup_allows (fleet, t, now))
+          || !limit_allows (fleet, t, now) || !warmup_allows (fleet, t, now))
         continue;
       double time = ste_expected_time (fleet, t, latency, now)
                     + rw_rng_unit (&fleet->rng) * MAX_JITTER;
@@ -476,7 +564,6 @@
     target->oldest_send = send;
   target->newest_send = send;
   target->in_flight++;
-  target->sends_in_limit += target->limited;
 }
 
 void
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -6,6 +6,7 @@
 #ifndef STE_STEER_H
 #define STE_STEER_H
 
+#include "bucket.h"
 #include "cat.h"
 #include "extra.h"
 
@@ -56,6 +57,7 @@
   rw_time limit_since;     /* when it first named one */
   rw_time limit_heard_at;  /* last reply that named it; 0: none */
   uint64_t sends_in_limit; /* of this daemon, since LIMIT_SINCE */
+  struct bkt_bucket limit; /* a request while LIMITED takes a token */
   rw_time cold_until;
   double warmup_tokens; /* at most 1; a request to a cold target takes 1 */
   rw_time warmup_refilled_at; /* 0: never */
@@ -111,6 +113,16 @@
   bool is_shard;                /* a shard of a route that gathers */
 };
 
+/* The daemons of a data centre that divide limits, each weighted as in
+   ste_limit_sharers.  */
+struct ste_dc_sharers
+{
+  uint32_t dc;  /* low half of the hash of its name */
+  size_t all;   /* for targets other than those of shards */
+  size_t shard; /* for targets of shards */
+};
+#define STE_MAX_DCS 16
+
 struct ste_settings
 {
   uint64_t dc;         /* hash of the name of this daemon's data centre */
@@ -120,6 +132,9 @@
      daemons send more requests to them than others, and take a larger
      share.  */
   size_t shard_sharers;
+  /* Those of them that are known, this one included; none: not known yet.  */
+  struct ste_dc_sharers dcs[STE_MAX_DCS];
+  size_t dc_count;
   rw_time leave_time; /* how long a leaving target may still be used */
   /* How long the entry of a target that has ended may stay on the list.  */
   rw_time entry_lifetime;
@@ -205,8 +220,10 @@
 #define STE_MAX_HOLD_TIME (300 * RW_SEC)
 void ste_hold (struct ste_target *target, rw_time delay, rw_time now);
 /* Records that TARGET takes at most PER_S requests a second, at least 0, from
-   all daemons together.  Returns whether that is news.  */
-bool ste_on_limit (struct ste_target *target, double per_s, rw_time now);
+   all daemons together.  Until the limit ends, this daemon sends at most its
+   share.  Returns whether that is news.  */
+bool ste_on_limit (struct ste_fleet *fleet, struct ste_target *target,
+                   double per_s, rw_time now);
 /* Records that a reply of TARGET to a request of SENT_AT named no limit.  The
    limit ends unless it was named after the request was sent: replies on
    different connections may overtake each other.  Returns whether that is
@@ -255,7 +272,8 @@
                      const struct ste_service *service, rw_time now);
 /* Returns the time in microseconds, from NOW, until SERVICE has a usable
    target as far as is known: 0 if it has one, infinity if that cannot be
-   known.  */
+   known.  If targets that name a limit are all that is left, it is the time
+   until any daemon may send to one of them.  */
 double ste_time_until_usable (const struct ste_fleet *fleet,
                               const struct ste_service *service, rw_time now);
 /* State of a target.  If several apply, leaving takes precedence over cold,
@@ -306,7 +324,8 @@
                       size_t *dc_count, size_t max, double *times,
                       rw_time now);
 /* Returns the usable target with the shortest expected time plus a random
-   jitter, or null if there is none.  Targets among TRIED are left out.  A cold
+   jitter, or null if there is none.  Targets among TRIED are left out, and so
+   are those that named a limit of which this daemon's share is spent.  A cold
    target of a service with a warm-up limit needs a token, which is spent if
    the target is picked.  */
 struct ste_target *ste_pick (struct ste_fleet *fleet,
@@ -315,6 +334,10 @@
                              struct ste_target *const *tried, size_t tried_n,
                              rw_time now);
 
+/* Counts a request, which is about to be sent to TARGET, against the limit
+   that TARGET names, if any.  */
+void ste_spend_limit (const struct ste_fleet *fleet, struct ste_target *target,
+                      rw_time now);
 /* Initialises SEND and adds it to the sends in flight to TARGET.  LATENCY must
    outlive the send.  */
 void ste_on_sent (struct ste_send *send, struct ste_target *target,
