steer: a cold target's share lapses when it is not used

Cause: the same class as LIMIT: daemons share the warm-up limit of a cold target, and each could save a token while other targets were better. When these fail, all daemons spend theirs at once. Change: the warm-up limit uses lib/bucket too, with the larger share for the daemons of the target's data centre. Measured: the new case of test_steer, 100 daemons and 10 requests a second: 100 requests in a second before, at most 20 allowed; it passes now.

--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -95,6 +95,7 @@
 #define WARMUP_LIMIT_FRACTION 0.7
 #define NAMED_LIMIT_FRACTION 0.9
 /* How long an unused part of a share can be used, and saved.  */
+#define WARMUP_TOKEN_LIFE (500 * RW_MSEC)
 #define LIMIT_TOKEN_LIFE RW_SEC
 #define LIMIT_BURST_TIME (500 * RW_MSEC)
 /* The daemons of a target's data centre send it most of its requests, so they
@@ -482,27 +483,32 @@
     }
 }
 
-/* Returns whether the warm-up limit allows a request to TARGET now.  Refills
-   its token bucket with this daemon's share of the limit.  The bucket starts
-   at a random level below one token, so that the daemons do not all send as
-   soon as a target appears.  */
+static struct bkt_rate
+warmup_rate (const struct ste_fleet *fleet, const struct ste_target *target)
+{
+  double limit = target->service->warmup_limit_per_s;
+  return (struct bkt_rate){ .per_s = share_of (fleet, target, limit)
+                                     * WARMUP_LIMIT_FRACTION,
+                            .life = WARMUP_TOKEN_LIFE };
+}
+
+static bool
+has_warmup_limit (const struct ste_target *target, rw_time now)
+{
+  return target->service->warmup_limit_per_s > 0 && is_cold (target, now);
+}
+
+/* Returns whether the warm-up limit allows a request to TARGET now.  */
 static bool
 warmup_allows (struct ste_fleet *fleet, struct ste_target *target, rw_time now)
 {
-  double limit = target->service->warmup_limit_per_s;
-  if (limit <= 0 || !is_cold (target, now))
+  if (!has_warmup_limit (target, now))
     return true;
-  double rate
-      = limit * WARMUP_LIMIT_FRACTION / (double)fleet->settings.daemon_count;
-  if (target->warmup_refilled_at == 0)
-    target->warmup_tokens = rw_rng_unit (&fleet->rng);
-  else
-    target->warmup_tokens
-        += rate * (double)(now - target->warmup_refilled_at) / RW_SEC;
-  target->warmup_refilled_at = now;
-  if (target->warmup_tokens > 1)
-    target->warmup_tokens = 1;
-  return target->warmup_tokens >= 1;
+  if (!target->warmup_begun)
+    bkt_init (&target->warmup, rw_rng_unit (&fleet->rng), now);
+  target->warmup_begun = true;
+  struct bkt_rate rate = warmup_rate (fleet, target);
+  return bkt_ready (&target->warmup, &rate, now);
 }
 
 static bool
@@ -536,8 +542,11 @@
           best_time = time;
         }
     }
-  if (best != NULL && is_cold (best, now) && service->warmup_limit_per_s > 0)
-    best->warmup_tokens -= 1;
+  if (best != NULL && has_warmup_limit (best, now))
+    {
+      struct bkt_rate rate = warmup_rate (fleet, best);
+      bkt_take (&best->warmup, &rate, now);
+    }
   return best;
 }
 
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -59,8 +59,8 @@
   uint64_t sends_in_limit; /* of this daemon, since LIMIT_SINCE */
   struct bkt_bucket limit; /* a request while LIMITED takes a token */
   rw_time cold_until;
-  double warmup_tokens; /* at most 1; a request to a cold target takes 1 */
-  rw_time warmup_refilled_at; /* 0: never */
+  struct bkt_bucket warmup; /* a request to a cold target takes a token */
+  bool warmup_begun;        /* WARMUP is initialised */
 
   struct ste_send *oldest_send; /* list of the sends without a result */
   struct ste_send *newest_send;
--- a/lib/steer/test_steer.c
+++ b/lib/steer/test_steer.c
@@ -327,6 +327,52 @@
     ste_finish (&fleets[i]);
 }
 
+/* Guards against daemons that each save a token for a cold target while others
+   are better, and spend all of them at once when those fail: 100 daemons share
+   10 requests a second, of which a second may have 20.  */
+TEST (a_cold_target_is_needed_by_all_daemons_at_once)
+{
+  enum
+  {
+    COUNT = 100
+  };
+  static struct ste_fleet fleets[COUNT];
+  struct ste_service *services[COUNT];
+  struct ste_latency latency;
+  size_t sent = 0;
+  ste_latency_init (&latency, 150 * MS);
+  for (size_t i = 0; i < COUNT; i++)
+    {
+      struct ste_settings settings = { .daemon_count = COUNT };
+      struct cat_target entry = { .id = RW_LIT ("cold"),
+                                  .service = RW_LIT ("s"),
+                                  .host = RW_LIT ("10.0.0.1"),
+                                  .port = 80,
+                                  .dc = RW_LIT ("a"),
+                                  .warmup_left = 60 * RW_SEC,
+                                  .slots = 2 };
+      ste_init (&fleets[i], &settings, i + 1);
+      services[i] = ste_put (&fleets[i], &entry, 1, 0)->service;
+      services[i]->warmup_limit_per_s = 10;
+      entry.id = RW_LIT ("warm");
+      entry.dc = RW_LIT ("b");
+      entry.port = 81;
+      entry.warmup_left = 0;
+      (void)ste_put (&fleets[i], &entry, 2, 0);
+      for (rw_time now = 0; now < 30 * RW_SEC; now += RW_SEC)
+        (void)ste_pick (&fleets[i], services[i], &latency, NULL, 0, now);
+      uint64_t out = rw_hash (RW_LIT ("b"));
+      ste_set_dcs_out (&fleets[i], &out, 1);
+    }
+  for (rw_time now = 30 * RW_SEC; now < 31 * RW_SEC; now += 5 * MS)
+    for (size_t i = 0; i < COUNT; i++)
+      sent += ste_pick (&fleets[i], services[i], &latency, NULL, 0, now)
+              != NULL;
+  assert_in_range (sent, 3, 20);
+  for (size_t i = 0; i < COUNT; i++)
+    ste_finish (&fleets[i]);
+}
+
 /* Guards against sends to an unreachable target, for example while its address
    belongs to another one, and against never trying it again.  */
 TEST_WITH_FIXTURE (an_unreachable_target_is_tried_after_a_backoff)
