--- a/tests/soak/check.c
+++ b/tests/soak/check.c
@@ -152,17 +152,20 @@
 {
   char text[256] = "";
   unsigned long long calls, ran, twice = 1, late = 0, over = 0;
+  unsigned long long beyond = 0;
   if (sok_command (soak, "GET", "/report", "", text, sizeof text) != 0
       || sscanf (text,
                  "calls=%llu ran=%llu twice=%llu late=%llu uninvited=%*u "
-                 "beyond=%*u over=%llu",
-                 &calls, &ran, &twice, &late, &over)
-             != 5)
+                 "beyond=%llu over=%llu",
+                 &calls, &ran, &twice, &late, &beyond, &over)
+             != 6)
     sok_fail (soak, "no report from the stand-ins");
   if (twice > 0)
     sok_fail (soak, "%llu unsafe requests ran twice", twice);
   if (over > 0)
     sok_fail (soak, "%llu parts ran more often than allowed", over);
+  if (beyond > 0)
+    sok_fail (soak, "%llu requests beyond the limits of searchers", beyond);
   if (late > 0 && !soak->store_faults && !soak->drills)
     sok_fail (soak, "%llu requests ran at searchers that had left", late);
   for (size_t i = 0; i < soak->refused_count; i++)
--- a/tests/soak/fault.c
+++ b/tests/soak/fault.c
@@ -26,6 +26,7 @@
   FAULT_RESTORE, /* from here on only in drills */
   FAULT_ANNOUNCE,
   FAULT_HOLD,
+  FAULT_LIMIT, /* from here on only in later drills */
   FAULT_COUNT
 };
 
@@ -134,8 +135,12 @@
   static const char *const leaves[] = { "drain", "stop", "start", "start" };
   struct sok_daemon *daemon = &soak->daemons[below (soak, soak->daemon_count)];
   static const char *const holds[] = { "hold/300", "hold/1500", "hold/0" };
+  static const char *const limits[]
+      = { "limit/0", "limit/20", "limit/60", "limit/200" };
   size_t kinds = soak->store_faults ? FAULT_RESTORE : FAULT_STORE;
   if (soak->drills)
+    kinds = FAULT_LIMIT;
+  if (soak->limits)
     kinds = FAULT_COUNT;
   switch ((enum fault)below (soak, kinds))
     {
@@ -192,6 +197,9 @@
       searcher_fault (soak, holds[below (soak, RW_ARRAY_LEN (holds))]);
       searcher_fault (soak, "shed");
       break;
+    case FAULT_LIMIT:
+      searcher_fault (soak, limits[below (soak, RW_ARRAY_LEN (limits))]);
+      break;
     case FAULT_COUNT:
       break;
     }
@@ -208,6 +216,7 @@
       sok_proxy_set (&soak->daemons[i].proxy, SOK_PROXY_PASS);
     }
   to_all_searchers (soak, "none");
+  to_all_searchers (soak, "limit/0");
   to_all_searchers (soak, "start");
   if (soak->restored > 0)
     rewrite_store (soak);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -24,6 +24,8 @@
 /* Seeds from here on add faults of the store and of targets; those below draw
    the same faults as they did before these were added.  */
 #define SOK_FIRST_DRILL_SEED 2000
+/* Seeds from here on add limits that searchers name.  */
+#define SOK_FIRST_LIMIT_SEED 3000
 
 struct sok_soak;
 
@@ -97,6 +99,7 @@
   bool ended;
   bool store_faults; /* this seed disturbs the store */
   bool drills;      /* this seed restores it, and targets announce their end */
+  bool limits;      /* searchers name limits */
   rw_time restored; /* the store, and not written again yet; 0: it is */
   uint64_t next_id;
   char refused[SOK_MAX_REFUSED][32]; /* unsafe requests answered 503 */
