Tell and count when a daemon is cut off from the targets

Cause: logs and metrics could not tell whether a daemon that fails its callers reaches any target (docs/incidents/cut-off-daemons.md). Change: lib/reach judges it by the connections to the targets that answered last, when all sends stall, connections fail or nothing is heard for a second; a line and metrics. No decision uses it yet.

--- a/cmd/rwfront/daemon.c
+++ b/cmd/rwfront/daemon.c
@@ -156,6 +156,7 @@
   daemon->last_tick = now;
   frn_peers_tick (daemon, now);
   frn_pool_sweep (daemon, now);
+  frn_reach_tick (daemon, now);
   ste_sweep (&daemon->fleet, frn_pool_release, daemon, now);
   frn_parked_serve (daemon, now);
   evt_flush (&daemon->log, now);
@@ -230,6 +231,7 @@
   r = frn_admin_init (daemon);
   if (r != 0)
     return start_error (err, "listen-ready", r);
+  rch_init (&daemon->reach.state, rw_now ());
   r = start_timers (daemon);
   if (r != 0)
     return start_error (err, "timers", r);
@@ -270,6 +272,7 @@
   h1_server_stop (&daemon->caller_server);
   h1_server_stop (&daemon->admin_server);
   frn_peers_finish (daemon);
+  frn_reach_finish (daemon);
   uv_close ((uv_handle_t *)&daemon->tick_timer, NULL);
   uv_close ((uv_handle_t *)&daemon->sigterm, NULL);
   uv_close ((uv_handle_t *)&daemon->sighup, NULL);
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -23,6 +23,7 @@
    subquery.c   parts that are left to a delegate in another data centre
    overload.c   refusal of requests that targets have no room for
    pool.c       connection pool of each target
+   reach.c      whether this daemon is cut off from the targets
    answer.c     answers to the caller, and the log line of each request
    span.c       log lines for the sends of a request
    metrics.c    definitions of the metrics
@@ -40,6 +41,7 @@
 #include "gossip.h"
 #include "h1.h"
 #include "platform.h"
+#include "reach.h"
 #include "replica.h"
 #include "shed.h"
 #include "stat.h"
@@ -165,6 +167,9 @@
   struct sta_series *subqueries;
   struct sta_series *subqueries_served;
   struct sta_series *conns_opened;
+  struct sta_series *probes;
+  struct sta_series *cut_off;
+  struct sta_series *cut_offs;
   struct sta_series *store_calls;
   struct sta_series *store_errors;
   struct sta_series *transfers;
@@ -260,6 +265,23 @@
   struct rw_map listed_keys; /* key hashes seen in this paged read */
 };
 
+/* A connection to a target that only shows whether there is a way.  */
+struct frn_probe
+{
+  struct h1_client conn;
+  struct frn_daemon *daemon;
+  bool used;     /* CONN is in use by libuv until on_closed */
+  bool reported; /* its result */
+  rw_time started;
+  rw_time opened_at; /* 0: not yet */
+};
+
+struct frn_reach
+{
+  struct rch_reach state;
+  struct frn_probe probes[RCH_ROUND_PROBES];
+};
+
 /* A request that waits for the first configuration.  */
 struct frn_parked
 {
@@ -290,6 +312,7 @@
   struct frn_view view;
   struct frn_store store;
   struct frn_peers peers;
+  struct frn_reach reach;
   char *scratch; /* H1_READ_BUF_SIZE bytes, read buffer of outgoing connections
                   */
   uv_timer_t tick_timer;
@@ -609,6 +632,14 @@
    first send without success.  */
 void frn_spans_write (const struct frn_request *request, bool in_time);
 
+/* Reach.  */
+
+/* Periodic work: checks whether the targets can be reached, and writes a line
+   when that changes.  */
+void frn_reach_tick (struct frn_daemon *daemon, rw_time now);
+/* Closes the probes.  */
+void frn_reach_finish (struct frn_daemon *daemon);
+
 /* Overload.  */
 
 /* Decides whether a request whose query is initialised is admitted.  Refuses
@@ -669,6 +700,7 @@
   rw_time opened_at;
   rw_time idle_since; /* 0: not connected yet */
   rw_time idle_limit; /* not reused after this idle time; 0: no limit */
+  bool proven;        /* a way to the target: it stayed open or was used */
 };
 
 /* The connections to one target, and the sends that wait for one.  Created at
--- a/cmd/rwfront/metrics.c
+++ b/cmd/rwfront/metrics.c
@@ -121,6 +121,14 @@
                      "such groups that peers left to this daemon", none);
   m->conns_opened = sta_counter (&m->set, "rwf_links_opened_total",
                                  "connections opened to targets", none);
+  m->probes
+      = sta_counter (&m->set, "rwf_probes_total",
+                     "connections that checked the ways to targets", none);
+  m->cut_off = sta_gauge (&m->set, "rwf_cut_off",
+                          "1 while no target can be reached", none);
+  m->cut_offs
+      = sta_counter (&m->set, "rwf_cut_offs_total",
+                     "times that no target could be reached any more", none);
   m->store_calls = sta_counter (&m->set, "rwf_store_calls_total",
                                 "answers of the store", none);
   m->store_errors = sta_counter (&m->set, "rwf_store_errors_total",
@@ -176,6 +184,7 @@
                      / RW_SEC);
   sta_set_value (m->store_era,
                  (double)rw_revision_era (daemon->view.replica.revision));
+  sta_set_value (m->cut_off, daemon->reach.state.cut_off ? 1 : 0);
   sta_set_value (m->daemons, (double)daemon->fleet.settings.daemon_count);
   sta_set_value (m->config_version,
                  daemon->config ? (double)daemon->config->version : 0);
--- a/cmd/rwfront/peerlist.c
+++ b/cmd/rwfront/peerlist.c
@@ -157,6 +157,7 @@
   struct ste_service *service
       = ste_service (&daemon->fleet, rw_str_from (name));
   service->max_connections = (unsigned int)frn_max_conns (daemon);
+  service->of_peers = true;
   peers->delegates[peers->delegate_dc_count++]
       = (struct frn_delegates){ dc, service };
   return service;
--- a/cmd/rwfront/peers.c
+++ b/cmd/rwfront/peers.c
@@ -366,6 +366,7 @@
   peers->larger_peers = ste_service (&daemon->fleet, RW_LIT ("peers"));
   /* Larger peers accept at least as many connections as this daemon.  */
   peers->larger_peers->max_connections = (unsigned int)frn_max_conns (daemon);
+  peers->larger_peers->of_peers = true;
   gos_init (&peers->gossip, &gossip, now);
   peers->no_read_before
       = now + (settings->first_start ? FIRST_START_PEER_WAIT : PEER_WAIT);
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -134,6 +134,23 @@
   return share < MAX_CONNS ? share : MAX_CONNS;
 }
 
+/* Records that CONN shows a way to a target, as it was not reset at once.  */
+static void
+prove (struct frn_pool_conn *conn, rw_time now)
+{
+  if (!conn->proven && !conn->pool->target->service->of_peers)
+    rch_on_connected (&conn->pool->daemon->reach.state, now);
+  conn->proven = true;
+}
+
+/* Records that a connection to the target could not be opened.  */
+static void
+note_refused (struct frn_pool *pool, rw_time now)
+{
+  if (!pool->target->service->of_peers)
+    rch_on_connect_failed (&pool->daemon->reach.state, pool->target->key, now);
+}
+
 static void
 start_send (struct frn_pool_conn *conn, struct frn_send *send)
 {
@@ -277,6 +294,12 @@
   rw_time now = rw_now ();
 
   plt_read_reply (message, &reply);
+  if (!pool->target->service->of_peers)
+    {
+      pool->target->last_heard = now;
+      rch_on_reply (&pool->daemon->reach.state, now);
+      prove (conn, now);
+    }
   bool is_earlier
       = reply.request_id.len > 0 && !rw_str_eq (reply.request_id, request->id);
   bool withdraw = conn->send->scope == FRN_SCOPE_PART
@@ -337,6 +360,8 @@
       end_send (send, STE_FAILED, rw_now ());
       frn_on_send_failed (send, GAT_FAIL_UNKNOWN, "connection lost");
     }
+  if (!conn->proven)
+    note_refused (pool, rw_now ());
   if (connecting && pool->conn_count == 0)
     back_off (pool, "cannot connect");
   else
@@ -500,9 +525,13 @@
         {
           conn_close (conn);
           timed_out = true;
+          note_refused (pool, now);
         }
       else if (conn->h1.state == H1_CLIENT_IDLE && is_expired (conn, now))
         conn_close (conn);
+      else if (conn->h1.state == H1_CLIENT_IDLE
+               && now - conn->idle_since > RCH_PROBE_SETTLE_TIME)
+        prove (conn, now);
     }
   if ((timed_out && pool->conn_count == 0) || is_connect_overdue (pool, now))
     back_off (pool, "no connection in time");
--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -312,6 +312,49 @@
   return false;
 }
 
+void
+ste_count_waiting (const struct ste_fleet *fleet, size_t *waiting,
+                   size_t *stalled, rw_time now)
+{
+  *waiting = 0;
+  *stalled = 0;
+  for (const struct ste_service *s = fleet->first_service; s != NULL;
+       s = s->next)
+    for (const struct ste_target *t = s->targets; t != NULL; t = t->next)
+      {
+        if (s->of_peers || t->in_flight == 0)
+          continue;
+        *waiting += 1;
+        *stalled += ste_stalled (t, now);
+      }
+}
+
+size_t
+ste_pick_last_heard (const struct ste_fleet *fleet,
+                     struct ste_target **targets, size_t max, rw_time now)
+{
+  size_t count = 0;
+  for (const struct ste_service *s = fleet->first_service; s != NULL;
+       s = s->next)
+    for (struct ste_target *t = s->targets; t != NULL; t = t->next)
+      {
+        size_t at = count;
+        if (s->of_peers || !ste_usable (fleet, t, now) || t->draining
+            || t->gone)
+          continue;
+        while (at > 0 && targets[at - 1]->last_heard < t->last_heard)
+          at--;
+        if (at == max)
+          continue;
+        if (count < max)
+          count++;
+        memmove (&targets[at + 1], &targets[at],
+                 (count - 1 - at) * sizeof targets[0]);
+        targets[at] = t;
+      }
+  return count;
+}
+
 static bool
 trusts_load (const struct ste_target *target, rw_time now)
 {
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -66,6 +66,7 @@
   struct ste_send *newest_send;
   unsigned int in_flight;   /* sends without a result */
   unsigned int refs;        /* pointers that requests hold */
+  rw_time last_heard;       /* last reply of any kind; 0: none */
   rw_time last_reply;       /* last result, not STE_ABANDONED; 0: none */
   rw_time last_stall_end;   /* 0: none yet */
   rw_time last_pause_end;   /* of the last pause, see MIN_PAUSE_INTERVAL */
@@ -111,6 +112,7 @@
   double peer_delay;            /* in microseconds; see ste_on_delay_report */
   rw_time peer_delay_at;        /* 0: none was reported */
   bool is_shard;                /* a shard of a route that gathers */
+  bool of_peers;                /* its targets are other daemons */
 };
 
 /* The daemons of a data centre that divide limits, each weighted as in
@@ -292,6 +294,15 @@
 /* Returns whether TARGET has stopped answering: of the sends since its last
    reply, the oldest is past its stall deadline.  */
 bool ste_stalled (const struct ste_target *target, rw_time now);
+/* Counts the targets, without peers, that have sends of this daemon without a
+   result, and those of them that have stalled.  */
+void ste_count_waiting (const struct ste_fleet *fleet, size_t *waiting,
+                        size_t *stalled, rw_time now);
+/* Stores in TARGETS up to MAX usable targets, without peers, that replied
+   last, and returns their number.  */
+size_t ste_pick_last_heard (const struct ste_fleet *fleet,
+                            struct ste_target **targets, size_t max,
+                            rw_time now);
 /* Returns whether fewer than one request per slot waits at TARGET, as far as
    is known.  */
 bool ste_has_room (const struct ste_target *target, rw_time now);
