--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -78,7 +78,9 @@
   struct sockaddr_in caller_addr; /* listens here for callers */
   struct sockaddr_in ready_addr;  /* listens here: readiness and metrics */
   struct sockaddr_in store_addr;
-  struct sockaddr_in peer_addr; /* listens here for peers, TCP and UDP */
+  struct sockaddr_in peer_addr;   /* listens here for peers, TCP and UDP */
+  struct sockaddr_in source_addr; /* connects to targets from here; family 0:
+                                     from any address */
   struct sockaddr_in seeds[FRN_MAX_SEEDS]; /* only the hosts are used */
   size_t seed_count;
   unsigned int max_files; /* descriptor limit of the process */
@@ -637,6 +639,9 @@
 /* Periodic work: checks whether the targets can be reached, and writes a line
    when that changes.  */
 void frn_reach_tick (struct frn_daemon *daemon, rw_time now);
+/* Returns the address from which this daemon connects to targets, null: any.
+ */
+const struct sockaddr_in *frn_source_addr (const struct frn_daemon *daemon);
 /* Closes the probes.  */
 void frn_reach_finish (struct frn_daemon *daemon);
 
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -407,9 +407,12 @@
   pool->conn_count++;
   pool->ever_opened = true;
   sta_inc (pool->daemon->metrics.conns_opened);
-  if (h1_client_init (&conn->h1, pool->daemon->loop,
-                      (const struct sockaddr *)&addr, pool->daemon->scratch,
-                      &conn_ops, conn)
+  if (h1_client_init_from (&conn->h1, pool->daemon->loop,
+                           pool->target->service->of_peers
+                               ? NULL
+                               : frn_source_addr (pool->daemon),
+                           (const struct sockaddr *)&addr,
+                           pool->daemon->scratch, &conn_ops, conn)
       != 0)
     {
       pool_remove_conn (conn);
--- a/cmd/rwfront/reach.c
+++ b/cmd/rwfront/reach.c
@@ -89,6 +89,13 @@
     }
 }
 
+const struct sockaddr_in *
+frn_source_addr (const struct frn_daemon *daemon)
+{
+  const struct sockaddr_in *source = &daemon->settings.source_addr;
+  return source->sin_family != 0 ? source : NULL;
+}
+
 static void
 start_probe (struct frn_daemon *daemon, struct frn_probe *probe,
              const struct ste_target *target, rw_time now)
@@ -103,9 +110,9 @@
   probe->used = true;
   sta_inc (daemon->metrics.probes);
   /* After an error on_closed is called, which reports it.  */
-  (void)h1_client_init (&probe->conn, daemon->loop,
-                        (const struct sockaddr *)&addr, daemon->scratch,
-                        &probe_ops, probe);
+  (void)h1_client_init_from (
+      &probe->conn, daemon->loop, frn_source_addr (daemon),
+      (const struct sockaddr *)&addr, daemon->scratch, &probe_ops, probe);
 }
 
 static void
--- a/cmd/rwfront/settings.c
+++ b/cmd/rwfront/settings.c
@@ -85,6 +85,17 @@
   return 0;
 }
 
+/* Parses an address without a port.  */
+static int
+parse_source (struct rw_str text, struct sockaddr_in *addr)
+{
+  char buf[INET_ADDRSTRLEN + 1];
+  if (text.len >= sizeof buf)
+    return RW_E_PARSE;
+  rw_str_copy (buf, sizeof buf, text);
+  return uv_ip4_addr (buf, 0, addr) == 0 ? 0 : RW_E_PARSE;
+}
+
 const char *
 frn_mechanism_name (enum frn_mechanism mechanism)
 {
@@ -150,6 +161,8 @@
     return parse_addr (value, &s->store_addr);
   else if (rw_str_eq_cstr (name, "RWF_PEERS"))
     return parse_addr (value, &s->peer_addr);
+  else if (rw_str_eq_cstr (name, "RWF_SOURCE"))
+    return parse_source (value, &s->source_addr);
   else if (rw_str_eq_cstr (name, "RWF_FIRST_START"))
     s->first_start = rw_str_eq_cstr (value, "true");
   else if (rw_str_eq_cstr (name, "RWF_SEEDS"))
--- a/lib/h1/client.c
+++ b/lib/h1/client.c
@@ -179,6 +179,15 @@
 h1_client_init (struct h1_client *client, uv_loop_t *loop,
                 const struct sockaddr *addr, char *read_buf,
                 const struct h1_client_ops *ops, void *arg)
+{
+  return h1_client_init_from (client, loop, NULL, addr, read_buf, ops, arg);
+}
+
+int
+h1_client_init_from (struct h1_client *client, uv_loop_t *loop,
+                     const struct sockaddr_in *source,
+                     const struct sockaddr *addr, char *read_buf,
+                     const struct h1_client_ops *ops, void *arg)
 {
   memset (client, 0, sizeof *client);
   uv_tcp_init (loop, &client->tcp);
@@ -189,7 +198,11 @@
   client->read_buf = read_buf;
   client->state = H1_CLIENT_CONNECTING;
   h1_reader_init (&client->reader, HTTP_RESPONSE);
-  int r = uv_tcp_connect (&client->connect, &client->tcp, addr, on_connect);
+  int r = source == NULL
+              ? 0
+              : uv_tcp_bind (&client->tcp, (const struct sockaddr *)source, 0);
+  if (r == 0)
+    r = uv_tcp_connect (&client->connect, &client->tcp, addr, on_connect);
   if (r != 0)
     h1_client_close (client);
   return r;
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -125,6 +125,8 @@
   /* A request was malformed, too large or too slow.  The server answers with
      STATUS and closes the connection.  May be null.  */
   void (*on_bad_request) (void *arg, struct h1_conn *conn, int status);
+  /* CONN was accepted; returns false to close it at once.  May be null.  */
+  bool (*on_accept) (void *arg, struct h1_conn *conn);
 };
 
 struct h1_server
@@ -169,6 +171,9 @@
 /* Fills MESSAGE with the pending request again; valid until it is
    answered.  */
 void h1_conn_message (const struct h1_conn *conn, struct h1_message *message);
+/* Returns the address of the peer of CONN in host order, 0 if it is not
+   known.  */
+uint32_t h1_conn_peer (const struct h1_conn *conn);
 /* A pointer for the owner of the server; initially null, and kept from one
    request to the next.  */
 void *h1_conn_data (const struct h1_conn *conn);
@@ -239,6 +244,11 @@
   rw_time keep_alive_timeout;
 };
 
+/* Like h1_client_init, from the address SOURCE, whose port is 0; null: any. */
+int h1_client_init_from (struct h1_client *client, uv_loop_t *loop,
+                         const struct sockaddr_in *source,
+                         const struct sockaddr *addr, char *read_buf,
+                         const struct h1_client_ops *ops, void *arg);
 /* Starts to connect to ADDR.  READ_BUF has H1_READ_BUF_SIZE bytes and may be
    shared by all clients of the loop.  Returns 0 or a negative error number;
    after an error, too, on_closed is called.  */
--- a/lib/h1/server.c
+++ b/lib/h1/server.c
@@ -1,3 +1,4 @@
+#include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
@@ -309,6 +310,16 @@
   deliver_pipelined (conn);
 }
 
+uint32_t
+h1_conn_peer (const struct h1_conn *conn)
+{
+  struct sockaddr_in addr;
+  int len = sizeof addr;
+  if (uv_tcp_getpeername (&conn->tcp, (struct sockaddr *)&addr, &len) != 0)
+    return 0;
+  return ntohl (addr.sin_addr.s_addr);
+}
+
 static void
 on_connection (uv_stream_t *listener, int status)
 {
@@ -328,7 +339,9 @@
   server->conns = conn;
   server->conn_count++;
   if (uv_accept (listener, (uv_stream_t *)&conn->tcp) != 0
-      || server->conn_count > server->max_conns)
+      || server->conn_count > server->max_conns
+      || (server->ops->on_accept != NULL
+          && !server->ops->on_accept (server->arg, conn)))
     {
       conn_close (conn);
       return;
--- a/lib/h1/test_h1.c
+++ b/lib/h1/test_h1.c
@@ -71,7 +71,9 @@
 }
 
 static const struct h1_server_ops server_ops
-    = { on_request, on_disconnect, on_bad_request };
+    = { .on_request = on_request,
+        .on_disconnect = on_disconnect,
+        .on_bad_request = on_bad_request };
 
 static void
 on_idle (struct h1_client *client)
--- a/tests/rwfsite/control.c
+++ b/tests/rwfsite/control.c
@@ -1,3 +1,4 @@
+#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,6 +19,7 @@
    in its answers; 0: none)
    POST /searcher/ID/pause/MS, POST /searcher/ID/work/MS
    POST /searcher/ID/waiting/N (requests that it reports as waiting)
+   POST /ways/ADDRESS/open|refused|reset (of the daemon to all searchers)
    GET /report, GET /ran/SERVICE/ID  */
 
 static void
@@ -127,6 +129,22 @@
   return false;
 }
 
+static bool
+set_ways (struct site *site, struct rw_str path)
+{
+  char source[32];
+  struct sockaddr_in addr;
+  rw_str_copy (source, sizeof source, rw_str_token (&path, "/"));
+  struct rw_str ways = rw_str_token (&path, "/");
+  if (uv_ip4_addr (source, 0, &addr) != 0)
+    return false;
+  site_set_ways (site, ntohl (addr.sin_addr.s_addr),
+                 rw_str_eq_cstr (ways, "refused") ? SITE_WAYS_REFUSED
+                 : rw_str_eq_cstr (ways, "reset") ? SITE_WAYS_RESET
+                                                  : SITE_WAYS_OPEN);
+  return true;
+}
+
 static void
 report (struct site *site, struct h1_conn *conn)
 {
@@ -185,6 +203,8 @@
   struct rw_str kind = rw_str_token (&path, "/");
   if (rw_str_eq_cstr (kind, "store"))
     return set_store (site, rw_str_token (&path, "/"));
+  if (rw_str_eq_cstr (kind, "ways"))
+    return set_ways (site, path);
   if (rw_str_eq_cstr (kind, "searcher"))
     return set_searcher (site, path);
   return false;
--- a/tests/rwfsite/searcher.c
+++ b/tests/rwfsite/searcher.c
@@ -195,6 +195,35 @@
   searcher->arrived_count = 0;
 }
 
+static enum site_ways
+ways_from (const struct site *site, uint32_t source)
+{
+  for (size_t i = 0; i < site->cut_count; i++)
+    if (site->cuts[i].source == source)
+      return site->cuts[i].ways;
+  return SITE_WAYS_OPEN;
+}
+
+void
+site_set_ways (struct site *site, uint32_t source, enum site_ways ways)
+{
+  size_t i = 0;
+  while (i < site->cut_count && site->cuts[i].source != source)
+    i++;
+  if (i == SITE_MAX_CUTS)
+    return;
+  if (i == site->cut_count)
+    site->cut_count++;
+  site->cuts[i] = (struct site_cut){ source, ways };
+}
+
+static bool
+on_accept (void *arg, struct h1_conn *conn)
+{
+  const struct site_searcher *searcher = arg;
+  return ways_from (searcher->site, h1_conn_peer (conn)) == SITE_WAYS_OPEN;
+}
+
 static void
 on_request (void *arg, struct h1_conn *conn, const struct h1_message *message)
 {
@@ -202,6 +231,11 @@
   struct rw_str expected
       = h1_header_value (message, "X-Redwingfork-Expect-Instance");
   h1_conn_set_data (conn, NULL);
+  if (ways_from (searcher->site, h1_conn_peer (conn)) == SITE_WAYS_RESET)
+    {
+      h1_conn_abort (conn);
+      return;
+    }
   rw_time now = rw_now ();
   searcher->arrivals++;
   check_limit (searcher, now);
@@ -229,6 +263,7 @@
 }
 
 static const struct h1_server_ops searcher_ops = {
+  .on_accept = on_accept,
   .on_request = on_request,
   .on_disconnect = on_gone,
 };
--- a/tests/rwfsite/site.h
+++ b/tests/rwfsite/site.h
@@ -47,6 +47,20 @@
   SITE_FAULT_RESET  /* runs and ends the connection */
 };
 
+/* The ways from a daemon to all searchers.  */
+enum site_ways
+{
+  SITE_WAYS_OPEN,
+  SITE_WAYS_REFUSED, /* connections live on, new ones end at once */
+  SITE_WAYS_RESET    /* connections end, and new ones too */
+};
+#define SITE_MAX_CUTS 64
+struct site_cut
+{
+  uint32_t source; /* address of the daemon, in host order */
+  enum site_ways ways;
+};
+
 struct site_searcher
 {
   struct site *site;
@@ -113,6 +127,8 @@
   uv_timer_t timer;
   struct site_searcher searchers[SITE_MAX_SEARCHERS];
   size_t searcher_count;
+  struct site_cut cuts[SITE_MAX_CUTS];
+  size_t cut_count;
   struct rw_map runs; /* struct site_run */
   uint64_t ran;
   uint64_t twice; /* unsafe requests that ran more than once */
@@ -136,6 +152,8 @@
 /* Makes SEARCHER name a limit of PER_S requests a second, or none if that is
    negative.  */
 void site_searcher_limit (struct site_searcher *searcher, double per_s);
+/* Sets the ways from the daemon SOURCE.  */
+void site_set_ways (struct site *site, uint32_t source, enum site_ways ways);
 uint16_t site_server_port (const struct h1_server *server);
 int site_listen (struct site *site, struct h1_server *server, uint16_t port,
                  const struct h1_server_ops *ops, void *arg);
