A daemon that is cut off from the targets leaves requests to its peers

Cause: a daemon took the loss of all its ways for the troubles of single targets: for stalls, for queues as long as its unanswered sends are old, for backoffs. It refused for overload or failed, and as a delegate lost the parts of others and reported its queues to them. Class: the fault of the observer taken for that of what it observes. Change: while lib/reach says so, the daemon forwards all kinds of requests to peers (up to three of each data centre, by rendezvous hashing, one after the other as long as these say that they did not begin), takes no relays and no subqueries, tells peers by gossip, and opens no connections to targets. Where no peer is left and no connection lives, requests are refused at once. RWF_WITHOUT=fallbacks switches it off.

--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -61,6 +61,7 @@
   FRN_MECH_PARTIAL,    /* answers without late parts when they are due */
   FRN_MECH_ABANDON,    /* ending sends whose result is not needed */
   FRN_MECH_RELAYS,     /* queries left to larger peers */
+  FRN_MECH_FALLBACKS,  /* requests left to peers while cut off */
   FRN_MECH_SUBQUERIES, /* parts left to daemons of other data centres */
   FRN_MECH_OVERLOAD,   /* refusals of what targets cannot answer in time */
   FRN_MECH_RETURNED,   /* estimate of the time that callers have spent */
@@ -243,6 +244,10 @@
   bool notify_due;         /* peers are to be told of a change */
   rw_time no_read_before;  /* until then, only peers are asked */
   struct ste_service *larger_peers; /* its targets are the larger peers */
+  /* Its targets are the peers that serve requests while this daemon is cut off
+     from the targets; empty otherwise.  */
+  struct ste_service *fallback_peers;
+  rw_time announced_at; /* last notice that this daemon is cut off */
   struct frn_delegates delegates[FRN_MAX_DELEGATE_DCS];
   size_t delegate_dc_count;
   rw_time lists_next;     /* next update of these lists */
@@ -402,6 +407,12 @@
 bool frn_peers_should_read_store (struct frn_daemon *daemon, rw_time now);
 /* Tells some peers that this daemon is stopping.  */
 void frn_peers_leave (struct frn_daemon *daemon);
+/* Tells many peers whether this daemon is cut off from the targets, and
+   updates the peers that serve its requests.  */
+void frn_peers_announce_reach (struct frn_daemon *daemon);
+/* Lists the peers that serve the requests of this daemon while it is cut
+   off.  */
+void frn_peerlist_update_fallbacks (struct frn_daemon *daemon, rw_time now);
 
 /* Relays.  A small VM has too little processor time for requests over many
    shards, and if all small VMs connected to the targets of the shards, each
@@ -428,8 +439,14 @@
 /* Returns the time that the caller of a forwarded request has spent, as the
    sender states; 0 if it does not.  */
 rw_time frn_relay_time_spent (const struct h1_message *message);
-/* Whether the peer answered that it did not begin the forwarded request.  */
-bool frn_relay_refused (const struct h1_message *message);
+/* Whether the peer PEER answered that it did not begin the forwarded request.
+   If that is because it is cut off itself, it is avoided for a while.  */
+bool frn_relay_refused (struct ste_target *peer,
+                        const struct h1_message *message);
+/* Whether REQUEST, which a peer refused, may be left to another one.  */
+bool frn_may_relay_again (const struct frn_request *request, rw_time now);
+/* The peers that REQUEST is left to.  */
+struct ste_service **frn_relay_peers (struct frn_request *request);
 /* Serves a request from the peer port, or refuses it.  Returns false, without
    an answer, if it is not a forwarded request.  */
 bool frn_relay_serve (struct frn_daemon *daemon, struct h1_conn *conn,
@@ -438,7 +455,7 @@
    VERSION.  */
 bool frn_serves_peers (const struct frn_daemon *daemon, uint64_t version);
 /* Answers a peer's request that this daemon does not begin.  */
-void frn_refuse_peer (struct h1_conn *conn);
+void frn_refuse_peer (const struct frn_daemon *daemon, struct h1_conn *conn);
 
 /* Subqueries: see lib/subquery.  */
 
@@ -493,6 +510,7 @@
   struct frn_daemon *daemon;
   enum frn_mode mode;
   bool relayed;            /* a peer forwarded it to this daemon */
+  bool fell_back;          /* left to a peer, as this daemon was cut off */
   struct sbq_order *order; /* the subquery that it serves; null: none */
   int64_t time_left_ms; /* stated by the caller on arrival; -1: not stated */
   rw_time time_spent;   /* by earlier attempts of the caller, as estimated */
--- a/cmd/rwfront/peerlist.c
+++ b/cmd/rwfront/peerlist.c
@@ -137,7 +137,8 @@
               &peers->gossip, frn_own_capacity (daemon) * MIN_CAPACITY_RATIO,
               now, &position))
          != NULL)
-    list_peer (daemon, peers->larger_peers, "peer", member, now);
+    if (now >= member->cut_off_until)
+      list_peer (daemon, peers->larger_peers, "peer", member, now);
   drop_unlisted (daemon, peers->larger_peers, before, now);
 }
 
@@ -172,7 +173,7 @@
   struct gos_delegates picked[GOS_MAX_DELEGATE_DCS];
   int64_t before = peers->lists_revision;
   size_t dcs = gos_pick_delegates (
-      &peers->gossip, peers->max_capacity / MIN_CAPACITY_RATIO + 1, now,
+      &peers->gossip, peers->max_capacity / MIN_CAPACITY_RATIO + 1, false, now,
       picked);
   for (size_t i = 0; i < dcs; i++)
     {
@@ -184,6 +185,24 @@
     drop_unlisted (daemon, peers->delegates[i].service, before, now);
 }
 
+void
+frn_peerlist_update_fallbacks (struct frn_daemon *daemon, rw_time now)
+{
+  struct frn_peers *peers = &daemon->peers;
+  struct gos_delegates picked[GOS_MAX_DELEGATE_DCS];
+  int64_t before = peers->lists_revision;
+  size_t dcs = 0;
+  if (daemon->reach.state.cut_off)
+    dcs = gos_pick_delegates (&peers->gossip,
+                              peers->max_capacity / MIN_CAPACITY_RATIO + 1,
+                              true, now, picked);
+  for (size_t i = 0; i < dcs; i++)
+    for (size_t j = 0; j < picked[i].count; j++)
+      list_peer (daemon, peers->fallback_peers, "fallback",
+                 picked[i].members[j], now);
+  drop_unlisted (daemon, peers->fallback_peers, before, now);
+}
+
 /* Every entry that is still valid gets a new revision; those that keep an old
    one are removed.  */
 void
@@ -199,4 +218,5 @@
   update_dc_sharers (daemon, now);
   update_larger_peers (daemon, now);
   update_delegates (daemon, now);
+  frn_peerlist_update_fallbacks (daemon, now);
 }
--- a/cmd/rwfront/peers.c
+++ b/cmd/rwfront/peers.c
@@ -23,6 +23,8 @@
    no transfer has succeeded within this time.  A transfer takes a few ms, or
    100 ms from a peer that many daemons ask.  */
 #define FETCH_WAIT (300 * RW_MSEC)
+/* As large as the configuration may allow callers.  */
+#define MAX_RELAYED_BODY_BYTES ((size_t)64 << 20)
 #define FETCH_TIMEOUT (600 * RW_MSEC)
 /* Minimum time between the starts of two transfers, so that changes in quick
    succession are fetched together.  */
@@ -31,6 +33,10 @@
 #define MIN_NOTICE_INTERVAL (100 * RW_MSEC)
 /* Number of peers that one round of notices is sent to.  */
 #define NOTICE_FANOUT 5
+/* Number of peers that are told at once that this daemon is cut off, and the
+   time after which others are told.  */
+#define REACH_FANOUT 24
+#define REACH_INTERVAL RW_SEC
 #define TRANSFER_ARENA_BLOCK 65536
 /* Path of a transfer; the revision of the client's copy follows.  */
 #define VIEW_PATH "/view?after="
@@ -44,6 +50,7 @@
   char data[GOS_MAX_DATAGRAM];
   struct sockaddr_in addr = daemon->settings.peer_addr;
   message->leaving = daemon->stopping;
+  message->cut_off = daemon->reach.state.cut_off;
   message->revision = daemon->view.replica.revision;
   message->staleness_ms = gos_staleness_ms (now - peers->current_at);
   size_t len = gos_encode (message, data, sizeof data);
@@ -312,6 +319,19 @@
   return gos_rank (&peers->gossip, now) < GOS_READERS_PER_DC;
 }
 
+void
+frn_peers_announce_reach (struct frn_daemon *daemon)
+{
+  uint32_t to[REACH_FANOUT];
+  rw_time now = rw_now ();
+  size_t count
+      = gos_pick_members (&daemon->peers.gossip, now, to, REACH_FANOUT);
+  daemon->peers.announced_at = now;
+  for (size_t i = 0; i < count; i++)
+    send_message (daemon, to[i], false);
+  frn_peerlist_update_fallbacks (daemon, now);
+}
+
 void
 frn_peers_leave (struct frn_daemon *daemon)
 {
@@ -328,6 +348,9 @@
   for (size_t i = 0; i < count; i++)
     send_message (daemon, to[i],
                   no_copy || gos_should_request_reply (&peers->gossip, now));
+  if (daemon->reach.state.cut_off
+      && now - peers->announced_at > REACH_INTERVAL)
+    frn_peers_announce_reach (daemon);
   if (peers->notify_due && now - peers->notified_at > MIN_NOTICE_INTERVAL)
     send_notices (daemon, now);
   fetch_if_behind (daemon, now);
@@ -367,13 +390,17 @@
   /* Larger peers accept at least as many connections as this daemon.  */
   peers->larger_peers->max_connections = (unsigned int)frn_max_conns (daemon);
   peers->larger_peers->of_peers = true;
+  peers->fallback_peers = ste_service (&daemon->fleet, RW_LIT ("fallbacks"));
+  peers->fallback_peers->max_connections
+      = peers->larger_peers->max_connections;
+  peers->fallback_peers->of_peers = true;
   gos_init (&peers->gossip, &gossip, now);
   peers->no_read_before
       = now + (settings->first_start ? FIRST_START_PEER_WAIT : PEER_WAIT);
   peers->recv_buf = rw_xmalloc (GOS_MAX_DATAGRAM);
   peers->limits = (struct h1_limits){
     .max_head_bytes = 16384,
-    .max_body_bytes = 16384,
+    .max_body_bytes = MAX_RELAYED_BODY_BYTES,
     .request_timeout = 2 * RW_SEC,
     .idle_timeout = 30 * RW_SEC,
   };
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -567,13 +567,15 @@
                           ? 0
                           : MAX_PREOPENS;
   bool relay_available = frn_relay_available (daemon, now);
+  bool cut_off = daemon->reach.state.cut_off;
   for (struct ste_service *s = daemon->fleet.first_service; s != NULL;
        s = s->next)
     for (struct ste_target *t = s->targets; t != NULL; t = t->next)
       {
         if (t->user != NULL)
           sweep_pool (t->user, now);
-        if (opens_left > 0 && needs_conn (daemon, t, relay_available, now))
+        if (opens_left > 0 && (!cut_off || s->of_peers)
+            && needs_conn (daemon, t, relay_available, now))
           {
             conn_open (pool_of (daemon, t));
             opens_left--;
--- a/cmd/rwfront/reach.c
+++ b/cmd/rwfront/reach.c
@@ -15,6 +15,7 @@
   probe->reported = true;
   if (!rch_on_probe (reach, result, now))
     return;
+  frn_peers_announce_reach (daemon);
   if (reach->cut_off)
     {
       sta_inc (daemon->metrics.cut_offs);
@@ -25,9 +26,12 @@
                 (long long)((now - reach->last_reply) / RW_MSEC));
     }
   else
-    evt_line (&daemon->log, EVT_STATE, "reach", now,
-              "targets are reachable again: ms=%lld opened=%zu",
-              (long long)((now - before) / RW_MSEC), reach->opened);
+    {
+      ste_forget_backoffs (&daemon->fleet);
+      evt_line (&daemon->log, EVT_STATE, "reach", now,
+                "targets are reachable again: ms=%lld opened=%zu",
+                (long long)((now - before) / RW_MSEC), reach->opened);
+    }
 }
 
 /* The connection is open; it may still be reset.  */
--- a/cmd/rwfront/relay.c
+++ b/cmd/rwfront/relay.c
@@ -9,29 +9,69 @@
 /* The time in milliseconds that the caller has spent, at this daemon too.  */
 #define SPENT_HEADER "X-Rwf-Spent-Ms"
 #define MAX_SPENT_MS 86400000
-/* In a 503 reply: the peer did not begin the forwarded request.  */
+/* In a 503 reply: the peer did not begin the forwarded request; the value says
+   why.  */
 #define RELAY_REFUSED_HEADER "X-Rwf-Relay-Refused"
+#define REFUSED_CUT_OFF "cut-off"
 /* A request with fewer parts is sent by this daemon: forwarding costs more. */
 #define MIN_RELAY_PARTS 8
 /* A request with a larger sum of headers and body is not forwarded.  */
 #define MAX_RELAY_BYTES 4096
+/* While this daemon is cut off, requests up to these sizes are forwarded, to
+   at most this many peers one after the other.  */
+#define MAX_FALLBACK_HEAD_BYTES 12288
+#define MAX_FALLBACK_SENDS 4
 /* A peer whose event loop lags by more than this refuses relays.  */
 #define MAX_LOOP_LAG (40 * RW_MSEC)
 
-bool
-frn_relay_available (const struct frn_daemon *daemon, rw_time now)
+/* Whether PEERS has one that is neither in backoff nor stalled.  */
+static bool
+any_available (const struct ste_service *peers, rw_time now)
 {
-  for (const struct ste_target *t = daemon->peers.larger_peers->targets;
-       t != NULL; t = t->next)
+  for (const struct ste_target *t = peers->targets; t != NULL; t = t->next)
     if (!t->gone && now >= t->backoff_until && !ste_stalled (t, now))
       return true;
   return false;
 }
 
+bool
+frn_relay_available (const struct frn_daemon *daemon, rw_time now)
+{
+  return any_available (daemon->peers.larger_peers, now);
+}
+
+/* Whether REQUEST is left to a peer because this daemon is cut off.  */
+static bool
+should_fall_back (const struct frn_daemon *daemon,
+                  const struct frn_request *request, rw_time now)
+{
+  return daemon->reach.state.cut_off
+         && !daemon->settings.without[FRN_MECH_FALLBACKS]
+         && request->header_lines.len + request->path_query.len
+                <= MAX_FALLBACK_HEAD_BYTES
+         && any_available (daemon->peers.fallback_peers, now);
+}
+
+struct ste_service **
+frn_relay_peers (struct frn_request *request)
+{
+  struct frn_peers *peers = &request->daemon->peers;
+  return request->fell_back ? &peers->fallback_peers : &peers->larger_peers;
+}
+
+bool
+frn_may_relay_again (const struct frn_request *request, rw_time now)
+{
+  return request->fell_back && request->query.sends < MAX_FALLBACK_SENDS
+         && any_available (request->daemon->peers.fallback_peers, now);
+}
+
 bool
 frn_should_relay (struct frn_daemon *daemon, const struct frn_request *request,
                   rw_time now)
 {
+  if (!request->relayed && should_fall_back (daemon, request, now))
+    return true;
   if (request->relayed || daemon->settings.without[FRN_MECH_RELAYS]
       || request->route->kind != CAT_ROUTE_GATHER
       || request->route->u.gather.count < MIN_RELAY_PARTS
@@ -68,24 +108,30 @@
 }
 
 bool
-frn_relay_refused (const struct h1_message *message)
+frn_relay_refused (struct ste_target *peer, const struct h1_message *message)
 {
-  return h1_header_value (message, RELAY_REFUSED_HEADER).len > 0;
+  struct rw_str reason = h1_header_value (message, RELAY_REFUSED_HEADER);
+  if (rw_str_eq_cstr (reason, REFUSED_CUT_OFF))
+    ste_back_off (peer, rw_now ());
+  return reason.len > 0;
 }
 
 bool
 frn_serves_peers (const struct frn_daemon *daemon, uint64_t version)
 {
   return daemon->config != NULL && !daemon->stopping
-         && daemon->loop_lag <= MAX_LOOP_LAG
+         && !daemon->reach.state.cut_off && daemon->loop_lag <= MAX_LOOP_LAG
          && version == daemon->config->version;
 }
 
 void
-frn_refuse_peer (struct h1_conn *conn)
+frn_refuse_peer (const struct frn_daemon *daemon, struct h1_conn *conn)
 {
   struct h1_reply refusal
       = { .status = 503, .headers = RW_LIT (RELAY_REFUSED_HEADER ": 1\r\n") };
+  if (daemon->reach.state.cut_off)
+    refusal.headers
+        = RW_LIT (RELAY_REFUSED_HEADER ": " REFUSED_CUT_OFF "\r\n");
   h1_conn_reply (conn, &refusal);
 }
 
@@ -99,7 +145,7 @@
     return false;
   if (rw_str_to_int (text, 0, INT64_MAX, &version) != 0
       || !frn_serves_peers (daemon, (uint64_t)version))
-    frn_refuse_peer (conn);
+    frn_refuse_peer (daemon, conn);
   else
     frn_request_serve (daemon, conn, message, rw_now (), true);
   return true;
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -282,7 +282,8 @@
                   may_have_run ? 0 : REFUSED_BACKOFF);
   if (request->ended)
     frn_request_release (request);
-  else if (request->mode == FRN_MODE_RELAY && !may_have_run)
+  else if (request->mode == FRN_MODE_RELAY && !may_have_run
+           && !frn_may_relay_again (request, rw_now ()))
     start_local (request);
   else
     frn_request_run (request);
@@ -315,7 +316,7 @@
       frn_request_release (request);
       return;
     }
-  if (frn_relay_refused (message))
+  if (frn_relay_refused (send->target, message))
     {
       frn_set_last_error (request, send, "peer refused");
       handle_failure (request, send->u.part, GAT_FAIL_NOT_RUN);
@@ -428,7 +429,8 @@
       frn_request_run (request);
       return;
     }
-  if (frn_time_until_servable (request, now) == 0)
+  if (frn_time_until_servable (request, now) == 0
+      && rch_can_send (&request->daemon->reach.state, now))
     {
       if (frn_overload_admit (request))
         frn_request_run (request);
@@ -453,7 +455,8 @@
   plan.soft_deadline = plan.deadline;
   request->mode = FRN_MODE_RELAY;
   init_query (request, &plan);
-  request->services = &request->daemon->peers.larger_peers;
+  request->fell_back = request->daemon->reach.state.cut_off;
+  request->services = frn_relay_peers (request);
   frn_request_run (request);
 }
 
--- a/cmd/rwfront/settings.c
+++ b/cmd/rwfront/settings.c
@@ -109,6 +109,8 @@
       return "abandon";
     case FRN_MECH_RELAYS:
       return "relays";
+    case FRN_MECH_FALLBACKS:
+      return "fallbacks";
     case FRN_MECH_SUBQUERIES:
       return "subqueries";
     case FRN_MECH_OVERLOAD:
--- a/cmd/rwfront/subquery.c
+++ b/cmd/rwfront/subquery.c
@@ -268,7 +268,7 @@
   struct frn_metrics *metrics = &request->daemon->metrics;
   struct rw_str results = h1_header_value (message, RESULTS_HEADER);
   rw_time now = rw_now ();
-  if (frn_relay_refused (message))
+  if (frn_relay_refused (send->target, message))
     {
       sta_inc (metrics->send_outcome[FRN_SEND_REFUSED]);
       frn_set_last_error (request, send, "delegate refused");
@@ -357,7 +357,7 @@
       && frn_serves_peers (daemon, order.version))
     route = route_of (daemon, message, &order);
   if (route == NULL)
-    frn_refuse_peer (conn);
+    frn_refuse_peer (daemon, conn);
   else
     {
       sta_inc (daemon->metrics.subqueries_served);
--- a/lib/gossip/codec.c
+++ b/lib/gossip/codec.c
@@ -7,6 +7,7 @@
 #define MAGIC 0x52574701U
 #define FLAG_LEAVING 1U
 #define FLAG_REPLY_REQUESTED 2U
+#define FLAG_CUT_OFF 4U
 /* Upper limit of all ages in a message, a day: greater ages are of no use.  */
 #define MAX_AGE_MS 86400000U
 
@@ -27,7 +28,8 @@
   unsigned int magic = MAGIC;
   unsigned int count = (unsigned int)m->count;
   unsigned int flags = (m->leaving ? FLAG_LEAVING : 0)
-                       | (m->reply_requested ? FLAG_REPLY_REQUESTED : 0);
+                       | (m->reply_requested ? FLAG_REPLY_REQUESTED : 0)
+                       | (m->cut_off ? FLAG_CUT_OFF : 0);
   if (!xdr_u_int (xdr, &magic) || magic != MAGIC || !xdr_u_int (xdr, &flags)
       || !xdr_u_int (xdr, &m->dc) || !xdr_u_int (xdr, &m->capacity)
       || !xdr_int64_t (xdr, &m->revision) || !xdr_u_int (xdr, &m->staleness_ms)
@@ -36,6 +38,7 @@
     return FALSE;
   m->leaving = (flags & FLAG_LEAVING) != 0;
   m->reply_requested = (flags & FLAG_REPLY_REQUESTED) != 0;
+  m->cut_off = (flags & FLAG_CUT_OFF) != 0;
   m->count = count;
   for (unsigned int i = 0; i < count; i++)
     if (!code_entry (xdr, &m->entries[i]))
--- a/lib/gossip/gossip.c
+++ b/lib/gossip/gossip.c
@@ -163,6 +163,7 @@
     return;
   member->revision = message->revision;
   member->current_at = now - message->staleness_ms * RW_MSEC;
+  member->cut_off_until = message->cut_off ? now + GOS_CUT_OFF_LIFE : 0;
 }
 
 /* Returns a random live member, of this daemon's data centre or of another
@@ -404,7 +405,7 @@
 
 size_t
 gos_pick_delegates (const struct gos_gossip *gossip, uint32_t capacity,
-                    rw_time now, struct gos_delegates *out)
+                    bool with_own_dc, rw_time now, struct gos_delegates *out)
 {
   size_t dc_count = 0;
   size_t position = 0;
@@ -412,7 +413,8 @@
   while ((member = gos_next_member (gossip, capacity, now, &position)) != NULL)
     {
       size_t i = 0;
-      if (member->dc == gossip->settings.dc)
+      if ((member->dc == gossip->settings.dc && !with_own_dc)
+          || now < member->cut_off_until)
         continue;
       while (i < dc_count && out[i].dc != member->dc)
         i++;
--- a/lib/gossip/gossip.h
+++ b/lib/gossip/gossip.h
@@ -24,6 +24,9 @@
 /* How long the highest count of daemons stays in use after the count falls.  A
    daemon that is cut off from the others must not take over their shares.  */
 #define GOS_COUNT_HOLD_TIME (60 * RW_SEC)
+/* A member that says that it is cut off from the targets counts as such for
+   this long after its last message.  */
+#define GOS_CUT_OFF_LIFE (3 * RW_SEC)
 #define GOS_MAX_MEMBERS 4096
 /* Members that a daemon tells that the copies are current, when it learns
    that.  */
@@ -41,12 +44,13 @@
 struct gos_member
 {
   uint32_t ip;
-  uint32_t dc;        /* hash of the data centre's name */
-  uint32_t capacity;  /* processor time, in thousandths of a core */
-  rw_time last_heard; /* its last message to any daemon, as far as known */
-  bool left;          /* it said in that message that it stops */
-  int64_t revision;   /* of its copy of the store, from its last message */
-  rw_time current_at; /* when its copy was last known to be current */
+  uint32_t dc;           /* hash of the data centre's name */
+  uint32_t capacity;     /* processor time, in thousandths of a core */
+  rw_time last_heard;    /* its last message to any daemon, as far as known */
+  bool left;             /* it said in that message that it stops */
+  int64_t revision;      /* of its copy of the store, from its last message */
+  rw_time current_at;    /* when its copy was last known to be current */
+  rw_time cut_off_until; /* until then it takes no work from others */
 };
 
 /* A member as listed in a message; the fields are those of gos_member.  */
@@ -63,6 +67,7 @@
   uint32_t dc;
   uint32_t capacity;
   bool leaving; /* the sender is about to stop */
+  bool cut_off; /* the sender reaches no target */
   bool reply_requested;
   int64_t revision;      /* of the sender's copy; 0: it has none */
   uint32_t staleness_ms; /* time since the sender's copy was known to be
@@ -187,13 +192,15 @@
 };
 
 /* Stores in OUT, which has room for GOS_MAX_DELEGATE_DCS, the delegates of
-   each other data centre, and returns the number of data centres.  They are
-   the live members with at least CAPACITY that rank lowest for this daemon by
-   rendezvous hashing, so the daemons spread evenly over them and one that
-   comes or goes changes few choices.  The members are valid until the next
+   each other data centre, and of this daemon's if WITH_OWN_DC, and returns the
+   number of data centres.  They are the live members with at least CAPACITY
+   that rank lowest for this daemon by rendezvous hashing, so the daemons
+   spread evenly over them and one that comes or goes changes few choices.
+   Members that are cut off are left out.  The members are valid until the next
    message is processed.  */
 size_t gos_pick_delegates (const struct gos_gossip *gossip, uint32_t capacity,
-                           rw_time now, struct gos_delegates *out);
+                           bool with_own_dc, rw_time now,
+                           struct gos_delegates *out);
 /* Returns the number of live members, without this daemon.  */
 size_t gos_live_count (const struct gos_gossip *gossip, rw_time now);
 /* Returns the address of a random live member whose copy has at least
--- a/lib/gossip/test_gossip.c
+++ b/lib/gossip/test_gossip.c
@@ -393,7 +393,7 @@
       struct gos_delegates before[GOS_MAX_DELEGATE_DCS];
       struct gos_delegates after[GOS_MAX_DELEGATE_DCS];
       struct gos_gossip *gossip = &fleet.daemons[i];
-      size_t dcs = gos_pick_delegates (gossip, 400, 4 * RW_SEC, before);
+      size_t dcs = gos_pick_delegates (gossip, 400, false, 4 * RW_SEC, before);
       assert_int_equal (dcs, DCS - 1);
       for (size_t d = 0; d < dcs; d++)
         {
@@ -408,7 +408,7 @@
       /* The daemon with the address 1 leaves.  */
       struct gos_message leaving = { .leaving = true };
       gos_on_message (gossip, 1, &leaving, 4 * RW_SEC);
-      gos_pick_delegates (gossip, 400, 4 * RW_SEC, after);
+      gos_pick_delegates (gossip, 400, false, 4 * RW_SEC, after);
       for (size_t d = 0; d < dcs; d++)
         for (size_t j = 0; j < after[d].count; j++)
           {
@@ -428,3 +428,36 @@
   assert_true (changed <= load[1]);
   stop_all ();
 }
+
+/* Guards against work that is left to daemons that reach no target, and
+   against avoiding them for good.  */
+TEST (members_that_are_cut_off_take_no_work)
+{
+  struct gos_delegates out[GOS_MAX_DELEGATE_DCS];
+  struct gos_settings settings = { .ip = 1, .dc = 0, .capacity = 400 };
+  struct gos_gossip gossip;
+  struct gos_message message = { .dc = 1, .capacity = 400, .cut_off = true };
+  struct gos_message received;
+  struct rw_err err;
+  char data[GOS_MAX_DATAGRAM];
+  gos_init (&gossip, &settings, 0);
+  size_t len = gos_encode (&message, data, sizeof data);
+  assert_int_equal (gos_decode ((struct rw_str){ data, len }, &received, &err),
+                    0);
+  assert_true (received.cut_off);
+  gos_on_message (&gossip, 2, &received, RW_SEC);
+  received.cut_off = false;
+  gos_on_message (&gossip, 3, &received, RW_SEC);
+  assert_int_equal (gos_pick_delegates (&gossip, 400, true, RW_SEC, out), 1);
+  assert_int_equal (out[0].count, 1);
+  assert_int_equal (out[0].members[0]->ip, 3);
+  rw_time later = RW_SEC + GOS_CUT_OFF_LIFE;
+  gos_pick_delegates (&gossip, 400, true, later, out);
+  assert_int_equal (out[0].count, 2);
+  /* Those of the own data centre only where they are asked for.  */
+  received.dc = 0;
+  gos_on_message (&gossip, 4, &received, RW_SEC);
+  assert_int_equal (gos_pick_delegates (&gossip, 400, false, later, out), 1);
+  assert_int_equal (gos_pick_delegates (&gossip, 400, true, later, out), 2);
+  gos_finish (&gossip);
+}
--- a/lib/reach/reach.c
+++ b/lib/reach/reach.c
@@ -7,6 +7,9 @@
 #define QUIET_TIME (150 * RW_MSEC)
 /* Without any contact for this time, they are checked.  */
 #define IDLE_TIME RW_SEC
+/* While cut off, connections that brought a reply within this time may bring
+   more.  */
+#define LIVE_TIME (300 * RW_MSEC)
 /* Failed connections count for this time.  */
 #define REFUSAL_LIFE (2 * RW_SEC)
 /* Time between two rounds, and while cut off.  */
@@ -49,6 +52,12 @@
     reach->refusals[reach->refusal_count++] = key;
 }
 
+bool
+rch_can_send (const struct rch_reach *reach, rw_time now)
+{
+  return !reach->cut_off || now - reach->last_reply <= LIVE_TIME;
+}
+
 static bool
 is_suspicious (const struct rch_reach *reach, const struct rch_sends *sends,
                rw_time now)
--- a/lib/reach/reach.h
+++ b/lib/reach/reach.h
@@ -69,6 +69,9 @@
 /* Begins a round of COUNT probes to different targets; 0 if there is none to
    probe.  */
 void rch_begin_round (struct rch_reach *reach, size_t count, rw_time now);
+/* Returns whether requests may be sent to targets at NOW: there are ways, or
+   connections that live on still bring replies.  */
+bool rch_can_send (const struct rch_reach *reach, rw_time now);
 /* Records the result of one probe of the round.  Returns whether the state
    CUT_OFF changed.  */
 bool rch_on_probe (struct rch_reach *reach, enum rch_probe_result result,
--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -753,6 +753,19 @@
   target->backoff_until = now + (span < MAX_BACKOFF ? span : MAX_BACKOFF);
 }
 
+void
+ste_forget_backoffs (struct ste_fleet *fleet)
+{
+  for (struct ste_service *s = fleet->first_service; s != NULL; s = s->next)
+    for (struct ste_target *t = s->targets; t != NULL && !s->of_peers;
+         t = t->next)
+      {
+        t->backoff_until = 0;
+        t->backoff_count = 0;
+        t->failure_rate = 0;
+      }
+}
+
 void
 ste_on_load_report (struct ste_target *target, unsigned int running,
                     unsigned int waiting, unsigned int slots, rw_time now)
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -371,6 +371,9 @@
    one is under way: the target is picked only if no other is better.  The time
    doubles with each backoff, up to a bound, until a send succeeds.  */
 void ste_back_off (struct ste_target *target, rw_time now);
+/* Ends the backoffs of all targets, without peers: it was this daemon that
+   reached none of them.  */
+void ste_forget_backoffs (struct ste_fleet *fleet);
 /* Records the load that TARGET reported with a reply.  SLOTS is 0 if not
    stated.  */
 void ste_on_load_report (struct ste_target *target, unsigned int running,
