A daemon that is cut off asks small peers when no large one is left

Cause: only daemons with more than half of the largest capacity were listed. Change: smaller ones are listed as soon as none of these takes requests, and for 3 s after that. The soak cuts daemons off (seeds from 4000) and compares what their callers get with what others get.

--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -247,7 +247,8 @@
   /* Its targets are the peers that serve requests while this daemon is cut off
      from the targets; empty otherwise.  */
   struct ste_service *fallback_peers;
-  rw_time announced_at; /* last notice that this daemon is cut off */
+  rw_time small_fallbacks_until; /* small peers are among them */
+  rw_time announced_at;          /* last notice that this daemon is cut off */
   struct frn_delegates delegates[FRN_MAX_DELEGATE_DCS];
   size_t delegate_dc_count;
   rw_time lists_next;     /* next update of these lists */
@@ -424,6 +425,9 @@
                        const struct frn_request *request, rw_time now);
 /* Whether there is a larger peer that is neither in backoff nor stalled.  */
 bool frn_relay_available (const struct frn_daemon *daemon, rw_time now);
+/* Whether there is a peer that serves requests while this daemon is cut off.
+ */
+bool frn_fallback_available (const struct frn_daemon *daemon, rw_time now);
 /* Periodic work: updates the lists of larger peers and of delegates from the
    gossip members.  */
 void frn_peerlist_tick (struct frn_daemon *daemon, rw_time now);
@@ -439,9 +443,9 @@
 /* Returns the time that the caller of a forwarded request has spent, as the
    sender states; 0 if it does not.  */
 rw_time frn_relay_time_spent (const struct h1_message *message);
-/* Whether the peer PEER answered that it did not begin the forwarded request.
+/* Whether the peer of SEND answered that it did not begin what was forwarded.
    If that is because it is cut off itself, it is avoided for a while.  */
-bool frn_relay_refused (struct ste_target *peer,
+bool frn_relay_refused (struct frn_send *send,
                         const struct h1_message *message);
 /* Whether REQUEST, which a peer refused, may be left to another one.  */
 bool frn_may_relay_again (const struct frn_request *request, rw_time now);
--- a/cmd/rwfront/peerlist.c
+++ b/cmd/rwfront/peerlist.c
@@ -11,6 +11,9 @@
 /* At least this many gatherers are assumed, as not all of them are known at
    once after a start.  */
 #define MIN_GATHERERS 12
+/* While this daemon is cut off, small peers stay listed for this time after no
+   large one took requests.  */
+#define SMALL_FALLBACKS_TIME (3 * RW_SEC)
 /* Gatherers and other daemons: each group shares half of a limit.  */
 #define DAEMON_GROUPS 2
 
@@ -185,21 +188,35 @@
     drop_unlisted (daemon, peers->delegates[i].service, before, now);
 }
 
-void
-frn_peerlist_update_fallbacks (struct frn_daemon *daemon, rw_time now)
+/* Lists fallback peers with at least CAPACITY.  */
+static void
+list_fallbacks (struct frn_daemon *daemon, uint32_t capacity, rw_time now)
 {
   struct frn_peers *peers = &daemon->peers;
   struct gos_delegates picked[GOS_MAX_DELEGATE_DCS];
-  int64_t before = peers->lists_revision;
-  size_t dcs = 0;
-  if (daemon->reach.state.cut_off)
-    dcs = gos_pick_delegates (&peers->gossip,
-                              peers->max_capacity / MIN_CAPACITY_RATIO + 1,
-                              true, now, picked);
+  size_t dcs
+      = gos_pick_delegates (&peers->gossip, capacity, true, now, picked);
   for (size_t i = 0; i < dcs; i++)
     for (size_t j = 0; j < picked[i].count; j++)
       list_peer (daemon, peers->fallback_peers, "fallback",
                  picked[i].members[j], now);
+}
+
+/* Small daemons are listed only if lately no large one took requests.  */
+void
+frn_peerlist_update_fallbacks (struct frn_daemon *daemon, rw_time now)
+{
+  struct frn_peers *peers = &daemon->peers;
+  int64_t before = peers->lists_revision;
+  if (daemon->reach.state.cut_off)
+    {
+      list_fallbacks (daemon, peers->max_capacity / MIN_CAPACITY_RATIO + 1,
+                      now);
+      if (!frn_fallback_available (daemon, now))
+        peers->small_fallbacks_until = now + SMALL_FALLBACKS_TIME;
+      if (now < peers->small_fallbacks_until)
+        list_fallbacks (daemon, 0, now);
+    }
   drop_unlisted (daemon, peers->fallback_peers, before, now);
 }
 
--- a/cmd/rwfront/relay.c
+++ b/cmd/rwfront/relay.c
@@ -40,6 +40,12 @@
   return any_available (daemon->peers.larger_peers, now);
 }
 
+bool
+frn_fallback_available (const struct frn_daemon *daemon, rw_time now)
+{
+  return any_available (daemon->peers.fallback_peers, now);
+}
+
 /* Whether REQUEST is left to a peer because this daemon is cut off.  */
 static bool
 should_fall_back (const struct frn_daemon *daemon,
@@ -49,7 +55,7 @@
          && !daemon->settings.without[FRN_MECH_FALLBACKS]
          && request->header_lines.len + request->path_query.len
                 <= MAX_FALLBACK_HEAD_BYTES
-         && any_available (daemon->peers.fallback_peers, now);
+         && frn_fallback_available (daemon, now);
 }
 
 struct ste_service **
@@ -63,7 +69,7 @@
 frn_may_relay_again (const struct frn_request *request, rw_time now)
 {
   return request->fell_back && request->query.sends < MAX_FALLBACK_SENDS
-         && any_available (request->daemon->peers.fallback_peers, now);
+         && frn_fallback_available (request->daemon, now);
 }
 
 bool
@@ -108,11 +114,17 @@
 }
 
 bool
-frn_relay_refused (struct ste_target *peer, const struct h1_message *message)
+frn_relay_refused (struct frn_send *send, const struct h1_message *message)
 {
+  struct frn_daemon *daemon = send->request->daemon;
+  rw_time now = rw_now ();
   struct rw_str reason = h1_header_value (message, RELAY_REFUSED_HEADER);
   if (rw_str_eq_cstr (reason, REFUSED_CUT_OFF))
-    ste_back_off (peer, rw_now ());
+    {
+      ste_back_off (send->target, now);
+      if (send->request->fell_back && !frn_fallback_available (daemon, now))
+        frn_peerlist_update_fallbacks (daemon, now);
+    }
   return reason.len > 0;
 }
 
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -316,7 +316,7 @@
       frn_request_release (request);
       return;
     }
-  if (frn_relay_refused (send->target, message))
+  if (frn_relay_refused (send, message))
     {
       frn_set_last_error (request, send, "peer refused");
       handle_failure (request, send->u.part, GAT_FAIL_NOT_RUN);
--- a/cmd/rwfront/subquery.c
+++ b/cmd/rwfront/subquery.c
@@ -268,7 +268,7 @@
   struct frn_metrics *metrics = &request->daemon->metrics;
   struct rw_str results = h1_header_value (message, RESULTS_HEADER);
   rw_time now = rw_now ();
-  if (frn_relay_refused (send->target, message))
+  if (frn_relay_refused (send, message))
     {
       sta_inc (metrics->send_outcome[FRN_SEND_REFUSED]);
       frn_set_last_error (request, send, "delegate refused");
--- a/tests/process/cut-off.sh
+++ b/tests/process/cut-off.sh
@@ -99,3 +99,19 @@
 for n in 1 4; do await "daemon $n is back" is_cut $n 0; done
 [ "$(served 1 end)" -ge 58 ] || fail "not served after the trouble"
 echo "ok: served after the trouble"
+
+# The large daemons are cut off, so that only small ones can help.
+start_front 2 1
+start_front 3 0.2
+settings 4 0.2
+for n in 2 3; do await "daemon $n is ready" ready $n; done
+await "daemon 4 reads its settings again" \
+    grep -q 'settings: read again' "$DIR/vm-4.log"
+ways 1 reset
+ways 2 reset
+sleep 4
+for n in 1 2; do
+	good=$(served $n large)
+	[ "$good" -ge 57 ] || fail "daemon $n served $good of 60 by small ones"
+	echo "ok: daemon $n served $good of 60 by small daemons"
+done
--- a/tests/soak/check.c
+++ b/tests/soak/check.c
@@ -146,6 +146,48 @@
   rw_buf_finish (&text);
 }
 
+/* A cut counts when it has lasted this long.  */
+#define CUT_SETTLE_TIME (4 * RW_SEC)
+
+void
+sok_count_by_cut (struct sok_client *client, bool success)
+{
+  struct sok_soak *soak = client->soak;
+  rw_time since = client->sent;
+  bool is_cut = client->daemon->cut_since > 0;
+  bool others_open = false;
+  if (soak->healing || !sok_is_calm (client->daemon, since)
+      || since - client->daemon->ways_changed < CUT_SETTLE_TIME)
+    return;
+  for (size_t i = 0; i < soak->daemon_count; i++)
+    {
+      const struct sok_daemon *d = &soak->daemons[i];
+      others_open |= d->cut_since == 0 && sok_is_calm (d, since)
+                     && since - d->ways_changed > CUT_SETTLE_TIME;
+    }
+  if (others_open)
+    soak->by_cut[is_cut][success]++;
+}
+
+/* Whether callers of daemons that were cut off were served much worse than
+   those of others.  */
+static void
+check_cut_daemons (struct sok_soak *soak)
+{
+  const uint64_t *cut = soak->by_cut[1];
+  const uint64_t *other = soak->by_cut[0];
+  double cut_share = (double)cut[1] / (double)(cut[0] + cut[1] + 1);
+  double other_share = (double)other[1] / (double)(other[0] + other[1] + 1);
+  if (cut[0] > 10 + (cut[0] + cut[1]) / 50 && cut_share < other_share * 2 / 3)
+    sok_fail (soak,
+              "daemons that were cut off served %llu of %llu, others "
+              "%llu of %llu",
+              (unsigned long long)cut[1],
+              (unsigned long long)(cut[0] + cut[1]),
+              (unsigned long long)other[1],
+              (unsigned long long)(other[0] + other[1]));
+}
+
 /* What the searchers saw, and whether every daemon serves again.  */
 void
 sok_check_end (struct sok_soak *soak)
@@ -164,6 +206,7 @@
     sok_fail (soak, "%llu unsafe requests ran twice", twice);
   if (over > 0)
     sok_fail (soak, "%llu parts ran more often than allowed", over);
+  check_cut_daemons (soak);
   if (beyond > 0)
     sok_fail (soak, "%llu requests beyond the limits of searchers", beyond);
   if (late > 0 && !soak->store_faults && !soak->drills)
--- a/tests/soak/client.c
+++ b/tests/soak/client.c
@@ -12,8 +12,8 @@
 
 static void client_next (struct sok_client *client);
 
-static bool
-is_calm (const struct sok_daemon *daemon, rw_time since)
+bool
+sok_is_calm (const struct sok_daemon *daemon, rw_time since)
 {
   return daemon->running && !daemon->frozen
          && since - daemon->disturbed > SOK_CALM;
@@ -29,10 +29,11 @@
       client_next (client);
       return;
     }
-  if (is_calm (client->daemon, client->sent))
+  if (sok_is_calm (client->daemon, client->sent))
     sok_fail (soak, "no answer in time: id=%s daemon=%zu", client->id,
               client->daemon->index);
   soak->answers[0]++;
+  sok_count_by_cut (client, false);
   client->waiting = false;
   h1_client_close (&client->link);
 }
@@ -99,6 +100,7 @@
   client->waiting = false;
   client->soak->answers[reply->status / 100 % 6]++;
   sok_check_answer (client, reply);
+  sok_count_by_cut (client, reply->status == 200);
   return H1_REPLY_ACCEPTED;
 }
 
@@ -112,7 +114,8 @@
     return;
   client->waiting = false;
   client->soak->answers[0]++;
-  if (is_calm (client->daemon, client->sent)
+  sok_count_by_cut (client, false);
+  if (sok_is_calm (client->daemon, client->sent)
       && now - client->sent > LOSS_SLACK)
     sok_fail (client->soak,
               "connection ended without answer: id=%s "
--- a/tests/soak/fault.c
+++ b/tests/soak/fault.c
@@ -1,5 +1,6 @@
 #include <signal.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "soak.h"
 
@@ -27,6 +28,7 @@
   FAULT_ANNOUNCE,
   FAULT_HOLD,
   FAULT_LIMIT, /* from here on only in later drills */
+  FAULT_WAYS,  /* from here on only in the last ones */
   FAULT_COUNT
 };
 
@@ -125,6 +127,31 @@
   sok_put_config (soak);
 }
 
+static void
+set_ways (struct sok_daemon *daemon, const char *ways)
+{
+  char path[96];
+  bool cut = strcmp (ways, "open") != 0;
+  snprintf (path, sizeof path, "/ways/%s/%s", daemon->ip, ways);
+  sok_command (daemon->soak, "POST", path, "", NULL, 0);
+  daemon->cut_since = cut ? rw_now () : 0;
+  daemon->ways_changed = rw_now ();
+}
+
+/* Cuts some daemons off from the searchers, most or all of them at times, or
+   gives all of them their ways back.  */
+static void
+cut_daemons (struct sok_soak *soak)
+{
+  const char *ways = below (soak, 2) == 0 ? "refused" : "reset";
+  uint64_t share = below (soak, 4);
+  for (size_t i = 0; i < soak->daemon_count; i++)
+    if (share == 0)
+      set_ways (&soak->daemons[i], "open");
+    else if (below (soak, 4) < share)
+      set_ways (&soak->daemons[i], ways);
+}
+
 static void
 strike (struct sok_soak *soak)
 {
@@ -141,6 +168,8 @@
   if (soak->drills)
     kinds = FAULT_LIMIT;
   if (soak->limits)
+    kinds = FAULT_WAYS;
+  if (soak->cuts)
     kinds = FAULT_COUNT;
   switch ((enum fault)below (soak, kinds))
     {
@@ -200,6 +229,9 @@
     case FAULT_LIMIT:
       searcher_fault (soak, limits[below (soak, RW_ARRAY_LEN (limits))]);
       break;
+    case FAULT_WAYS:
+      cut_daemons (soak);
+      break;
     case FAULT_COUNT:
       break;
     }
@@ -214,6 +246,8 @@
     {
       thaw (&soak->daemons[i]);
       sok_proxy_set (&soak->daemons[i].proxy, SOK_PROXY_PASS);
+      if (soak->cuts)
+        set_ways (&soak->daemons[i], "open");
     }
   to_all_searchers (soak, "none");
   to_all_searchers (soak, "limit/0");
--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -110,6 +110,8 @@
            SOK_CALLER_PORT, daemon->ip, SOK_READY_PORT, daemon->ip,
            SOK_PEER_PORT, daemon->ip, SOK_STORE_PORT, soak->net, soak->net,
            soak->net, daemon->index < 2 && soak->seed % 2 == 0 ? "1" : "0.2");
+  if (soak->cuts)
+    fprintf (f, "RWF_SOURCE=%s\n", daemon->ip);
   fclose (f);
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -26,6 +26,8 @@
 #define SOK_FIRST_DRILL_SEED 2000
 /* Seeds from here on add limits that searchers name.  */
 #define SOK_FIRST_LIMIT_SEED 3000
+/* And from here on daemons that are cut off from the searchers.  */
+#define SOK_FIRST_CUT_SEED 4000
 
 struct sok_soak;
 
@@ -57,6 +59,8 @@
   bool frozen;
   bool restart;      /* start again when it has ended */
   rw_time disturbed; /* end of the last disturbance; SIGTERM is none */
+  rw_time cut_since; /* it has no ways to the searchers; 0: it has */
+  rw_time ways_changed;
   rw_time stop_began;
   struct sok_proxy proxy;
 };
@@ -100,12 +104,16 @@
   bool store_faults; /* this seed disturbs the store */
   bool drills;      /* this seed restores it, and targets announce their end */
   bool limits;      /* searchers name limits */
+  bool cuts;        /* daemons are cut off from the searchers */
   rw_time restored; /* the store, and not written again yet; 0: it is */
   uint64_t next_id;
   char refused[SOK_MAX_REFUSED][32]; /* unsafe requests answered 503 */
   size_t refused_count;
   uint64_t answers[6]; /* by hundreds of the status; 0: none */
   uint64_t whole;
+  /* Answers of calm daemons, by whether they are cut off while others are not,
+     and by success.  */
+  uint64_t by_cut[2][2];
   uint64_t failures;
   char *scratch;
 };
@@ -116,6 +124,8 @@
 
 int sok_site_start (struct sok_soak *soak);
 void sok_daemon_init (struct sok_soak *soak, size_t index);
+/* Whether DAEMON was not disturbed for SOK_CALM before SINCE.  */
+bool sok_is_calm (const struct sok_daemon *daemon, rw_time since);
 void sok_daemon_start (struct sok_daemon *daemon);
 void sok_daemon_signal (struct sok_daemon *daemon, int signum);
 void sok_kill_all (struct sok_soak *soak);
@@ -134,6 +144,8 @@
 void sok_check_answer (struct sok_client *client,
                        const struct h1_message *reply);
 void sok_check_end (struct sok_soak *soak);
+/* Counts an answer of the client's daemon, SUCCESS or not.  */
+void sok_count_by_cut (struct sok_client *client, bool success);
 void sok_put_config (struct sok_soak *soak);
 
 void sok_fault_init (struct sok_soak *soak);
