Bound replies without end: interim ones, those to others, and all together

Cause: a target in trouble may send bytes without end. A body was bounded by 16 MiB for each connection, not for all of them, so a few such targets could use up the memory of a small VM; interim replies and replies that answer other requests were read without any bound, as each begins anew.

--- a/cmd/rwfront/daemon.c
+++ b/cmd/rwfront/daemon.c
@@ -84,12 +84,18 @@
 #define ENTRY_EXPIRY_HEARTBEATS 3
 #define ENTRY_RETURN_TIME (2 * RW_SEC)
 
+#define BYTES_PER_MB 1000000
+/* Replies that are arriving use at most this fraction of the memory.  */
+#define REPLY_MEMORY_DIVISOR 8
+
 /* Sets the target selection's settings.  The time for which a draining target
    is used is its drain time less TARGET_DRAIN_MARGIN, but at least half of it
    when the drain time is short.  */
 static void
 apply_settings (struct frn_daemon *daemon)
 {
+  daemon->reply_budget.max = (size_t)daemon->settings.memory_mb * BYTES_PER_MB
+                             / REPLY_MEMORY_DIVISOR;
   daemon->fleet.settings.dc = rw_hash (rw_str_from (daemon->settings.dc));
   daemon->fleet.settings.daemon_key
       = rw_hash (rw_str_from (daemon->settings.name));
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -86,6 +86,7 @@
   size_t seed_count;
   unsigned int max_files; /* descriptor limit of the process */
   double cores;           /* processor time of this VM, in cores */
+  unsigned int memory_mb; /* of this process, at most */
   bool first_start;       /* first start of the whole system: no copies yet */
   rw_time target_drain_time; /* a draining target serves this long */
   rw_time target_heartbeat;  /* interval at which targets renew their entry */
@@ -313,6 +314,7 @@
   rw_time config_since;      /* when it came into force */
   struct rw_map route_stats; /* struct frn_route_stats by hash of the name */
   struct rw_map shed_groups; /* struct shd_group by key of a service */
+  struct h1_budget reply_budget;  /* bodies of replies that are arriving */
   struct h1_limits caller_limits; /* from the configuration */
   struct h1_server caller_server;
   struct h1_limits admin_limits;
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -24,6 +24,13 @@
 #define MAX_UNUSED_TIME (10 * RW_SEC)
 /* At most this many connections are opened in advance by one sweep.  */
 #define MAX_PREOPENS 6
+/* A reply that exceeds this fraction of the memory for replies is no answer.
+ */
+#define MAX_REPLY_DIVISOR 2
+/* A part that exceeds this multiple of the average of its route, and this
+   size, is no answer.  */
+#define MAX_PART_RATIO 64
+#define MIN_PART_BYTES (256 << 10)
 
 static void pool_serve (struct frn_pool *pool);
 
@@ -151,6 +158,23 @@
     rch_on_connect_failed (&pool->daemon->reach.state, pool->target->key, now);
 }
 
+/* The largest body that is expected in the reply to SEND.  The parts of a
+   route are of similar size; any other reply may use a part of the memory that
+   replies have together.  */
+static size_t
+max_reply_bytes (const struct frn_send *send)
+{
+  const struct frn_request *request = send->request;
+  size_t max = request->daemon->reply_budget.max / MAX_REPLY_DIVISOR;
+  double part = request->stats->sizes.part_bytes * MAX_PART_RATIO;
+  if (send->scope != FRN_SCOPE_PART || request->route->kind != CAT_ROUTE_GATHER
+      || request->stats->sizes.part_bytes <= 0)
+    return max;
+  if (part < MIN_PART_BYTES)
+    part = MIN_PART_BYTES;
+  return part < (double)max ? (size_t)part : max;
+}
+
 static void
 start_send (struct frn_pool_conn *conn, struct frn_send *send)
 {
@@ -160,6 +184,8 @@
   send->state = FRN_SEND_SENT;
   rw_buf_init (&out);
   frn_request_write (send, &out);
+  h1_client_limit (&conn->h1, max_reply_bytes (send),
+                   &conn->pool->daemon->reply_budget);
   /* After a failed write reading fails too, and on_disconnect is called.  */
   (void)h1_client_send (&conn->h1, rw_buf_str (&out), send->request->is_head);
   rw_buf_finish (&out);
--- a/cmd/rwfront/settings.c
+++ b/cmd/rwfront/settings.c
@@ -171,6 +171,8 @@
     return parse_seeds (value, s);
   else if (rw_str_eq_cstr (name, "RWF_CORES"))
     return parse_number (value, &s->cores);
+  else if (rw_str_eq_cstr (name, "RWF_MEMORY_MB"))
+    return parse_count (value, &s->memory_mb);
   else if (rw_str_eq_cstr (name, "RWF_MAX_FILES"))
     return parse_count (value, &s->max_files);
   else if (rw_str_eq_cstr (name, "RWF_TARGET_DRAIN_MS"))
@@ -196,6 +198,7 @@
   memset (settings, 0, sizeof *settings);
   settings->max_files = 1024;
   settings->cores = 1;
+  settings->memory_mb = 512;
   settings->target_drain_time = 3 * RW_SEC;
   settings->target_heartbeat = 1200 * RW_MSEC;
   settings->stop_time = 6 * RW_SEC;
--- a/lib/h1/client.c
+++ b/lib/h1/client.c
@@ -30,6 +30,14 @@
   h1_client_close (client);
 }
 
+void
+h1_client_limit (struct h1_client *client, size_t max_body_bytes,
+                 struct h1_budget *budget)
+{
+  client->reader.max_body_bytes = max_body_bytes;
+  client->reader.budget = budget;
+}
+
 /* Makes the client wait for another reply to the pending request.  */
 static void
 await_another_reply (struct h1_client *client)
@@ -40,8 +48,9 @@
 }
 
 /* Delivers a complete reply, or reports an interim (1xx) one.  Input after an
-   accepted reply belongs to no request, so the connection is closed.  */
-static void
+   accepted reply belongs to no request, so the connection is closed.  Returns
+   whether the request is answered.  */
+static bool
 deliver_reply (struct h1_client *client, bool has_extra_input)
 {
   struct h1_message reply;
@@ -52,30 +61,43 @@
         client->ops->on_interim (client, &reply);
       if (client->state == H1_CLIENT_BUSY)
         await_another_reply (client);
-      return;
+      return false;
     }
   client->reusable = reply.keep_alive;
   client->keep_alive_timeout = h1_keep_alive_timeout (&reply);
   client->state = H1_CLIENT_DELIVERING;
   enum h1_reply_result result = client->ops->on_reply (client, &reply);
   if (client->state == H1_CLIENT_CLOSED)
-    return;
+    return true;
   if (result == H1_REPLY_SKIPPED)
     {
       client->state = H1_CLIENT_BUSY;
       await_another_reply (client);
       if (!client->reusable)
         disconnect (client, RW_E_MISMATCH);
-      return;
+      return false;
     }
   h1_reader_reset (&client->reader);
   if (!client->reusable || has_extra_input)
     {
       disconnect (client, RW_E_RESET);
-      return;
+      return true;
     }
   client->state = H1_CLIENT_IDLE;
   client->ops->on_idle (client);
+  return true;
+}
+
+/* Counts LEN bytes of input that may turn out to be no answer.  Returns
+   whether the server may go on.  */
+static bool
+count_unused (struct h1_client *client, size_t len)
+{
+  client->unused_bytes += len;
+  if (client->unused_bytes <= client->reader.max_body_bytes)
+    return true;
+  disconnect (client, RW_E_MISMATCH);
+  return false;
 }
 
 /* Parses input.  Input without a pending request ends the connection, because
@@ -100,9 +122,11 @@
       len -= consumed;
       if (!client->reader.complete)
         return;
-      deliver_reply (client, len > 0);
+      bool answered = deliver_reply (client, len > 0);
       if (client->state == H1_CLIENT_CLOSED)
         return;
+      if (!answered && !count_unused (client, consumed))
+        return;
     }
 }
 
@@ -131,7 +155,7 @@
       if (client->reader.complete)
         {
           client->reader.keep_alive = false;
-          deliver_reply (client, false);
+          (void)deliver_reply (client, false);
         }
     }
   disconnect (client, RW_E_RESET);
@@ -216,6 +240,7 @@
     return RW_E_RANGE;
   client->state = H1_CLIENT_BUSY;
   client->request_sent = true;
+  client->unused_bytes = 0;
   client->reader.skip_body = skip_body;
   return h1_write ((uv_stream_t *)&client->tcp, request);
 }
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -57,6 +57,13 @@
   uint32_t len;
 };
 
+/* Bytes of bodies that several readers buffer together.  */
+struct h1_budget
+{
+  size_t used;
+  size_t max;
+};
+
 enum h1_parse_error
 {
   H1_PARSE_OK,
@@ -84,6 +91,7 @@
   bool keep_alive; /* of the complete message */
   size_t max_head_bytes;
   size_t max_body_bytes;
+  struct h1_budget *budget; /* for the body; null: none */
   enum h1_parse_error error;
 };
 
@@ -238,8 +246,10 @@
   char *read_buf;
   struct h1_reader reader;
   enum h1_client_state state;
-  bool request_sent; /* h1_client_send was called; never cleared */
-  bool reusable;     /* after the last reply; on_reply may clear it */
+  bool request_sent;   /* h1_client_send was called; never cleared */
+  bool reusable;       /* after the last reply; on_reply may clear it */
+  size_t unused_bytes; /* of replies to the pending request that were no answer
+                          to it, or interim */
   /* Timeout in the last reply's Keep-Alive header; 0: not stated.  */
   rw_time keep_alive_timeout;
 };
@@ -261,6 +271,12 @@
    on_disconnect as well.  */
 int h1_client_send (struct h1_client *client, struct rw_str request,
                     bool skip_body);
+/* Sets the highest size of a reply's body, and of all replies together that
+   are no answer to a request.  The body also counts in BUDGET, which must
+   outlive the client; null: in none.  A reply that exceeds either ends the
+   connection. Not to be called while a reply is arriving.  */
+void h1_client_limit (struct h1_client *client, size_t max_body_bytes,
+                      struct h1_budget *budget);
 /* Closes the connection, unless it is closed.  on_closed is called in a later
    iteration of the loop.  */
 void h1_client_close (struct h1_client *client);
--- a/lib/h1/message.c
+++ b/lib/h1/message.c
@@ -160,9 +160,13 @@
 on_body (http_parser *parser, const char *at, size_t len)
 {
   struct h1_reader *reader = get_reader (parser);
-  if (reader->body.len + len > reader->max_body_bytes)
+  struct h1_budget *budget = reader->budget;
+  if (reader->body.len + len > reader->max_body_bytes
+      || (budget != NULL && budget->used + len > budget->max))
     return fail (reader, H1_PARSE_BODY_TOO_LARGE);
   rw_buf_append (&reader->body, at, len);
+  if (budget != NULL)
+    budget->used += len;
   return 0;
 }
 
@@ -202,9 +206,18 @@
   reader->max_body_bytes = DEFAULT_MAX_BODY_BYTES;
 }
 
+/* Takes the body of READER off the budget.  */
+static void
+release_budget (struct h1_reader *reader)
+{
+  if (reader->budget != NULL)
+    reader->budget->used -= reader->body.len;
+}
+
 void
 h1_reader_finish (struct h1_reader *reader)
 {
+  release_budget (reader);
   rw_buf_finish (&reader->head);
   rw_buf_finish (&reader->body);
 }
@@ -227,6 +240,7 @@
 h1_reader_reset (struct h1_reader *reader)
 {
   http_parser_init (&reader->parser, reader->parser.type);
+  release_budget (reader);
   clear_buf (&reader->head);
   clear_buf (&reader->body);
   reader->target = (struct h1_slice){ 0, 0 };
--- a/lib/steer/fleet.c
+++ b/lib/steer/fleet.c
@@ -248,32 +248,6 @@
   target->recovering = true;
 }
 
-bool
-ste_on_limit (struct ste_fleet *fleet, struct ste_target *target, double per_s,
-              rw_time now)
-{
-  bool is_news = !target->limited || target->limit_per_s != per_s;
-  if (!target->limited)
-    {
-      target->limit_since = now;
-      target->sends_in_limit = 0;
-      bkt_init (&target->limit, rw_rng_unit (&fleet->rng), now);
-    }
-  target->limited = true;
-  target->limit_per_s = per_s;
-  target->limit_heard_at = now;
-  return is_news;
-}
-
-bool
-ste_on_no_limit (struct ste_target *target, rw_time sent_at)
-{
-  if (!target->limited || sent_at < target->limit_heard_at)
-    return false;
-  target->limited = false;
-  return true;
-}
-
 void
 ste_remove (struct ste_fleet *fleet, struct rw_str id, int64_t revision,
             rw_time now)
--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -4,7 +4,7 @@
 #include <math.h>
 #include <string.h>
 
-#include "steer.h"
+#include "impl.h"
 
 /* Weights of one result in the moving averages of a target.  */
 #define LATENCY_RATIO_WEIGHT 0.2
@@ -90,19 +90,6 @@
    flight, divided by the number of slots, are added to the factor.  */
 #define STALL_TIME_FACTOR 1.2
 #define STALL_MARGIN (12 * RW_MSEC)
-/* Fractions of the limits of a target that all daemons together use.  The rest
-   covers daemons that disagree on how many they are.  */
-#define WARMUP_LIMIT_FRACTION 0.7
-#define NAMED_LIMIT_FRACTION 0.9
-/* How long an unused part of a share can be used, and saved.  */
-#define WARMUP_TOKEN_LIFE (500 * RW_MSEC)
-#define LIMIT_TOKEN_LIFE RW_SEC
-#define LIMIT_BURST_TIME (500 * RW_MSEC)
-/* The daemons of a target's data centre send it most of its requests, so they
-   share this fraction of its limit, and all others the rest.  */
-#define HOME_SHARE 0.75
-/* A lower limit counts as this, as only a reply shows its end.  */
-#define MIN_LIMIT_PER_S 0.2
 
 /* Number of results of a route after which its estimates move more slowly.  */
 #define INITIAL_RESULT_COUNT 50
@@ -171,79 +158,12 @@
   return !dc_is_out (fleet, target->dc, now);
 }
 
-/* Returns this daemon's share of PER_S requests a second that TARGET takes
-   from all daemons together.  */
-static double
-share_of (const struct ste_fleet *fleet, const struct ste_target *target,
-          double per_s)
-{
-  const struct ste_settings *s = &fleet->settings;
-  bool is_shard = target->service->is_shard;
-  double sharers = (double)ste_limit_sharers (fleet, target->service);
-  double known = 0;
-  double home = 0;
-  for (size_t i = 0; i < s->dc_count; i++)
-    {
-      double count = (double)(is_shard ? s->dcs[i].shard : s->dcs[i].all);
-      known += count;
-      if (s->dcs[i].dc == (uint32_t)target->dc)
-        home += count;
-    }
-  /* Daemons that are not known are taken to be spread like those that are.  */
-  if (known > 0 && known < sharers)
-    home = ceil (home * sharers / known);
-  if (home < 1 || home >= sharers)
-    return per_s / sharers;
-  if (target->dc == s->dc)
-    return per_s * HOME_SHARE / home;
-  return per_s * (1 - HOME_SHARE) / (sharers - home);
-}
-
-static struct bkt_rate
-limit_rate (const struct ste_fleet *fleet, const struct ste_target *target)
-{
-  double per_s = fmax (target->limit_per_s, MIN_LIMIT_PER_S);
-  return (struct bkt_rate){ .per_s = share_of (fleet, target, per_s)
-                                     * NAMED_LIMIT_FRACTION,
-                            .life = LIMIT_TOKEN_LIFE,
-                            .burst = LIMIT_BURST_TIME };
-}
-
-/* Returns whether the limit that TARGET names, if any, allows a request of
-   this daemon now.  */
-static bool
-limit_allows (const struct ste_fleet *fleet, const struct ste_target *target,
-              rw_time now)
-{
-  if (!target->limited)
-    return true;
-  struct bkt_rate rate = limit_rate (fleet, target);
-  return bkt_ready (&target->limit, &rate, now);
-}
-
-void
-ste_spend_limit (const struct ste_fleet *fleet, struct ste_target *target,
-                 rw_time now)
-{
-  if (!target->limited)
-    return;
-  struct bkt_rate rate = limit_rate (fleet, target);
-  bkt_take (&target->limit, &rate, now);
-  target->sends_in_limit++;
-}
-
-static bool
-is_cold (const struct ste_target *target, rw_time now)
-{
-  return now < target->cold_until;
-}
-
 enum ste_state
 ste_state_of (const struct ste_target *target, rw_time now)
 {
   if (target->draining || target->gone)
     return STE_LEAVING;
-  if (is_cold (target, now))
+  if (ste_is_cold (target, now))
     return STE_COLD;
   return ste_stalled (target, now) ? STE_STALLED : STE_HEALTHY;
 }
@@ -292,13 +212,7 @@
             best = fmin (best, (double)(at - now));
           continue;
         }
-      if (limit_allows (fleet, t, now))
-        return 0;
-      struct bkt_rate rate = limit_rate (fleet, t);
-      double own_wait = (double)bkt_wait (&t->limit, &rate, now);
-      best = fmin (
-          best,
-          fmin (own_wait, RW_SEC / fmax (t->limit_per_s, MIN_LIMIT_PER_S)));
+      best = fmin (best, ste_limit_wait (fleet, t, now));
     }
   return best;
 }
@@ -413,7 +327,7 @@
   for (const struct ste_target *t = service->targets; t != NULL; t = t->next)
     {
       if (!ste_usable (fleet, t, now) || now < t->backoff_until
-          || !limit_allows (fleet, t, now))
+          || !ste_limit_allows (fleet, t, now))
         continue;
       double delay = backlog_of (t, now) * service->work.mean;
       if (delay > 0)
@@ -488,7 +402,7 @@
     time += fmax (OTHER_DC_PENALTY, latency->mean * OTHER_DC_LATENCY_FRACTION);
   if (target->outside_subset)
     time += OUTSIDE_SUBSET_PENALTY;
-  if (is_cold (target, now))
+  if (ste_is_cold (target, now))
     time += COLD_PENALTY;
   if (target->limited)
     time += LIMITED_PENALTY;
@@ -514,7 +428,7 @@
     {
       size_t i = 0;
       if (t->dc == fleet->settings.dc || !ste_usable (fleet, t, now)
-          || !limit_allows (fleet, t, now))
+          || !ste_limit_allows (fleet, t, now))
         continue;
       while (i < *dc_count && dcs[i] != t->dc)
         i++;
@@ -526,34 +440,6 @@
     }
 }
 
-static struct bkt_rate
-warmup_rate (const struct ste_fleet *fleet, const struct ste_target *target)
-{
-  double limit = target->service->warmup_limit_per_s;
-  return (struct bkt_rate){ .per_s = share_of (fleet, target, limit)
-                                     * WARMUP_LIMIT_FRACTION,
-                            .life = WARMUP_TOKEN_LIFE };
-}
-
-static bool
-has_warmup_limit (const struct ste_target *target, rw_time now)
-{
-  return target->service->warmup_limit_per_s > 0 && is_cold (target, now);
-}
-
-/* Returns whether the warm-up limit allows a request to TARGET now.  */
-static bool
-warmup_allows (struct ste_fleet *fleet, struct ste_target *target, rw_time now)
-{
-  if (!has_warmup_limit (target, now))
-    return true;
-  if (!target->warmup_begun)
-    bkt_init (&target->warmup, rw_rng_unit (&fleet->rng), now);
-  target->warmup_begun = true;
-  struct bkt_rate rate = warmup_rate (fleet, target);
-  return bkt_ready (&target->warmup, &rate, now);
-}
-
 static bool
 is_tried (const struct ste_target *target, struct ste_target *const *tried,
           size_t tried_n)
@@ -575,7 +461,8 @@
     {
       if (is_tried (t, tried, tried_n) || !ste_usable (fleet, t, now)
           || (t->recovering && t->in_flight > 0)
-          || !limit_allows (fleet, t, now) || !warmup_allows (fleet, t, now))
+          || !ste_limit_allows (fleet, t, now)
+          || !ste_warmup_allows (fleet, t, now))
         continue;
       double time = ste_expected_time (fleet, t, latency, now)
                     + rw_rng_unit (&fleet->rng) * MAX_JITTER;
@@ -585,11 +472,8 @@
           best_time = time;
         }
     }
-  if (best != NULL && has_warmup_limit (best, now))
-    {
-      struct bkt_rate rate = warmup_rate (fleet, best);
-      bkt_take (&best->warmup, &rate, now);
-    }
+  if (best != NULL)
+    ste_spend_warmup (fleet, best, now);
   return best;
 }
 
