Send parts again that failed at a delegate, within their attempts

Cause: a delegate answered with what it had when the answer was due, and each part that it lacked counted as if all attempts of its route were used up, so that the query could not become whole any more. Change: the delegate states how often it sent a failed part, and the sender may use what is left; the order says how many parts may be missing when the answer is due, and with more the delegate waits on.

--- a/cmd/rwfront/plan.c
+++ b/cmd/rwfront/plan.c
@@ -102,8 +102,9 @@
 {
   const struct sbq_order *order = request->order;
   plan->part_count = order->shard_count;
-  /* One late part does not keep the others from the sender.  */
-  plan->min_parts = 1;
+  plan->min_parts = order->spare < order->shard_count
+                        ? order->shard_count - order->spare
+                        : 1;
   if (order->max_attempts < plan->max_attempts)
     plan->max_attempts = order->max_attempts;
   plan->soft_deadline
--- a/cmd/rwfront/subquery.c
+++ b/cmd/rwfront/subquery.c
@@ -160,6 +160,17 @@
   return h1_name_eq (name, ORDER_HEADER);
 }
 
+/* The number of parts of SEND, a subquery, that may be missing when its answer
+   is due: its share of those that the query may lack, rounded up.  */
+static unsigned int
+spare_parts (const struct frn_send *send)
+{
+  const struct gat_plan *plan = &send->request->query.plan;
+  size_t spare = plan->part_count - plan->min_parts;
+  return (unsigned int)((spare * send->u.subquery.count + plan->part_count - 1)
+                        / plan->part_count);
+}
+
 void
 frn_subquery_write_header (const struct frn_send *send, struct rw_buf *out)
 {
@@ -169,6 +180,7 @@
   struct sbq_order order = { .version = request->config->version,
                              .max_attempts = send->u.subquery.attempts,
                              .soft_ms = soft > 0 ? soft / RW_MSEC : 0,
+                             .spare = spare_parts (send),
                              .shards = send->u.subquery.parts,
                              .shard_count = send->u.subquery.count };
   rw_buf_init (&value);
@@ -224,7 +236,9 @@
       size_t part = send->u.subquery.parts[i];
       enum sbq_result result;
       struct rw_str stamp;
-      if (!sbq_read_result (&results, &result, &stamp))
+      unsigned int given = send->u.subquery.attempts;
+      unsigned int used = SBQ_ALL_ATTEMPTS;
+      if (!sbq_read_result (&results, &result, &stamp, &used))
         result = SBQ_FAILED;
       switch (result)
         {
@@ -234,7 +248,9 @@
           list.len = 0;
           break;
         case SBQ_FAILED:
-          gat_on_failure (query, part, GAT_FAIL_RAN, now, 0);
+          gat_on_delegated_failure (query, part, given,
+                                    used != SBQ_ALL_ATTEMPTS ? used : given,
+                                    now);
           break;
         case SBQ_NOT_RUN:
           gat_on_returned (query, part, send->u.subquery.attempts,
@@ -401,7 +417,7 @@
   rw_buf_init (&headers);
   for (size_t i = 0; i < query->plan.part_count; i++)
     if (!sbq_write_result (&results, result_of (&query->parts[i]),
-                           query->parts[i].stamp))
+                           query->parts[i].stamp, query->parts[i].attempts))
       query->parts[i].body.len = 0;
   rw_buf_printf (&headers, RESULTS_HEADER ": %.*s\r\n",
                  RW_STR_ARG (rw_buf_str (&results)));
--- a/lib/gather/gather.c
+++ b/lib/gather/gather.c
@@ -102,6 +102,16 @@
   gat_on_failure (query, part, failure, now, 0);
 }
 
+void
+gat_on_delegated_failure (struct gat_query *query, size_t part,
+                          unsigned int attempts, unsigned int used,
+                          rw_time now)
+{
+  if (used < attempts)
+    query->parts[part].attempts -= attempts - used;
+  gat_on_failure (query, part, GAT_FAIL_RAN, now, 0);
+}
+
 static void
 mark_lost (struct gat_query *query, struct gat_part *p)
 {
--- a/lib/gather/gather.h
+++ b/lib/gather/gather.h
@@ -101,6 +101,12 @@
 void gat_on_returned (struct gat_query *query, size_t part,
                       unsigned int attempts, enum gat_failure failure,
                       rw_time now);
+/* Records that PART, which was left to a daemon with ATTEMPTS, failed there
+   after USED of them, which may have run.  The part is due again at once if
+   the query has attempts left.  */
+void gat_on_delegated_failure (struct gat_query *query, size_t part,
+                               unsigned int attempts, unsigned int used,
+                               rw_time now);
 /* Records the answer of PART as part of a list that the other daemon merged
    from several: it takes the place of an answer of its own, which would count
    twice.  The BODY of the list belongs to one of its parts, and is empty for
--- a/lib/gather/test_gather.c
+++ b/lib/gather/test_gather.c
@@ -279,6 +279,24 @@
   assert_int_equal (gat_decide (&f->query, 30 * MS), GAT_ANSWER);
 }
 
+/* Guards against parts that are lost although their delegate used one of two
+   attempts, so that a query fails for them, and against a third send of one
+   that used both.  */
+TEST_WITH_FIXTURE (a_part_that_failed_at_its_delegate_is_sent_if_it_may_be)
+{
+  struct gat_plan plan = make_plan (2, 2);
+  gat_init (&f->query, &f->arena, &plan, 0);
+  gat_on_delegated (&f->query, 0, 2, 0);
+  gat_on_delegated (&f->query, 1, 2, 0);
+  gat_on_delegated_failure (&f->query, 0, 2, 1, 60 * MS);
+  gat_on_delegated_failure (&f->query, 1, 2, 2, 60 * MS);
+  assert_int_equal (f->query.lost, 1);
+  assert_true (gat_send_is_extra (&f->query, 0));
+  assert_int_equal (send_due_parts (f, 60 * MS, GAT_SEND_RETRY), 1);
+  assert_int_equal (f->query.parts[0].attempts, 2);
+  assert_int_equal (send_due_parts (f, 500 * MS, GAT_SEND_HEDGE), 0);
+}
+
 /* Guards against parts that are lost because a delegate refused them, or had
    no target for them, and against counting a first arrival at a target as an
    extra one, or an extra one as the first.  */
--- a/lib/subquery/subquery.c
+++ b/lib/subquery/subquery.c
@@ -13,7 +13,8 @@
 #define MAX_ATTEMPTS 1000
 #define MAX_SOFT_MS 86400000
 #define BITS_PER_DIGIT 4
-/* In a list of results, in the place of a stamp.  */
+/* In a list of results, in the place of a stamp.  The number of attempts may
+   follow the first.  */
 #define FAILED_MARK "-"
 #define NOT_RUN_MARK "!"
 
@@ -130,8 +131,8 @@
 sbq_write_order (const struct sbq_order *order, struct rw_buf *out)
 {
   size_t shard = 0;
-  rw_buf_printf (out, "%llu %u %lld ", (unsigned long long)order->version,
-                 order->max_attempts, (long long)order->soft_ms);
+  rw_buf_printf (out, "%llu %u %lld %u ", (unsigned long long)order->version,
+                 order->max_attempts, (long long)order->soft_ms, order->spare);
   for (uint32_t base = 0; shard < order->shard_count; base += BITS_PER_DIGIT)
     {
       unsigned int digit = 0;
@@ -178,23 +179,39 @@
 {
   int64_t version;
   int64_t attempts;
+  int64_t spare;
   if (rw_str_to_int (rw_str_token (&text, " "), 0, INT64_MAX, &version) != 0
       || rw_str_to_int (rw_str_token (&text, " "), 1, MAX_ATTEMPTS, &attempts)
              != 0
       || rw_str_to_int (rw_str_token (&text, " "), 0, MAX_SOFT_MS,
                         &order->soft_ms)
+             != 0
+      || rw_str_to_int (rw_str_token (&text, " "), 0, SBQ_MAX_SHARDS, &spare)
              != 0)
     return RW_E_PARSE;
   order->version = (uint64_t)version;
   order->max_attempts = (unsigned int)attempts;
+  order->spare = (unsigned int)spare;
   return read_shards (rw_str_trim (text), arena, order);
 }
 
+static bool
+is_failed_mark (struct rw_str word)
+{
+  size_t digits = 0;
+  if (word.len == 0 || word.ptr[0] != FAILED_MARK[0])
+    return false;
+  while (1 + digits < word.len && word.ptr[1 + digits] >= '0'
+         && word.ptr[1 + digits] <= '9')
+    digits++;
+  return 1 + digits == word.len;
+}
+
 bool
 sbq_write_result (struct rw_buf *out, enum sbq_result result,
-                  struct rw_str stamp)
+                  struct rw_str stamp, unsigned int attempts)
 {
-  bool writable = stamp.len > 0 && !rw_str_eq_cstr (stamp, FAILED_MARK)
+  bool writable = stamp.len > 0 && !is_failed_mark (stamp)
                   && !rw_str_eq_cstr (stamp, NOT_RUN_MARK)
                   && memchr (stamp.ptr, ',', stamp.len) == NULL
                   && memchr (stamp.ptr, ' ', stamp.len) == NULL;
@@ -210,6 +227,11 @@
         }
       break;
     case SBQ_FAILED:
+      if (attempts != SBQ_ALL_ATTEMPTS)
+        {
+          rw_buf_printf (out, FAILED_MARK "%u", attempts);
+          return true;
+        }
       break;
     case SBQ_NOT_RUN:
       rw_buf_append (out, NOT_RUN_MARK, 1);
@@ -221,17 +243,24 @@
 
 bool
 sbq_read_result (struct rw_str *text, enum sbq_result *result,
-                 struct rw_str *stamp)
+                 struct rw_str *stamp, unsigned int *attempts)
 {
+  int64_t number = SBQ_ALL_ATTEMPTS;
   struct rw_str word = rw_str_token (text, ",");
   if (word.len == 0)
     return false;
   *stamp = word;
-  if (rw_str_eq_cstr (word, FAILED_MARK))
-    *result = SBQ_FAILED;
+  if (is_failed_mark (word))
+    {
+      struct rw_str digits = { word.ptr + 1, word.len - 1 };
+      if (rw_str_to_int (digits, 1, MAX_ATTEMPTS, &number) != 0)
+        number = SBQ_ALL_ATTEMPTS;
+      *result = SBQ_FAILED;
+    }
   else if (rw_str_eq_cstr (word, NOT_RUN_MARK))
     *result = SBQ_NOT_RUN;
   else
     *result = SBQ_DONE;
+  *attempts = (unsigned int)number;
   return true;
 }
--- a/lib/subquery/subquery.h
+++ b/lib/subquery/subquery.h
@@ -69,7 +69,8 @@
 {
   uint64_t version;          /* of the sender's configuration */
   unsigned int max_attempts; /* of each part, by the delegate */
-  int64_t soft_ms;           /* until the answer is due, if it has any part */
+  int64_t soft_ms;           /* until the answer is due */
+  unsigned int spare;        /* parts that may be missing then */
   uint32_t *shards;          /* indices in the route, ascending */
   size_t shard_count;        /* at least 1 */
 };
@@ -94,12 +95,15 @@
 
 /* Appends the result of the next part to the value of a header of the answer,
    which has one for each part, in the order's sequence.  STAMP is that of a
-   part that is DONE.  Returns false, and appends SBQ_FAILED, if the stamp
+   part that is DONE, and ATTEMPTS the number of sends of one that has FAILED.
+   Returns false, and appends SBQ_FAILED with SBQ_ALL_ATTEMPTS, if the stamp
    cannot be written.  */
+#define SBQ_ALL_ATTEMPTS 0
 bool sbq_write_result (struct rw_buf *out, enum sbq_result result,
-                       struct rw_str stamp);
-/* Takes the next result off *TEXT.  Returns false if there is none.  */
+                       struct rw_str stamp, unsigned int attempts);
+/* Takes the next result off *TEXT.  Returns false if there is none.  Sets
+ *ATTEMPTS to SBQ_ALL_ATTEMPTS where it is not stated.  */
 bool sbq_read_result (struct rw_str *text, enum sbq_result *result,
-                      struct rw_str *stamp);
+                      struct rw_str *stamp, unsigned int *attempts);
 
 #endif
--- a/lib/subquery/test_subquery.c
+++ b/lib/subquery/test_subquery.c
@@ -99,6 +99,7 @@
   struct sbq_order order = { .version = 1234567,
                              .max_attempts = 2,
                              .soft_ms = 87,
+                             .spare = 3,
                              .shards = shards,
                              .shard_count = RW_ARRAY_LEN (shards) };
   struct sbq_order read;
@@ -108,6 +109,7 @@
   assert_int_equal (read.version, 1234567);
   assert_int_equal (read.max_attempts, 2);
   assert_int_equal (read.soft_ms, 87);
+  assert_int_equal (read.spare, 3);
   assert_int_equal (read.shard_count, RW_ARRAY_LEN (shards));
   assert_memory_equal (read.shards, shards, sizeof shards);
 }
@@ -116,9 +118,10 @@
 TEST_WITH_FIXTURE (malformed_orders_are_refused)
 {
   static const char *const texts[]
-      = { "",           "1",        "1 2 3",      "1 2 3 ",   "x 2 3 f",
-          "1 0 3 f",    "1 2 -3 f", "1 2 3 0",    "1 2 3 fg", "1 2 3 f f",
-          "1 2000 3 f", "-1 2 3 f", "1 2 3 00000" };
+      = { "",           "1",          "1 2 3",       "1 2 3 0",
+          "1 2 3 0 ",   "x 2 3 0 f",  "1 0 3 0 f",   "1 2 -3 0 f",
+          "1 2 3 0 0",  "1 2 3 0 fg", "1 2 3 0 f f", "1 2000 3 0 f",
+          "-1 2 3 0 f", "1 2 3 -1 f", "1 2 3 f",     "1 2 3 0 00000" };
   struct sbq_order order;
   char longest[SBQ_MAX_SHARDS];
   for (size_t i = 0; i < RW_ARRAY_LEN (texts); i++)
@@ -126,8 +129,8 @@
         sbq_read_order (rw_str_from (texts[i]), &f->arena, &order),
         RW_E_PARSE);
   memset (longest, 'f', sizeof longest);
-  for (size_t i = 0; i < 6; i++)
-    longest[i] = "1 2 3 "[i];
+  for (size_t i = 0; i < 8; i++)
+    longest[i] = "1 2 3 0 "[i];
   assert_int_equal (sbq_read_order ((struct rw_str){ longest, sizeof longest },
                                     &f->arena, &order),
                     RW_E_PARSE);
@@ -139,22 +142,55 @@
 {
   enum sbq_result result;
   struct rw_str stamp;
-  assert_true (sbq_write_result (&f->out, SBQ_DONE, RW_LIT ("st.1")));
-  assert_true (sbq_write_result (&f->out, SBQ_NOT_RUN, RW_LIT ("")));
-  assert_false (sbq_write_result (&f->out, SBQ_DONE, RW_LIT ("!")));
-  assert_false (sbq_write_result (&f->out, SBQ_DONE, RW_LIT ("a,b")));
-  assert_false (sbq_write_result (&f->out, SBQ_DONE, RW_LIT ("")));
-  assert_true (sbq_write_result (&f->out, SBQ_FAILED, RW_LIT ("")));
+  unsigned int attempts;
+  assert_true (sbq_write_result (&f->out, SBQ_DONE, RW_LIT ("st.1"), 0));
+  assert_true (sbq_write_result (&f->out, SBQ_NOT_RUN, RW_LIT (""), 0));
+  assert_false (sbq_write_result (&f->out, SBQ_DONE, RW_LIT ("!"), 0));
+  assert_false (sbq_write_result (&f->out, SBQ_DONE, RW_LIT ("a,b"), 0));
+  assert_false (sbq_write_result (&f->out, SBQ_DONE, RW_LIT (""), 0));
+  assert_true (sbq_write_result (&f->out, SBQ_FAILED, RW_LIT (""), 0));
   struct rw_str text = rw_buf_str (&f->out);
-  assert_true (sbq_read_result (&text, &result, &stamp));
+  assert_true (sbq_read_result (&text, &result, &stamp, &attempts));
   assert_int_equal (result, SBQ_DONE);
   assert_true (rw_str_eq_cstr (stamp, "st.1"));
-  assert_true (sbq_read_result (&text, &result, &stamp));
+  assert_true (sbq_read_result (&text, &result, &stamp, &attempts));
   assert_int_equal (result, SBQ_NOT_RUN);
   for (int i = 0; i < 4; i++)
     {
-      assert_true (sbq_read_result (&text, &result, &stamp));
+      assert_true (sbq_read_result (&text, &result, &stamp, &attempts));
       assert_int_equal (result, SBQ_FAILED);
+      assert_int_equal (attempts, SBQ_ALL_ATTEMPTS);
     }
-  assert_false (sbq_read_result (&text, &result, &stamp));
+  assert_false (sbq_read_result (&text, &result, &stamp, &attempts));
+}
+
+/* Guards against a part that is never sent again although its delegate has
+   used one of two attempts, and against taking more than were used for fewer.
+ */
+TEST_WITH_FIXTURE (the_attempts_of_a_failed_part_are_stated)
+{
+  enum sbq_result result;
+  struct rw_str stamp;
+  unsigned int attempts;
+  assert_true (sbq_write_result (&f->out, SBQ_FAILED, RW_LIT (""), 1));
+  assert_true (sbq_write_result (&f->out, SBQ_FAILED, RW_LIT (""), 2));
+  struct rw_str text = rw_buf_str (&f->out);
+  for (unsigned int i = 1; i <= 2; i++)
+    {
+      assert_true (sbq_read_result (&text, &result, &stamp, &attempts));
+      assert_int_equal (result, SBQ_FAILED);
+      assert_int_equal (attempts, i);
+    }
+  text = RW_LIT ("-0,-,-99999999999,-1001");
+  while (sbq_read_result (&text, &result, &stamp, &attempts))
+    {
+      assert_int_equal (result, SBQ_FAILED);
+      assert_int_equal (attempts, SBQ_ALL_ATTEMPTS);
+    }
+  /* Stamps that only begin like a mark.  */
+  text = RW_LIT ("-1.2,-x,--1");
+  while (sbq_read_result (&text, &result, &stamp, &attempts))
+    assert_int_equal (result, SBQ_DONE);
+  assert_false (sbq_write_result (&f->out, SBQ_DONE, RW_LIT ("-12"), 0));
+  assert_true (sbq_write_result (&f->out, SBQ_DONE, RW_LIT ("-1a"), 0));
 }
