No delegates in a data centre that is in doubt

Cause: each daemon keeps three delegates of a data centre, and found each of them out with queries of its own, again after each backoff. Change: while a delegate has stalled or is in backoff, and none of its data centre has replied for 50 ms, parts go to their targets.

--- a/cmd/rwfront/subquery.c
+++ b/cmd/rwfront/subquery.c
@@ -69,6 +69,8 @@
     {
       if (peers->delegates[i].dc != (uint32_t)dc)
         continue;
+      if (ste_in_doubt (peers->delegates[i].service, now))
+        return NULL;
       struct ste_target *target = ste_pick (
           &daemon->fleet, peers->delegates[i].service, latency, NULL, 0, now);
       return target != NULL && now >= target->backoff_until
--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -55,6 +55,10 @@
    multiple of the work on a request.  */
 #define MAX_WORK_AGE_RATIO 2.0
 
+/* While a target is in trouble, one of the same place must have replied within
+   this time.  */
+#define MAX_DOUBTFUL_SILENCE (50 * RW_MSEC)
+
 /* Penalties: times added to the expected time of a target.  */
 
 /* A message takes about 1.5 ms in each direction, and traffic between data
@@ -269,6 +273,20 @@
   return count;
 }
 
+bool
+ste_in_doubt (const struct ste_service *service, rw_time now)
+{
+  bool in_trouble = false;
+  rw_time last_reply = 0;
+  for (const struct ste_target *t = service->targets; t != NULL; t = t->next)
+    {
+      in_trouble |= now < t->backoff_until || ste_stalled (t, now);
+      if (t->last_reply > last_reply)
+        last_reply = t->last_reply;
+    }
+  return in_trouble && now - last_reply > MAX_DOUBTFUL_SILENCE;
+}
+
 static bool
 trusts_load (const struct ste_target *target, rw_time now)
 {
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -303,6 +303,11 @@
 size_t ste_pick_last_heard (const struct ste_fleet *fleet,
                             struct ste_target **targets, size_t max,
                             rw_time now);
+/* Returns whether a target of SERVICE, all of which are in one place, is in
+   backoff or has stalled while none of the others has replied lately: the
+   place may be lost, and each target would otherwise be found out with a send.
+ */
+bool ste_in_doubt (const struct ste_service *service, rw_time now);
 /* Returns whether fewer than one request per slot waits at TARGET, as far as
    is known.  */
 bool ste_has_room (const struct ste_target *target, rw_time now);
--- a/lib/steer/test_steer.c
+++ b/lib/steer/test_steer.c
@@ -373,6 +373,23 @@
     ste_finish (&fleets[i]);
 }
 
+/* Guards against finding out each target of a place that is lost with a
+   request of its own, and against leaving a place whose other targets reply.
+ */
+TEST_WITH_FIXTURE (a_place_is_in_doubt_while_none_of_its_targets_replies)
+{
+  struct ste_send send;
+  warm_up (f);
+  assert_false (ste_in_doubt (f->service, WARM));
+  ste_back_off (f->a, WARM);
+  ste_on_sent (&send, f->b, &f->latency, WARM);
+  ste_on_result (&send, STE_OK, WARM + 10 * MS);
+  assert_false (ste_in_doubt (f->service, WARM + 40 * MS));
+  assert_true (ste_in_doubt (f->service, WARM + 80 * MS));
+  /* Without trouble, silence means nothing.  */
+  assert_false (ste_in_doubt (f->service, WARM + 10 * RW_SEC));
+}
+
 /* Guards against sends to an unreachable target, for example while its address
    belongs to another one, and against never trying it again.  */
 TEST_WITH_FIXTURE (an_unreachable_target_is_tried_after_a_backoff)
