Spread the probes of daemons that have not heard of any target

Targets that never replied were probed in the order of the list, the same ones by all daemons: after a start of 300, 600 connections a second to two targets. Change: the order among them differs between daemons, and a calm daemon checks its ways with one connection a second in place of two. Measured: the new case of test_steer failed with the order of the list (a target that none of 300 daemons probes), and passes.

--- a/lib/reach/reach.h
+++ b/lib/reach/reach.h
@@ -12,7 +12,7 @@
 /* Probes of a round that decides, and of one that checks for a cut while
    nothing is sent to targets.  */
 #define RCH_ROUND_PROBES 5
-#define RCH_CHECK_PROBES 2
+#define RCH_CHECK_PROBES 1
 /* A probe without a connection for this time has no answer.  It is longer than
    the pauses of targets.  */
 #define RCH_PROBE_TIMEOUT (300 * RW_MSEC)
--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -247,6 +247,18 @@
       }
 }
 
+/* Whether A is to be probed before B: the one that replied last, and of those
+   that never did a different one at each daemon.  */
+static bool
+is_probed_before (const struct ste_fleet *fleet, const struct ste_target *a,
+                  const struct ste_target *b)
+{
+  uint64_t own = fleet->settings.daemon_key;
+  if (a->last_heard != b->last_heard)
+    return a->last_heard > b->last_heard;
+  return rw_hash_u64 (own, a->key) > rw_hash_u64 (own, b->key);
+}
+
 size_t
 ste_pick_last_heard (const struct ste_fleet *fleet,
                      struct ste_target **targets, size_t max, rw_time now)
@@ -260,7 +272,7 @@
         if (s->of_peers || !ste_usable (fleet, t, now) || t->draining
             || t->gone)
           continue;
-        while (at > 0 && targets[at - 1]->last_heard < t->last_heard)
+        while (at > 0 && is_probed_before (fleet, t, targets[at - 1]))
           at--;
         if (at == max)
           continue;
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -299,7 +299,8 @@
 void ste_count_waiting (const struct ste_fleet *fleet, size_t *waiting,
                         size_t *stalled, rw_time now);
 /* Stores in TARGETS up to MAX usable targets, without peers, that replied
-   last, and returns their number.  */
+   last, and returns their number.  Of those that never replied, different
+   daemons pick different ones.  */
 size_t ste_pick_last_heard (const struct ste_fleet *fleet,
                             struct ste_target **targets, size_t max,
                             rw_time now);
--- a/lib/steer/test_steer.c
+++ b/lib/steer/test_steer.c
@@ -373,6 +373,48 @@
     ste_finish (&fleets[i]);
 }
 
+/* Guards against daemons that all probe the same targets after a start, when
+   none has replied yet: 300 daemons, 2 probes each, 40 targets.  */
+TEST (probes_spread_over_targets_that_never_replied)
+{
+  enum
+  {
+    COUNT = 40
+  };
+  size_t picked[COUNT] = { 0 };
+  for (uint64_t daemon = 1; daemon <= 300; daemon++)
+    {
+      struct ste_fleet fleet;
+      struct ste_settings settings
+          = { .daemon_count = 300, .daemon_key = daemon };
+      struct ste_target *probed[2];
+      ste_init (&fleet, &settings, daemon);
+      for (uint16_t i = 0; i < COUNT; i++)
+        {
+          char id[8];
+          snprintf (id, sizeof id, "t%u", i);
+          struct cat_target entry = { .id = rw_str_from (id),
+                                      .service = RW_LIT ("s"),
+                                      .host = RW_LIT ("10.0.0.1"),
+                                      .port = (uint16_t)(i + 1),
+                                      .slots = 2 };
+          (void)ste_put (&fleet, &entry, i + 1, 0);
+        }
+      assert_int_equal (ste_pick_last_heard (&fleet, probed, 2, 0), 2);
+      assert_ptr_not_equal (probed[0], probed[1]);
+      picked[probed[0]->port - 1]++;
+      picked[probed[1]->port - 1]++;
+      /* One that replied comes first.  */
+      probed[1]->last_heard = RW_SEC;
+      struct ste_target *heard = probed[1];
+      (void)ste_pick_last_heard (&fleet, probed, 2, 2 * RW_SEC);
+      assert_ptr_equal (probed[0], heard);
+      ste_finish (&fleet);
+    }
+  for (size_t i = 0; i < COUNT; i++)
+    assert_in_range (picked[i], 1, 3 * 600 / COUNT);
+}
+
 /* Guards against finding out each target of a place that is lost with a
    request of its own, and against leaving a place whose other targets reply.
  */
