A target past its leaving time does not make its service unusable

Cause: for a target that is past its leaving time, and not freed yet, the time until it is usable again came out as one in the past. A usable target ended the search before; since its 0 was compared with that negative time. The negative time itself is older: with no usable target at all, it was told to callers. Change: only a time in the future counts. Measured: the new case of test_leaving failed before.

--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -212,7 +212,7 @@
                                                      : t->doubtful_until;
       if (!ste_usable (fleet, t, now))
         {
-          if (ste_usable (fleet, t, at))
+          if (at > now && ste_usable (fleet, t, at))
             best = fmin (best, (double)(at - now));
           continue;
         }
--- a/lib/steer/test_leaving.c
+++ b/lib/steer/test_leaving.c
@@ -69,6 +69,18 @@
   return ste_pick (&f->fleet, f->service, &f->latency, NULL, 0, now);
 }
 
+/* Guards against a time in the past for a target that has left, which callers
+   were told as a Retry-After of 100,000 years.  */
+TEST_WITH_FIXTURE (a_target_that_has_left_is_never_usable_again)
+{
+  rw_time now = 10 * RW_SEC;
+  ste_on_leaving (&f->fleet, f->a, now);
+  ste_mark_replaced (&f->fleet, f->b, now);
+  now += DRAIN_TIME;
+  assert_false (ste_any_usable (&f->fleet, f->service, now));
+  assert_true (isinf (ste_time_until_usable (&f->fleet, f->service, now)));
+}
+
 /* Guards against sends to a target that announced in a reply that it leaves:
    another one is there, and later the time is over.  */
 TEST_WITH_FIXTURE (a_target_that_announces_that_it_leaves_is_left)
--- a/lib/steer/test_steer.c
+++ b/lib/steer/test_steer.c
@@ -389,7 +389,7 @@
           = { .daemon_count = 300, .daemon_key = daemon };
       struct ste_target *probed[2];
       ste_init (&fleet, &settings, daemon);
-      for (uint16_t i = 0; i < COUNT; i++)
+      for (unsigned int i = 0; i < COUNT; i++)
         {
           char id[8];
           snprintf (id, sizeof id, "t%u", i);
