Small fallback peers stay listed while no large one is left

Cause: while a daemon is cut off, small peers are listed for 3 s after no peer was available.

Change: only large peers that are listed now decide whether the small ones are needed.

--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -425,6 +425,10 @@
 /* Whether REQUEST is to be forwarded to a larger peer.  */
 bool frn_should_relay (struct frn_daemon *daemon,
                        const struct frn_request *request, rw_time now);
+/* Whether PEERS has one that is neither in backoff nor stalled, and that was
+   listed after the revision SINCE.  */
+bool frn_any_peer_available (const struct ste_service *peers, int64_t since,
+                             rw_time now);
 /* Whether there is a larger peer that is neither in backoff nor stalled.  */
 bool frn_relay_available (const struct frn_daemon *daemon, rw_time now);
 /* Whether there is a peer that serves requests while this daemon is cut off.
--- a/cmd/rwfront/peerlist.c
+++ b/cmd/rwfront/peerlist.c
@@ -202,7 +202,7 @@
                  picked[i].members[j], now);
 }
 
-/* Small daemons are listed only if lately no large one took requests.  */
+/* Small daemons are listed only if lately no large one was available.  */
 void
 frn_peerlist_update_fallbacks (struct frn_daemon *daemon, rw_time now)
 {
@@ -212,7 +212,7 @@
     {
       list_fallbacks (daemon, peers->max_capacity / MIN_CAPACITY_RATIO + 1,
                       now);
-      if (!frn_fallback_available (daemon, now))
+      if (!frn_any_peer_available (peers->fallback_peers, before, now))
         peers->small_fallbacks_until = now + SMALL_FALLBACKS_TIME;
       if (now < peers->small_fallbacks_until)
         list_fallbacks (daemon, 0, now);
--- a/cmd/rwfront/relay.c
+++ b/cmd/rwfront/relay.c
@@ -24,12 +24,13 @@
 /* A peer whose event loop lags by more than this refuses relays.  */
 #define MAX_LOOP_LAG (40 * RW_MSEC)
 
-/* Whether PEERS has one that is neither in backoff nor stalled.  */
-static bool
-any_available (const struct ste_service *peers, rw_time now)
+bool
+frn_any_peer_available (const struct ste_service *peers, int64_t since,
+                        rw_time now)
 {
   for (const struct ste_target *t = peers->targets; t != NULL; t = t->next)
-    if (!t->gone && now >= t->backoff_until && !ste_stalled (t, now))
+    if (!t->gone && t->revision > since && now >= t->backoff_until
+        && !ste_stalled (t, now))
       return true;
   return false;
 }
@@ -37,13 +38,13 @@
 bool
 frn_relay_available (const struct frn_daemon *daemon, rw_time now)
 {
-  return any_available (daemon->peers.larger_peers, now);
+  return frn_any_peer_available (daemon->peers.larger_peers, 0, now);
 }
 
 bool
 frn_fallback_available (const struct frn_daemon *daemon, rw_time now)
 {
-  return any_available (daemon->peers.fallback_peers, now);
+  return frn_any_peer_available (daemon->peers.fallback_peers, 0, now);
 }
 
 /* Whether REQUEST is left to a peer because this daemon is cut off.  */
--- a/cmd/rwfront/test_relay.c
+++ b/cmd/rwfront/test_relay.c
@@ -17,6 +17,8 @@
   gos_init (&f->daemon.peers.gossip, &gossip, 0);
   f->daemon.peers.larger_peers
       = ste_service (&f->daemon.fleet, RW_LIT ("peers"));
+  f->daemon.peers.fallback_peers
+      = ste_service (&f->daemon.fleet, RW_LIT ("fallbacks"));
 }
 
 static void
@@ -116,3 +118,45 @@
   frn_peerlist_tick (&f->daemon, 3 * RW_SEC);
   assert_false (frn_relay_available (&f->daemon, 3 * RW_SEC));
 }
+
+/* Guards against requests that are refused every few seconds at a daemon that
+   is cut off, as its list of fallback peers is without small ones although no
+   large one is left.  */
+TEST_WITH_FIXTURE (small_peers_stay_listed_while_no_large_one_is_left)
+{
+  struct gos_message cut_off
+      = { .dc = 1, .capacity = 500, .revision = 1, .cut_off = true };
+  struct gos_message small = { .dc = 1, .capacity = 84, .revision = 1 };
+  f->daemon.settings.cores = 0.5;
+  f->daemon.reach.state.cut_off = true;
+  for (rw_time now = RW_SEC; now < 30 * RW_SEC; now += 100 * RW_MSEC)
+    {
+      gos_on_message (&f->daemon.peers.gossip, 2, &cut_off, now);
+      gos_on_message (&f->daemon.peers.gossip, 3, &small, now);
+      frn_peerlist_tick (&f->daemon, now);
+      assert_true (frn_fallback_available (&f->daemon, now));
+    }
+}
+
+/* Guards against small daemons that carry the requests of a large one for
+   longer than needed.  */
+TEST_WITH_FIXTURE (small_peers_are_not_listed_once_a_large_one_is_back)
+{
+  struct gos_message large
+      = { .dc = 1, .capacity = 500, .revision = 1, .cut_off = true };
+  struct gos_message small = { .dc = 1, .capacity = 84, .revision = 1 };
+  f->daemon.settings.cores = 0.5;
+  f->daemon.reach.state.cut_off = true;
+  for (rw_time now = RW_SEC; now < 20 * RW_SEC; now += 100 * RW_MSEC)
+    {
+      large.cut_off = now < 10 * RW_SEC;
+      gos_on_message (&f->daemon.peers.gossip, 2, &large, now);
+      gos_on_message (&f->daemon.peers.gossip, 3, &small, now);
+      frn_peerlist_tick (&f->daemon, now);
+    }
+  size_t listed = 0;
+  for (const struct ste_target *t = f->daemon.peers.fallback_peers->targets;
+       t != NULL; t = t->next)
+    listed += !t->gone;
+  assert_int_equal (listed, 1);
+}
