--- a/lib/steer/test_steer.c
+++ b/lib/steer/test_steer.c
@@ -466,6 +466,44 @@
       MS);
 }
 
+/* Guards against an overload that is not seen by a daemon that sends a target
+   few requests a second: each report of a long queue was forgotten before the
+   next one.  */
+TEST_WITH_FIXTURE (a_queue_that_lasts_is_known_between_rare_reports)
+{
+  rw_time now = WARM;
+  warm_up (f);
+  for (int i = 0; i < 6; i++)
+    {
+      ste_on_load_report (f->a, 2, 100, 2, now);
+      now += 350 * MS;
+      ste_on_load_report (f->b, 2, 100, 2, now);
+      now += 350 * MS;
+    }
+  assert_true (ste_queue_delay (&f->fleet, f->service, now)
+               > 45 * f->service->work.mean);
+}
+
+/* Guards against requests that are refused for long after a queue has gone,
+   because reports of it were rare.  */
+TEST_WITH_FIXTURE (a_queue_known_by_rare_reports_is_forgotten)
+{
+  rw_time now = WARM;
+  warm_up (f);
+  for (int i = 0; i < 6; i++, now += 3 * RW_SEC)
+    {
+      ste_on_load_report (f->a, 2, 100, 2, now);
+      ste_on_load_report (f->b, 2, 100, 2, now);
+    }
+  now -= 3 * RW_SEC;
+  assert_true (ste_queue_delay (&f->fleet, f->service, now + 2 * RW_SEC)
+               < f->service->work.mean);
+  ste_on_load_report (f->a, 2, 0, 2, now + 2 * RW_SEC);
+  ste_on_load_report (f->a, 2, 100, 2, now + 5 * RW_SEC);
+  assert_true (ste_queue_delay (&f->fleet, f->service, now + 6 * RW_SEC)
+               < f->service->work.mean);
+}
+
 /* Guards against a service without usable targets that seems free.  */
 TEST_WITH_FIXTURE (without_usable_targets_the_queue_delay_is_infinite)
 {
