A long backlog decays to the mean of its reports, not to nothing

What is forgotten too soon are only backlogs that take longer to drain than the estimate takes to decay.

Change: the hold is replaced. If the mean of the reports needs more than 0.2 s to drain, the backlog decays to that mean, which is forgotten after 1 s without a report.

--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -42,12 +42,11 @@
 #define BACKLOG_AVERAGE_TIME (60 * RW_MSEC)
 #define MIN_BACKLOG_WEIGHT 0.3
 /* A backlog that is not reported again is taken as unchanged for some time,
-   and then decays.  If it has lasted from one report to the next, the time
-   until another report is expected to be as long.  */
+   and then decays.  If even the mean of the reports needs longer than the
+   decay to drain, the backlog decays only to that at first.  */
 #define BACKLOG_HOLD_TIME (100 * RW_MSEC)
-#define MAX_BACKLOG_HOLD_TIME RW_SEC
-/* A backlog has lasted if at least this fraction of it is reported again.  */
-#define LASTING_BACKLOG_FRACTION 0.9
+#define BACKLOG_MEAN_HOLD_TIME RW_SEC
+#define BACKLOG_MEAN_WEIGHT 0.2
 #define BACKLOG_DECAY_TIME (200 * RW_MSEC)
 /* The load that a target reports is not used for this long after it refused a
    request while it reported free slots.  */
@@ -309,19 +308,16 @@
   return target->reports_load && now >= target->load_distrusted_until;
 }
 
-/* Adds a number of waiting requests per slot to the average of TARGET.  */
+/* Adds a number of waiting requests per slot to the averages of TARGET.  */
 static void
 backlog_add (struct ste_target *target, double backlog, rw_time now)
 {
-  rw_time interval = now - target->backlog_at;
-  double weight = 1 - exp (-(double)interval / BACKLOG_AVERAGE_TIME);
-  target->backlog_hold = BACKLOG_HOLD_TIME;
-  if (backlog >= LASTING_BACKLOG_FRACTION * target->backlog
-      && target->backlog > 0 && interval > BACKLOG_HOLD_TIME)
-    target->backlog_hold
-        = interval < MAX_BACKLOG_HOLD_TIME ? interval : MAX_BACKLOG_HOLD_TIME;
+  double weight
+      = 1 - exp (-(double)(now - target->backlog_at) / BACKLOG_AVERAGE_TIME);
   target->backlog
       += fmax (weight, MIN_BACKLOG_WEIGHT) * (backlog - target->backlog);
+  target->backlog_mean
+      += BACKLOG_MEAN_WEIGHT * (backlog - target->backlog_mean);
   target->backlog_at = now;
 }
 
@@ -330,8 +326,13 @@
 {
   if (target->backlog == 0)
     return 0;
-  return decayed (target->backlog, 0,
-                  target->backlog_at + target->backlog_hold, now,
+  double floor = fmin (target->backlog, target->backlog_mean);
+  if (floor * target->service->work.mean < BACKLOG_DECAY_TIME)
+    floor = 0;
+  floor = decayed (floor, 0, target->backlog_at + BACKLOG_MEAN_HOLD_TIME, now,
+                   BACKLOG_DECAY_TIME);
+  return decayed (target->backlog, floor,
+                  target->backlog_at + BACKLOG_HOLD_TIME, now,
                   BACKLOG_DECAY_TIME);
 }
 
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -80,10 +80,10 @@
   rw_time queue_len_at; /* time of the last update */
   bool reports_load;    /* in its replies */
   rw_time load_distrusted_until;
-  double backlog;       /* requests waiting per slot, moving average */
-  rw_time backlog_at;   /* time of the last update */
-  rw_time backlog_hold; /* it is taken as unchanged for this long */
-  void *user;           /* connection pool; set and freed by the caller */
+  double backlog;      /* requests waiting per slot, moving average */
+  double backlog_mean; /* of the reports, each with the same weight */
+  rw_time backlog_at;  /* time of the last update */
+  void *user;          /* connection pool; set and freed by the caller */
 };
 
 /* A send that waits for its result.  The caller owns it, and keeps it until
