Idle time releases the refused share of a route

Cause: one update of the share stood for at most 200 ms, also when the pressure was over: the first request after seconds without any was refused for an overload that had ended long before, with targets free.

Change: the release of the integral part takes the whole time since the last update into account.

--- a/lib/shed/shed.c
+++ b/lib/shed/shed.c
@@ -32,7 +32,8 @@
 #define RELEASE_TIME (400 * RW_MSEC)
 /* The rest is admitted, to see how the targets are.  */
 #define MAX_SHARE 0.95
-/* Longest time that one update stands for.  */
+/* Longest time for which one update lets the share rise or fall in proportion
+   to the error.  The release takes the whole time into account.  */
 #define MAX_STEP (200 * RW_MSEC)
 /* The refused share of the requests that come last, relative to the others.
  */
@@ -159,13 +160,12 @@
 void
 shd_update (struct shd_route *route, double delay, double target, rw_time now)
 {
-  rw_time step = route->updated_at == 0 ? 0 : now - route->updated_at;
-  if (step > MAX_STEP)
-    step = MAX_STEP;
+  rw_time elapsed = route->updated_at == 0 ? 0 : now - route->updated_at;
+  rw_time step = elapsed < MAX_STEP ? elapsed : MAX_STEP;
   double error = fmin (delay / target - 1, MAX_ERROR);
   route->integral += INTEGRAL_GAIN_PER_S * error * (double)step / RW_SEC;
   if (error < RELEASE_ERROR)
-    route->integral *= exp (-(double)step / RELEASE_TIME);
+    route->integral *= exp (-(double)elapsed / RELEASE_TIME);
   route->integral = fmax (0, fmin (route->integral, MAX_SHARE));
   route->share = route->integral + PROPORTIONAL_GAIN * error;
   route->share = fmax (0, fmin (route->share, MAX_SHARE));
--- a/lib/shed/test_shed.c
+++ b/lib/shed/test_shed.c
@@ -384,6 +384,25 @@
   assert_true (shd_admit (&route, SHD_LAST));
 }
 
+/* Guards against the refusal of the first request after an idle time, for an
+   overload that ended long before.  */
+TEST (idle_time_releases_the_share)
+{
+  struct shd_route route;
+  rw_time now = RW_SEC;
+  shd_init (&route);
+  for (; now < 3 * RW_SEC; now += 100 * RW_MSEC)
+    {
+      shd_update (&route, 300000, 90000, now);
+      shd_admit (&route, SHD_FIRST);
+    }
+  assert_true (route.share > 0.9);
+  now += 3 * RW_SEC;
+  shd_update (&route, 0, 90000, now);
+  assert_true (route.share == 0);
+  assert_true (shd_admit (&route, SHD_FIRST));
+}
+
 /* Guards against more or fewer refusals than the share says, also over few
    requests.  */
 TEST (refusals_follow_the_share_evenly)
