A delay that a delegate reports does not count for local targets

Cause: what a delegate reported of the queues of its data centre was taken for the delay of the whole service, local targets included. In a burst requests were refused while copies in the daemon's own data centre, which the delegate does not send to, had room.

Change: a reported delay is the least that targets of other data centres are expected to have; the delay of a service is that of its best target.

--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -360,9 +360,12 @@
   service->peer_delay_at = now;
 }
 
-double
-ste_own_queue_delay (const struct ste_fleet *fleet,
-                     const struct ste_service *service, rw_time now)
+/* The delay in the queue of the best target of SERVICE, if those of other data
+   centres have at least OTHER_DC_DELAY.  */
+static double
+best_queue_delay (const struct ste_fleet *fleet,
+                  const struct ste_service *service, double other_dc_delay,
+                  rw_time now)
 {
   double best = INFINITY;
   for (const struct ste_target *t = service->targets; t != NULL; t = t->next)
@@ -378,17 +381,25 @@
       if (t->oldest_send != NULL)
         delay = fmax (delay, (double)(now - t->oldest_send->sent_at)
                                  - MAX_WORK_AGE_RATIO * service->work.mean);
+      if (t->dc != fleet->settings.dc)
+        delay = fmax (delay, other_dc_delay);
       best = fmin (best, delay);
     }
   return best;
 }
 
+double
+ste_own_queue_delay (const struct ste_fleet *fleet,
+                     const struct ste_service *service, rw_time now)
+{
+  return best_queue_delay (fleet, service, 0, now);
+}
+
 double
 ste_queue_delay (const struct ste_fleet *fleet,
                  const struct ste_service *service, rw_time now)
 {
-  return fmax (ste_own_queue_delay (fleet, service, now),
-               peer_delay_of (service, now));
+  return best_queue_delay (fleet, service, peer_delay_of (service, now), now);
 }
 
 /* Returns the time in microseconds until a target of SLOTS that has QUEUE_LEN
