Kill delegates while they work on a query

subquery.sh killed its delegates only between queries. It now kills both while the targets work: the query ends with 502 within 0.5 s and no part runs more often than it may.

--- a/tests/process/subquery.sh
+++ b/tests/process/subquery.sh
@@ -70,7 +70,25 @@
 kill -CONT "$VM2" "$VM3"
 echo "ok: delegates that freeze ($took ms)"
 
-# The delegates die.
+# The delegates die while they work on a query: it ends at once, and no part runs
+# more often than it may.
+delegated() { metric 1 rwf_subqueries_total; }
+back() {
+	sent=$(delegated)
+	request back-$(date +%N) /all/x 1 >/dev/null
+	[ "$(delegated)" -gt "$sent" ]
+}
+await "parts are delegated again" back
+for s in 0 1 2 3 4 5; do control POST /searcher/s$s-1/work/700; done
+request killed-1 /all/x 1 >"$DIR/killed.status" &
+curl_pid=$!
+sleep 0.1
+begun=$(date +%s%N)
 kill -9 "$VM2" "$VM3"
+wait $curl_pid
+took=$((($(date +%s%N) - begun) / 1000000))
+[ $took -lt 500 ] || fail "a query waited $took ms for delegates that died"
+expect "a query whose delegates died" "$(cat "$DIR/killed.status")" 502
+for s in 0 1 2 3 4 5; do control POST /searcher/s$s-1/work/5; done
 await "queries are served when the delegates are dead" direct
 expect "no part ran too often" "$(over)" "$before"
