A refusal does not end the limit of a target

Cause: any reply without Server-Limit ended a limit, also a 503 that the target had sent without looking at the request. A searcher that refuses because of load and does not name its limit in refusals then got all requests again.

Change: only a signed reply to a request that ran ends a limit.

--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -235,7 +235,9 @@
                 target->service->name, target->limit_per_s,
                 ste_limit_sharers (&daemon->fleet, target->service));
     }
-  else if (sent_at != RW_TIME_NEVER && ste_on_no_limit (target, sent_at))
+  else if (sent_at != RW_TIME_NEVER
+           && ste_on_no_limit (target, !reply->not_run && reply->stamp.len > 0,
+                               sent_at))
     evt_line (&daemon->log, EVT_STATE, "target", now,
               "not limited any more: id=%s per_s=%.3f ms=%lld sends=%llu",
               target->id, target->limit_per_s,
--- a/lib/steer/limit.c
+++ b/lib/steer/limit.c
@@ -102,9 +102,9 @@
 }
 
 bool
-ste_on_no_limit (struct ste_target *target, rw_time sent_at)
+ste_on_no_limit (struct ste_target *target, bool ran, rw_time sent_at)
 {
-  if (!target->limited || sent_at < target->limit_heard_at)
+  if (!target->limited || !ran || sent_at < target->limit_heard_at)
     return false;
   target->limited = false;
   return true;
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -227,11 +227,13 @@
    share.  Returns whether that is news.  */
 bool ste_on_limit (struct ste_fleet *fleet, struct ste_target *target,
                    double per_s, rw_time now);
-/* Records that a reply of TARGET to a request of SENT_AT named no limit.  The
-   limit ends unless it was named after the request was sent: replies on
+/* Records that a reply of TARGET to a request of SENT_AT named no limit.  RAN:
+   TARGET ran the request and signed the reply; a refusal may be sent before
+   the part of TARGET that knows its limit has seen the request.  The limit
+   ends if RAN, unless it was named after the request was sent: replies on
    different connections may overtake each other.  Returns whether that is
    news.  */
-bool ste_on_no_limit (struct ste_target *target, rw_time sent_at);
+bool ste_on_no_limit (struct ste_target *target, bool ran, rw_time sent_at);
 /* Marks TARGET gone at once, as another target answers at its address.
    Nothing more is sent to it.  A later list entry of its id makes a new
    target.  */
--- a/lib/steer/test_limit.c
+++ b/lib/steer/test_limit.c
@@ -121,7 +121,7 @@
   if (limit >= 0)
     ste_on_limit (&d->fleet, target, limit, now + WORK);
   else
-    ste_on_no_limit (target, now);
+    ste_on_no_limit (target, true, now);
 }
 
 static void
@@ -235,11 +235,22 @@
   assert_true (ste_on_limit (&d->fleet, d->limited, 5, now));
   assert_false (ste_on_limit (&d->fleet, d->limited, 5, now + MS));
   assert_true (ste_on_limit (&d->fleet, d->limited, 6, now + 2 * MS));
-  assert_false (ste_on_no_limit (d->limited, now - MS));
+  assert_false (ste_on_no_limit (d->limited, true, now - MS));
   assert_true (d->limited->limited);
-  assert_true (ste_on_no_limit (d->limited, now + 3 * MS));
+  assert_true (ste_on_no_limit (d->limited, true, now + 3 * MS));
   assert_false (d->limited->limited);
-  assert_false (ste_on_no_limit (d->limited, now + 4 * MS));
+  assert_false (ste_on_no_limit (d->limited, true, now + 4 * MS));
+}
+
+/* Guards against a limit that ends with a refusal that does not name it: a
+   searcher in need would then get all requests at the worst time.  */
+TEST_WITH_FIXTURE (a_limit_does_not_end_with_a_refusal)
+{
+  struct daemon *d = &f->daemons[7];
+  rw_time now = 10 * RW_SEC;
+  ste_on_limit (&d->fleet, d->limited, 5, now);
+  assert_false (ste_on_no_limit (d->limited, false, now + MS));
+  assert_true (d->limited->limited);
 }
 
 /* Guards against a target that takes nothing and is never asked again: the
--- a/tests/process/limit.sh
+++ b/tests/process/limit.sh
@@ -87,6 +87,16 @@
 expect "parts beyond the limits of the shards" "$(count beyond)" 0
 [ "$(statuses 200)" -ge 10 ] || fail "only $(statuses 200) queries were served"
 
+# A target that refuses, and does not name its limit in refusals, still has it.
+request heard-1 /safe/x 1 >/dev/null
+control POST /searcher/one-0/shed
+control POST /searcher/one-1/shed
+uneven_load /safe/x 8
+join
+expect "requests beyond the limits of targets that refuse" "$(count beyond)" 0
+control POST /searcher/one-0/none
+control POST /searcher/one-1/none
+
 # The limits end: all is served again.
 for s in s0-0 s0-1 s1-0 s1-1 one-0 one-1; do
 	control POST /searcher/$s/limit/0
