--- a/tests/process/limit.sh
+++ b/tests/process/limit.sh
@@ -18,9 +18,10 @@
 load() {
 	end=$(($(date +%s) + $3))
 	while [ "$(date +%s)" -lt $end ]; do
-		curl -s -m 5 -o /dev/null -w '%{http_code} %{time_total}\n' \
-		    -H 'Host: site.example' \
-		    -H "X-Redwingfork-Request-Id: l$1-$$-$(date +%s%N)" \
+		id=l$1-$4-$(date +%s%N)
+		curl -s -m 5 -o /dev/null -H 'Host: site.example' \
+		    -w "%{http_code} %{time_total} %{time_connect} $id\n" \
+		    -H "X-Redwingfork-Request-Id: $id" \
 		    -H 'X-Redwingfork-Deadline-Ms: 1500' \
 		    "http://$NET.$1:8104$2"
 	done >"$DIR/load-$1-$4"
@@ -76,6 +77,10 @@
 [ "$served" -ge 20 ] || fail "only $served requests ran under the limits"
 [ "$(statuses 503)" -ge 20 ] || fail "only $(statuses 503) were refused"
 slow=$(awk '$1 == 503 && $2 > 0.5' "$DIR/loads" | wc -l)
+awk '$1 == 503 && $2 > 0.5' "$DIR/loads" | while read -r status time connect id; do
+	echo "late: status=$status s=$time connect_s=$connect id=$id"
+	lines "$id"
+done
 expect "refusals that came late" "$slow" 0
 request limited-1 /safe/x 1 >/dev/null
 echo "ok: $served requests ran, $(statuses 503) were refused at once"
--- a/tests/process/subquery.sh
+++ b/tests/process/subquery.sh
@@ -79,10 +79,16 @@
 	[ "$(delegated)" -gt "$sent" ]
 }
 await "parts are delegated again" back
-for s in 0 1 2 3 4 5; do control POST /searcher/s$s-1/work/700; done
+at_delegates() {
+	echo $(($(metric 2 rwf_subqueries_served_total) +
+	    $(metric 3 rwf_subqueries_served_total)))
+}
+is_delegated() { [ "$(at_delegates)" -gt "$sent" ]; }
+for s in 0 1 2 3 4 5; do control POST /searcher/s$s-1/work/1200; done
+sent=$(at_delegates)
 request killed-1 /all/x 1 >"$DIR/killed.status" &
 curl_pid=$!
-sleep 0.1
+await "delegates have the query" is_delegated
 begun=$(date +%s%N)
 kill -9 "$VM2" "$VM3"
 wait $curl_pid
