Log which requests were at a target when its process ended

The lines of requests named neither path nor body, so two requests for the same could not be recognised, and no line said that a target's process had ended. All lines of a request now have key=, a hash of what is asked and by whom, and a lost connection that is the last one of a target is followed by an attempt to connect: if that is refused too, a line names each request that was at the target.

--- a/cmd/rwfront/answer.c
+++ b/cmd/rwfront/answer.c
@@ -107,13 +107,14 @@
       &daemon->log,
       complete && latency < request->route->aim ? EVT_SAMPLED : EVT_NORMAL,
       request->order == NULL ? "request" : "subquery", now,
-      "%s: id=%s route=%s status=%d ms=%lld aim_ms=%lld left_ms=%lld "
+      "%s: id=%s route=%s key=%016llx status=%d ms=%lld aim_ms=%lld "
+      "left_ms=%lld "
       "spent_ms=%lld parts=%zu/%zu "
       "lost=%zu sends=%zu denied=%u%s error=\"%s\" at=%s version=%llu "
       "age_ms=%lld",
       frn_outcome_name (outcome), evt_value (request->id).text,
-      evt_value (request->route->name).text, status,
-      (long long)(latency / RW_MSEC),
+      evt_value (request->route->name).text, (unsigned long long)request->key,
+      status, (long long)(latency / RW_MSEC),
       (long long)(request->route->aim / RW_MSEC),
       (long long)request->time_left_ms,
       (long long)(request->time_spent / RW_MSEC), request->query.done,
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -542,6 +542,9 @@
   rw_time caller_deadline; /* when the caller gives up */
   rw_time next_interim;    /* relayed: when to send an interim reply */
   struct rw_str id;
+  /* Hash of what is asked and by whom: the same for all repeats, at every
+     daemon.  */
+  uint64_t key;
   struct rw_str method;
   struct rw_str path_query;
   struct rw_str header_lines; /* forwarded to targets, each ends in CR LF */
@@ -736,6 +739,15 @@
   bool proven;        /* a way to the target: it stayed open or was used */
 };
 
+/* A request that was at a target when its connection was lost.  */
+struct frn_loss
+{
+  uint64_t key;
+  rw_time sent_at;
+  char id[64]; /* of the request */
+};
+#define FRN_MAX_LOSSES 16
+
 /* The connections to one target, and the sends that wait for one.  Created at
    the first use of the target and kept in its user pointer.  */
 struct frn_pool
@@ -748,6 +760,12 @@
   struct frn_send *queue_tail;
   bool ever_opened;  /* a connection was started once */
   rw_time last_used; /* last call of frn_pool_send; 0: never */
+  /* Requests that were lost at LOST_AT and before, until it is known whether
+     the target's process has ended.  */
+  struct frn_loss losses[FRN_MAX_LOSSES];
+  size_t loss_count;
+  rw_time lost_at;
+  bool refuses; /* a connection failed to open since the last loss */
 };
 
 /* Whether SEND carries PART.  */
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -33,6 +33,7 @@
 #define MIN_PART_BYTES (256 << 10)
 
 static void pool_serve (struct frn_pool *pool);
+static void conn_open (struct frn_pool *pool);
 
 static struct frn_pool *
 pool_of (struct frn_daemon *daemon, struct ste_target *target)
@@ -126,6 +127,53 @@
   fail_queued (pool, "target replaced", now);
 }
 
+/* Keeps SEND, whose connection was lost before a reply, until it is known
+   whether the target's process has ended.  */
+static void
+note_loss (struct frn_pool *pool, const struct frn_send *send, rw_time now)
+{
+  const struct frn_request *request = send->request;
+  if (pool->target->service->of_peers)
+    return;
+  pool->lost_at = now;
+  pool->refuses = false;
+  if (pool->loss_count == FRN_MAX_LOSSES)
+    return;
+  struct frn_loss *loss = &pool->losses[pool->loss_count++];
+  loss->key = request->key;
+  loss->sent_at = send->steer.sent_at;
+  rw_str_copy (loss->id, sizeof loss->id, request->id);
+}
+
+/* Reports the requests that were at the target when its process ended.  */
+static void
+report_end (struct frn_pool *pool, rw_time now)
+{
+  const struct ste_target *target = pool->target;
+  for (size_t i = 0; i < pool->loss_count; i++)
+    evt_line (&pool->daemon->log, EVT_NORMAL, "target", now,
+              "ended with a request: target=%s service=%s id=%s key=%016llx "
+              "sent_ms_ago=%lld",
+              target->id, target->service->name,
+              evt_value (rw_str_from (pool->losses[i].id)).text,
+              (unsigned long long)pool->losses[i].key,
+              (long long)((now - pool->losses[i].sent_at) / RW_MSEC));
+  pool->loss_count = 0;
+}
+
+/* Decides whether the target's process has ended: it has if no connection is
+   left and a new one cannot be opened.  */
+static void
+check_losses (struct frn_pool *pool, rw_time now)
+{
+  if (pool->loss_count == 0 || pool->conn_count > 0)
+    return;
+  if (pool->refuses)
+    report_end (pool, now);
+  else
+    conn_open (pool);
+}
+
 /* This daemon's share of the connections to the target, 1 to MAX_CONNS.  */
 static size_t
 conn_limit (const struct frn_pool *pool)
@@ -204,6 +252,9 @@
     service->handshake_time
         += (now - conn->opened_at - service->handshake_time) / 8;
   conn->idle_since = now;
+  /* The target lives, so its losses were not its end.  */
+  if (conn->opened_at >= pool->lost_at)
+    pool->loss_count = 0;
   if (h1->keep_alive_timeout > 0)
     conn->idle_limit = (rw_time)(h1->keep_alive_timeout * IDLE_LIMIT_RATIO);
   if (pool->queue_head != NULL)
@@ -325,6 +376,7 @@
   if (!pool->target->service->of_peers)
     {
       pool->target->last_heard = now;
+      pool->loss_count = 0; /* it lives */
       rch_on_reply (&pool->daemon->reach.state, now);
       prove (conn, now);
     }
@@ -382,14 +434,18 @@
   (void)code;
   pool_remove_conn (conn);
   conn->send = NULL;
+  if (connecting && conn->opened_at >= pool->lost_at)
+    pool->refuses = true;
   if (send != NULL)
     {
+      note_loss (pool, send, rw_now ());
       send->conn = NULL;
       end_send (send, STE_FAILED, rw_now ());
       frn_on_send_failed (send, GAT_FAIL_UNKNOWN, "connection lost");
     }
   if (!conn->proven)
     note_refused (pool, rw_now ());
+  check_losses (pool, rw_now ());
   if (connecting && pool->conn_count == 0)
     back_off (pool, "cannot connect");
   else
@@ -554,6 +610,7 @@
       if (conn->h1.state == H1_CLIENT_CONNECTING
           && now - conn->opened_at > CONNECT_TIMEOUT)
         {
+          pool->refuses = conn->opened_at >= pool->lost_at;
           conn_close (conn);
           timed_out = true;
           note_refused (pool, now);
@@ -564,6 +621,7 @@
                && now - conn->idle_since > RCH_PROBE_SETTLE_TIME)
         prove (conn, now);
     }
+  check_losses (pool, now);
   if ((timed_out && pool->conn_count == 0) || is_connect_overdue (pool, now))
     back_off (pool, "no connection in time");
 }
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -33,6 +33,21 @@
   rw_buf_append (out, "\r\n", 2);
 }
 
+/* The key of REQUEST, which is MESSAGE: a hash of the method, host, path,
+   query, credentials and body.  */
+static uint64_t
+key_of (const struct frn_request *request, const struct h1_message *message)
+{
+  const struct rw_str fields[]
+      = { request->method, h1_header_value (message, "Host"),
+          h1_header_value (message, "Authorization"), request->path_query,
+          request->body };
+  uint64_t key = 0;
+  for (size_t i = 0; i < RW_ARRAY_LEN (fields); i++)
+    key = rw_hash_u64 (key, rw_hash (fields[i]));
+  return key;
+}
+
 /* Copies what is forwarded of MESSAGE: all but the headers that concern one
    connection or that this tier sets itself.  */
 static void
@@ -45,6 +60,7 @@
   request->is_head = message->method == HTTP_HEAD;
   request->path_query = rw_arena_str (&request->arena, message->target);
   request->body = rw_arena_str (&request->arena, message->body);
+  request->key = key_of (request, message);
   rw_buf_init (&lines);
   for (size_t i = 0; i < message->header_count; i++)
     {
