--- a/tests/rwfsite/control.c
+++ b/tests/rwfsite/control.c
@@ -19,6 +19,10 @@
    in its answers; 0: none)
    POST /searcher/ID/pause/MS, POST /searcher/ID/work/MS
    POST /searcher/ID/waiting/N (requests that it reports as waiting)
+   POST /searcher/ID/version/N (of its software, from its next entry on)
+   POST /searcher/ID/crash
+   POST /crash/N/PATH (requests for /PATH crash searchers of versions up to N;
+   0: none)
    POST /ways/ADDRESS/open|refused|reset (of the daemon to all searchers)
    GET /report, GET /ran/SERVICE/ID  */
 
@@ -111,6 +115,10 @@
         s->paused_until = rw_now () + number * RW_MSEC;
       else if (rw_str_eq_cstr (what, "work"))
         s->work = number * RW_MSEC;
+      else if (rw_str_eq_cstr (what, "version"))
+        s->version = (unsigned int)number;
+      else if (rw_str_eq_cstr (what, "crash"))
+        site_searcher_crash (s);
       else if (rw_str_eq_cstr (what, "waiting"))
         s->waiting = (unsigned int)number;
       else if (rw_str_eq_cstr (what, "announce"))
@@ -145,6 +153,18 @@
   return true;
 }
 
+/* Counts anew, too.  */
+static bool
+set_crash (struct site *site, struct rw_str path)
+{
+  int64_t version = 0;
+  if (rw_str_to_int (rw_str_token (&path, "/"), 0, 1000, &version) != 0)
+    return false;
+  site->crash = (struct site_crash){ .max_version = (unsigned int)version };
+  rw_str_copy (site->crash.path, sizeof site->crash.path, path);
+  return true;
+}
+
 static void
 report (struct site *site, struct h1_conn *conn)
 {
@@ -161,11 +181,15 @@
   rw_buf_init (&out);
   rw_buf_printf (&out,
                  "calls=%llu ran=%llu twice=%llu late=%llu "
-                 "uninvited=%llu beyond=%llu over=%llu\n",
+                 "uninvited=%llu beyond=%llu ends=%llu deadly=%llu "
+                 "late_deadly=%llu over=%llu\n",
                  (unsigned long long)site->calls,
                  (unsigned long long)site->ran,
                  (unsigned long long)site->twice, (unsigned long long)late,
                  (unsigned long long)uninvited, (unsigned long long)over_limit,
+                 (unsigned long long)site->crash.ends,
+                 (unsigned long long)site->crash.runs,
+                 (unsigned long long)site->crash.late_runs,
                  (unsigned long long)site->over);
   answer (conn, 200, rw_buf_str (&out));
   rw_buf_finish (&out);
@@ -203,6 +227,8 @@
   struct rw_str kind = rw_str_token (&path, "/");
   if (rw_str_eq_cstr (kind, "store"))
     return set_store (site, rw_str_token (&path, "/"));
+  if (rw_str_eq_cstr (kind, "crash"))
+    return set_crash (site, path);
   if (rw_str_eq_cstr (kind, "ways"))
     return set_ways (site, path);
   if (rw_str_eq_cstr (kind, "searcher"))
--- a/tests/rwfsite/searcher.c
+++ b/tests/rwfsite/searcher.c
@@ -26,6 +26,7 @@
   uv_timer_t timer;
   struct site_searcher *searcher;
   struct h1_conn *conn; /* null: the caller left */
+  bool crashes;         /* it ends the searcher */
   char id[80];
 };
 
@@ -114,7 +115,10 @@
           (uint64_t)((job->searcher->paused_until - now) / RW_MSEC) + 1, 0);
       return;
     }
-  finish (job);
+  if (job->conn != NULL && job->crashes)
+    site_searcher_crash (job->searcher);
+  else
+    finish (job);
   uv_close ((uv_handle_t *)timer, on_job_closed);
 }
 
@@ -139,6 +143,7 @@
   uv_timer_init (&searcher->site->loop, &job->timer);
   job->timer.data = job;
   h1_conn_set_data (conn, job);
+  job->crashes = site_crashes (searcher->site, searcher, message);
   count_run (searcher, job->id, repeatable);
   rw_time leaving_since
       = searcher->announced > 0 ? searcher->announced : searcher->changed;
@@ -268,6 +273,12 @@
   .on_disconnect = on_gone,
 };
 
+int
+site_searcher_listen (struct site_searcher *s, uint16_t port)
+{
+  return site_listen (s->site, &s->server, port, &searcher_ops, s);
+}
+
 struct site_searcher *
 site_searcher_add (struct site *site, const char *id, const char *service,
                    const char *dc, uint16_t port, rw_time work)
@@ -278,11 +289,12 @@
   s->site = site;
   s->work = work;
   s->born = 1;
+  s->version = 1;
   s->limit_per_s = -1;
   snprintf (s->id, sizeof s->id, "%s", id);
   snprintf (s->service, sizeof s->service, "%s", service);
   snprintf (s->dc, sizeof s->dc, "%s", dc);
-  if (site_listen (site, &s->server, port, &searcher_ops, s) != 0)
+  if (site_searcher_listen (s, port) != 0)
     {
       fprintf (stderr, "rwfsite: cannot listen for searcher %s\n", id);
       exit (1);
@@ -299,10 +311,10 @@
   snprintf (key, sizeof key, "servers/%s", s->id);
   int len = snprintf (value, sizeof value,
                       "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\","
-                      "\"zone\":\"%s\",\"version\":\"v1\",\"capacity\":2,"
+                      "\"zone\":\"%s\",\"version\":\"v%u\",\"capacity\":2,"
                       "\"state\":\"%s\",\"warmupLeftMs\":0,\"sequence\":1,"
                       "\"born\":%u}",
-                      s->service, s->port, s->dc,
+                      s->service, s->port, s->dc, s->version,
                       s->draining ? "draining" : "ready", s->born);
   site_put (s->site, key, s->stopped ? NULL : value, (size_t)len);
 }
--- a/tests/rwfsite/site.h
+++ b/tests/rwfsite/site.h
@@ -1,7 +1,8 @@
 /* Stand-ins of the users' platform on loopback: its store, which can only be
    read, and searchers.  They follow the published protocol as far as the tests
    need it.  store.c: items, ranges and watches.  searcher.c: targets with
-   slots, pauses and faults.  control.c: what a test changes and asks.  */
+   slots, pauses and faults.  crash.c: a request that crashes them.  control.c:
+   what a test changes and asks.  */
 
 #ifndef SITE_SITE_H
 #define SITE_SITE_H
@@ -69,7 +70,9 @@
   char service[64];
   char dc[32];
   uint16_t port;
-  unsigned int born; /* which start of the searcher this is, from 1 */
+  unsigned int born;    /* which start of the searcher this is, from 1 */
+  unsigned int version; /* of its software, from 1 */
+  bool down;            /* it crashed, and is not back yet */
   bool draining;
   bool stopped; /* its entry is gone and its id is not known any more */
   enum site_fault fault;
@@ -101,6 +104,17 @@
   uint32_t count;
 };
 
+/* A request that crashes the searchers that run it.  */
+struct site_crash
+{
+  char path[200];           /* and query; empty: none */
+  unsigned int max_version; /* later versions of the software bear it */
+  uint64_t runs;            /* that crash a searcher */
+  uint64_t ends;            /* of searchers */
+  rw_time known_at;         /* of the third end; 0: not yet */
+  uint64_t late_runs;       /* after the daemons should have known */
+};
+
 /* A copy of the store that can be restored.  */
 struct site_backup
 {
@@ -133,6 +147,7 @@
   uint64_t ran;
   uint64_t twice; /* unsafe requests that ran more than once */
   uint64_t over;  /* parts that ran more often than maxAttempts */
+  struct site_crash crash;
   rw_time drain_time;
 };
 
@@ -149,6 +164,14 @@
                                          const char *service, const char *dc,
                                          uint16_t port, rw_time work);
 void site_searcher_publish (struct site_searcher *searcher);
+/* Listens on PORT, 0: any.  Returns 0 or a negative error number.  */
+int site_searcher_listen (struct site_searcher *searcher, uint16_t port);
+/* Returns whether MESSAGE crashes SEARCHER, which begins to run it, and counts
+   it if so.  */
+bool site_crashes (struct site *site, const struct site_searcher *searcher,
+                   const struct h1_message *message);
+/* Ends the process of SEARCHER; another one takes its place later.  */
+void site_searcher_crash (struct site_searcher *searcher);
 /* Makes SEARCHER name a limit of PER_S requests a second, or none if that is
    negative.  */
 void site_searcher_limit (struct site_searcher *searcher, double per_s);
