Hold back requests that crash every target that runs them

Cause: nothing connected the ends of targets to what had been sent to them. Every repeat was a new request, at another daemon, and ended one more target; a query over all shards ended one in each of them, and the retries of its parts the other copies. The class: harm that no single attempt shows, done by requests that are alike and spread over daemons that each know their own.

Ruled out: retries and hedges as the main part (each failed request had one send, but two); innocent requests that were only in flight (one key at all ends with the line "ended with a request").

lib/quarantine keeps evidence by key, in every daemon: processes that ended before they answered, and completions, which clear the ends of the same software that began before them. Three ends hold a request back if one of the sends began after the first of these ends: what is lost at one moment, as with a data centre, does not. Evidence is pushed to peers and told again with gossip, in a section that older daemons do not read. While there is evidence, a query sends one part alone and the others when it is completed. Software that has not ended under the request gets a trial, granted by one daemon for all; three at most in the life of a record, so that a repaired version serves it without an operator. rwfctl held lists, releases and holds back. 1,024 records; what invented requests could add is dropped first.

--- a/cmd/rwfctl/ctl.h
+++ b/cmd/rwfctl/ctl.h
@@ -53,6 +53,8 @@
 const char *ctl_parse_options (int argc, char **argv,
                                struct ctl_options *options);
 
+void ctl_call (const struct ctl_options *options, const char *method,
+               const char *path, struct ctl_reports *reports);
 void ctl_fetch (const struct ctl_options *options, const char *path,
                 struct ctl_reports *reports);
 void ctl_reports_finish (struct ctl_reports *reports);
@@ -73,6 +75,8 @@
                        FILE *out);
 int ctl_members (const struct ctl_options *options);
 int ctl_print_members (const struct ctl_reports *reports, FILE *out);
+int ctl_held (const struct ctl_options *options);
+int ctl_print_held (const struct ctl_reports *reports, FILE *out);
 int ctl_trace (const struct ctl_options *options);
 int ctl_print_trace (FILE *const *files, size_t file_count, const char *id,
                      FILE *out);
--- a/cmd/rwfctl/fetch.c
+++ b/cmd/rwfctl/fetch.c
@@ -14,6 +14,7 @@
   uv_loop_t loop;
   h2o_timeout_t timeout;
   h2o_http1client_ctx_t ctx;
+  const char *method;
   const char *path;
   struct ctl_reports *reports;
   size_t next; /* index of the next report to request */
@@ -142,8 +143,9 @@
   fetch->request.base = fetch->request_text;
   fetch->request.len = (size_t)snprintf (
       fetch->request_text, sizeof fetch->request_text,
-      "GET %s HTTP/1.1\r\nHost: %s:%u\r\nConnection: close\r\n\r\n",
-      batch->path, addr->host, addr->port);
+      "%s %s HTTP/1.1\r\nHost: %s:%u\r\nContent-Length: 0\r\n"
+      "Connection: close\r\n\r\n",
+      batch->method, batch->path, addr->host, addr->port);
   batch->in_flight++;
   h2o_http1client_connect (NULL, fetch, &batch->ctx,
                            h2o_iovec_init (addr->host, strlen (addr->host)),
@@ -158,14 +160,14 @@
     start_fetch (batch, &batch->reports->list[batch->next++]);
 }
 
-/* Requests PATH from every daemon of OPTIONS and waits for all answers, errors
-   or timeouts.  REPORTS gets one report for each daemon, in the order of
-   OPTIONS; the caller frees them with ctl_reports_finish.  */
+/* Requests PATH with METHOD from every daemon of OPTIONS and waits for all
+   answers, errors or timeouts.  REPORTS gets one report for each daemon, in
+   the order of OPTIONS; the caller frees them with ctl_reports_finish.  */
 void
-ctl_fetch (const struct ctl_options *options, const char *path,
-           struct ctl_reports *reports)
+ctl_call (const struct ctl_options *options, const char *method,
+          const char *path, struct ctl_reports *reports)
 {
-  struct batch batch = { .path = path, .reports = reports };
+  struct batch batch = { .method = method, .path = path, .reports = reports };
 
   reports->len = options->daemon_count;
   reports->list = rw_xcalloc (reports->len, sizeof *reports->list);
@@ -188,6 +190,14 @@
   uv_loop_close (&batch.loop);
 }
 
+/* Reads PATH from every daemon, as ctl_call does.  */
+void
+ctl_fetch (const struct ctl_options *options, const char *path,
+           struct ctl_reports *reports)
+{
+  ctl_call (options, "GET", path, reports);
+}
+
 /* Frees the reports of ctl_fetch, and leaves REPORTS empty.  */
 void
 ctl_reports_finish (struct ctl_reports *reports)
--- a/cmd/rwfctl/main.c
+++ b/cmd/rwfctl/main.c
@@ -15,6 +15,7 @@
   { "check", ctl_check },     { "rules", ctl_rules },
   { "targets", ctl_targets }, { "members", ctl_members },
   { "trace", ctl_trace },     { "request", ctl_request },
+  { "held", ctl_held },
 };
 
 int
@@ -27,9 +28,10 @@
   for (size_t i = 0; i < RW_ARRAY_LEN (commands); i++)
     if (strcmp (name, commands[i].name) == 0)
       return commands[i].run (&options);
-  fprintf (stderr,
-           "rwfctl: %s: expected check, rules, targets, members, trace or "
-           "request\n",
-           name);
+  fprintf (
+      stderr,
+      "rwfctl: %s: expected check, rules, targets, members, trace, request "
+      "or held\n",
+      name);
   return CTL_EXIT_USAGE;
 }
--- a/cmd/rwfctl/options.c
+++ b/cmd/rwfctl/options.c
@@ -18,7 +18,10 @@
       "                      service or a data centre\n"
       "  members             the daemons as they see each other\n"
       "  trace ID FILE...    one request through its spans in trace files\n"
-      "  request ID FILE...  one request through the logs of rwfront\n";
+      "  request ID FILE...  one request through the logs of rwfront\n"
+      "  held                requests that rwfront holds back\n"
+      "  held release KEY    let a request that is held back through\n"
+      "  held hold KEY       hold a request back\n";
 
 static const struct argp_option option_list[] = {
   { "daemons", 'd', "HOST:PORT,...", 0,
--- a/cmd/rwfctl/test_rwfctl.c
+++ b/cmd/rwfctl/test_rwfctl.c
@@ -194,6 +194,31 @@
   assert_prints (&f->out, "1/2        7  m1: suspect\n");
 }
 
+/* Guards against requests that are held back and that an operator cannot see,
+   or sees once for each daemon.  */
+TEST_WITH_FIXTURE (test_held)
+{
+  static const char *const texts[]
+      = { "{\"vm\":\"m1\",\"requests\":[{\"key\":\"00000000000000ab\","
+          "\"state\":\"held\",\"ends\":3,\"trials\":1,\"refused\":5,"
+          "\"last_end_ms\":61000,\"by_order\":false}]}",
+          "{\"vm\":\"m2\",\"requests\":[{\"key\":\"00000000000000aa\","
+          "\"state\":\"watched\",\"ends\":0,\"trials\":0,\"refused\":0,"
+          "\"last_end_ms\":-1,\"by_order\":true},"
+          "{\"key\":\"00000000000000ab\",\"state\":\"held\",\"ends\":4,"
+          "\"trials\":1,\"refused\":2,\"last_end_ms\":60000,"
+          "\"by_order\":false}]}" };
+
+  make_reports (&f->reports, texts, RW_ARRAY_LEN (texts));
+  assert_int_equal (ctl_print_held (&f->reports, f->out.file), CTL_OK);
+  assert_prints (&f->out,
+                 "00000000000000aa  held at 0 of 2  ends 0  trials 0  "
+                 "refused 0  by order\n"
+                 "00000000000000ab  held at 2 of 2  ends 4  trials 1  "
+                 "refused 7  last end 60.0 s ago\n"
+                 "2 daemons answered\n");
+}
+
 #define TRACE "0af7651916cd43dd8448eb211c80319c"
 #define SPAN(VM, ID, PARENT, START, END)                                      \
   "{\"resourceSpans\":[{\"resource\":{\"attributes\":[{\"key\":"              \
--- a/cmd/rwfront/admin.c
+++ b/cmd/rwfront/admin.c
@@ -30,6 +30,8 @@
       answer_metrics (daemon, conn);
       return;
     }
+  if (frn_quarantine_serve (daemon, conn, message))
+    return;
   if (rw_str_eq_cstr (message->target, plt_ready_path))
     reply.status = frn_is_ready (daemon) ? 200 : 503;
   h1_conn_reply (conn, &reply);
--- a/cmd/rwfront/daemon.c
+++ b/cmd/rwfront/daemon.c
@@ -163,6 +163,7 @@
   frn_peers_tick (daemon, now);
   frn_pool_sweep (daemon, now);
   frn_reach_tick (daemon, now);
+  frn_quarantine_tick (daemon, now);
   ste_sweep (&daemon->fleet, frn_pool_release, daemon, now);
   frn_parked_serve (daemon, now);
   evt_flush (&daemon->log, now);
@@ -245,6 +246,9 @@
   r = frn_peers_init (daemon);
   if (r != 0)
     return start_error (err, "listen-peers", r);
+  r = frn_quarantine_init (daemon);
+  if (r != 0)
+    return start_error (err, "quarantine", r);
   r = frn_store_init (daemon);
   evt_line (&daemon->log, EVT_STATE, "daemon", rw_now (),
             "started: name=%s dc=%s pid=%d", daemon->settings.name,
@@ -279,6 +283,7 @@
   h1_server_stop (&daemon->admin_server);
   frn_peers_finish (daemon);
   frn_reach_finish (daemon);
+  uv_close ((uv_handle_t *)&daemon->quarantine.push_timer, NULL);
   uv_close ((uv_handle_t *)&daemon->tick_timer, NULL);
   uv_close ((uv_handle_t *)&daemon->sigterm, NULL);
   uv_close ((uv_handle_t *)&daemon->sighup, NULL);
@@ -293,6 +298,7 @@
   ste_finish (&daemon->fleet);
   free_routes (daemon);
   frn_overload_finish (daemon);
+  frn_quarantine_finish (daemon);
   cat_config_unref (daemon->config);
   sta_finish (&daemon->metrics.set);
   evt_finish (&daemon->log);
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -22,6 +22,7 @@
    relay.c      forwarding of requests to larger peers
    subquery.c   parts that are left to a delegate in another data centre
    overload.c   refusal of requests that targets have no room for
+   quarantine.c requests that are held back, as they crash targets
    pool.c       connection pool of each target
    reach.c      whether this daemon is cut off from the targets
    answer.c     answers to the caller, and the log line of each request
@@ -41,6 +42,7 @@
 #include "gossip.h"
 #include "h1.h"
 #include "platform.h"
+#include "quarantine.h"
 #include "reach.h"
 #include "replica.h"
 #include "shed.h"
@@ -145,6 +147,7 @@
   FRN_REFUSE_NO_TARGET, /* too few shards have a usable target */
   FRN_REFUSE_OVERLOAD,  /* the queues of the targets are too long */
   FRN_REFUSE_BUSY,      /* targets refused it or were unreachable */
+  FRN_REFUSE_HELD,      /* it crashes targets */
   FRN_REFUSAL_COUNT
 };
 
@@ -184,6 +187,9 @@
   struct sta_series *targets_held;
   struct sta_series *targets_limited;
   struct sta_series *limited_sends[GAT_SEND_KIND_COUNT];
+  struct sta_series *targets_ended;
+  struct sta_series *requests_held;
+  struct sta_series *trials;
   struct sta_series *config_version;
   struct sta_series *config_age;
   struct sta_series *loop_lag;
@@ -291,6 +297,14 @@
   struct frn_probe probes[RCH_ROUND_PROBES];
 };
 
+/* Requests that crash targets.  */
+struct frn_quarantine
+{
+  struct qua_table table;
+  uv_timer_t push_timer;      /* runs when news are to be sent */
+  struct frn_request *waiter; /* waits for the grant of a trial; may be null */
+};
+
 /* A request that waits for the first configuration.  */
 struct frn_parked
 {
@@ -323,6 +337,7 @@
   struct frn_store store;
   struct frn_peers peers;
   struct frn_reach reach;
+  struct frn_quarantine quarantine;
   char *scratch; /* H1_READ_BUF_SIZE bytes, read buffer of outgoing connections
                   */
   uv_timer_t tick_timer;
@@ -538,9 +553,11 @@
   struct frn_send *sends; /* newest first */
   uv_timer_t timer;
   rw_time start;
-  rw_time deadline;        /* when to answer at the latest */
-  rw_time caller_deadline; /* when the caller gives up */
-  rw_time next_interim;    /* relayed: when to send an interim reply */
+  rw_time deadline;           /* when to answer at the latest */
+  rw_time caller_deadline;    /* when the caller gives up */
+  rw_time next_interim;       /* relayed: when to send an interim reply */
+  struct qua_attempt attempt; /* see lib/quarantine */
+  bool awaits_trial;          /* until this daemon is granted one */
   struct rw_str id;
   /* Hash of what is asked and by whom: the same for all repeats, at every
      daemon.  */
@@ -563,6 +580,13 @@
 };
 
 extern const struct h1_server_ops frn_caller_ops;
+/* Goes on with a request that is not held back: sends its parts, or refuses
+   it.  */
+void frn_request_admit (struct frn_request *request);
+/* Lets REQUEST wait for TIME_MS without a decision.  */
+void frn_request_wait (struct frn_request *request, uint64_t time_ms);
+/* Whether a send of REQUEST is queued or in flight.  */
+bool frn_has_open_sends (const struct frn_request *request);
 /* Starts the request MESSAGE, which arrived at START, on ROUTE of the current
    configuration.  HEAD is the decoded head of MESSAGE.  ORDER, which is
    copied, says which subquery is asked for; null for a whole request.  */
@@ -676,6 +700,55 @@
 /* Closes the probes.  */
 void frn_reach_finish (struct frn_daemon *daemon);
 
+/* Requests that crash targets.  */
+
+int frn_quarantine_init (struct frn_daemon *daemon);
+void frn_quarantine_finish (struct frn_daemon *daemon);
+/* Periodic work.  */
+void frn_quarantine_tick (struct frn_daemon *daemon, rw_time now);
+/* Records that the process of TARGET ended before it answered the request KEY,
+   which was sent there at SENT_AT.  */
+void frn_quarantine_on_end (struct frn_daemon *daemon,
+                            const struct ste_target *target, uint64_t key,
+                            rw_time sent_at, rw_time ended_at);
+/* Records that TARGET completed REQUEST.  */
+void frn_quarantine_on_done (const struct frn_request *request,
+                             const struct ste_target *target);
+/* Records that the connection of a send of REQUEST was lost.  */
+void frn_quarantine_on_loss (struct frn_request *request);
+/* Decides whether a request whose parts are bound to their services is
+   admitted.  Returns false if it was refused, or waits for a trial; then
+   frn_request_admit goes on with it.  */
+bool frn_quarantine_admit (struct frn_request *request);
+/* Refuses a request that waited for a trial in vain.  */
+void frn_quarantine_give_up (struct frn_request *request);
+/* Forgets that REQUEST waits.  */
+void frn_quarantine_forget (const struct frn_request *request);
+/* Returns when PART may be sent, as qua_delay does.  */
+rw_time frn_quarantine_delay (struct frn_request *request, size_t part,
+                              rw_time now);
+/* Picks a target for REQUEST as ste_pick does, without those whose software
+   must not get it.  */
+struct ste_target *frn_quarantine_pick (struct frn_request *request,
+                                        struct ste_service *service,
+                                        const struct ste_latency *latency,
+                                        struct ste_target *const *tried,
+                                        size_t tried_n, rw_time now);
+/* Whether the next send of REQUEST goes alone, so not with others to a
+   delegate.  */
+bool frn_quarantine_sends_alone (const struct frn_request *request,
+                                 rw_time now);
+/* Takes the evidence that the daemon FROM sent.  */
+void frn_quarantine_take (struct frn_daemon *daemon, uint32_t from,
+                          struct rw_str evidence, rw_time now);
+/* Answers the operator's request MESSAGE at the admin port.  Returns false,
+   without an answer, if it is another one.  */
+bool frn_quarantine_serve (struct frn_daemon *daemon, struct h1_conn *conn,
+                           const struct h1_message *message);
+/* Sends EVIDENCE alone to the daemon IP (host order).  */
+void frn_peers_send_evidence (struct frn_daemon *daemon, uint32_t ip,
+                              struct rw_str evidence, rw_time now);
+
 /* Overload.  */
 
 /* Decides whether a request whose query is initialised is admitted.  Refuses
@@ -744,7 +817,8 @@
 {
   uint64_t key;
   rw_time sent_at;
-  char id[64]; /* of the request */
+  bool completed; /* in part, by another target */
+  char id[64];    /* of the request */
 };
 #define FRN_MAX_LOSSES 16
 
--- a/cmd/rwfront/metrics.c
+++ b/cmd/rwfront/metrics.c
@@ -17,6 +17,8 @@
       return "overload";
     case FRN_REFUSE_BUSY:
       return "targets-refused";
+    case FRN_REFUSE_HELD:
+      return "held-back";
     case FRN_REFUSAL_COUNT:
       break;
     }
@@ -162,6 +164,15 @@
         "sends to targets that name a limit, by kind",
         sta_label (label, sizeof label, "kind",
                    rw_str_from (frn_send_kind_name ((enum gat_send_kind)i))));
+  m->targets_ended
+      = sta_counter (&m->set, "rwf_targets_ended_total",
+                     "targets that ended with a request of this daemon", none);
+  m->requests_held
+      = sta_gauge (&m->set, "rwf_requests_held_back",
+                   "requests that are held back, as they crash targets", none);
+  m->trials
+      = sta_counter (&m->set, "rwf_trials_total",
+                     "requests that were held back and sent in a trial", none);
   m->config_version = sta_gauge (&m->set, "rwf_config_version",
                                  "version in force, 0: none", none);
   m->config_age = sta_gauge (&m->set, "rwf_config_age_seconds",
--- a/cmd/rwfront/parts.c
+++ b/cmd/rwfront/parts.c
@@ -160,11 +160,16 @@
   struct ste_latency *latency = latency_of (request, scope_of (request));
   struct ext_limits limits = budget_limits (daemon, service);
   size_t tried_n = request->query.parts[part].sends;
-  struct ste_target *target
-      = ste_pick (&daemon->fleet, service, latency, tried_of (request, part),
-                  tried_n, now);
+  rw_time delay = frn_quarantine_delay (request, part, now);
+  if (delay != 0)
+    {
+      gat_postpone (&request->query, part, now, delay);
+      return;
+    }
+  struct ste_target *target = frn_quarantine_pick (
+      request, service, latency, tried_of (request, part), tried_n, now);
   if (target == NULL && kind == GAT_SEND_RETRY)
-    target = ste_pick (&daemon->fleet, service, latency, NULL, 0, now);
+    target = frn_quarantine_pick (request, service, latency, NULL, 0, now);
   if (target == NULL)
     {
       bool no_target = kind == GAT_SEND_FIRST
@@ -186,7 +191,8 @@
     sta_inc (daemon->metrics.relays);
   else if (kind == GAT_SEND_FIRST)
     {
-      if (!frn_subquery_collect (request, part, target, now))
+      if (frn_quarantine_sends_alone (request, now)
+          || !frn_subquery_collect (request, part, target, now))
         frn_send_first (request, part, target, now);
       return;
     }
--- a/cmd/rwfront/peers.c
+++ b/cmd/rwfront/peers.c
@@ -37,6 +37,8 @@
    time after which others are told.  */
 #define REACH_FANOUT 24
 #define REACH_INTERVAL RW_SEC
+/* Messages of evidence that follow a reply.  */
+#define REPLY_EVIDENCE_MESSAGES 3
 #define TRANSFER_ARENA_BLOCK 65536
 /* Path of a transfer; the revision of the client's copy follows.  */
 #define VIEW_PATH "/view?after="
@@ -60,13 +62,26 @@
   (void)uv_udp_try_send (&peers->udp, &buf, 1, (struct sockaddr *)&addr);
 }
 
+void
+frn_peers_send_evidence (struct frn_daemon *daemon, uint32_t ip,
+                         struct rw_str evidence, rw_time now)
+{
+  struct gos_message message = { .evidence = evidence };
+  gos_fill_head (&daemon->peers.gossip, &message);
+  send_filled (daemon, ip, &message, now);
+}
+
 /* Sends a gossip message to the daemon IP (host order).  */
 static void
 send_message (struct frn_daemon *daemon, uint32_t ip, bool reply_requested)
 {
   struct gos_message message = { .reply_requested = reply_requested };
+  char evidence[GOS_MAX_DATAGRAM];
   rw_time now = rw_now ();
   gos_fill_message (&daemon->peers.gossip, now, &message);
+  message.evidence.ptr = evidence;
+  message.evidence.len = qua_write_next (&daemon->quarantine.table, evidence,
+                                         gos_evidence_space (&message), now);
   send_filled (daemon, ip, &message, now);
 }
 
@@ -213,6 +228,24 @@
                         daemon);
 }
 
+/* Answers a peer that requested a reply: it may have missed news.  */
+static void
+reply_to (struct frn_daemon *daemon, uint32_t ip, rw_time now)
+{
+  struct gos_message message = { .count = 0 };
+  char evidence[GOS_MAX_DATAGRAM];
+  send_message (daemon, ip, false);
+  for (size_t i = 0; i < REPLY_EVIDENCE_MESSAGES; i++)
+    {
+      size_t len = qua_write_next (&daemon->quarantine.table, evidence,
+                                   gos_evidence_space (&message), now);
+      if (len == 0)
+        return;
+      frn_peers_send_evidence (daemon, ip, (struct rw_str){ evidence, len },
+                               now);
+    }
+}
+
 static void
 on_datagram (uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
              const struct sockaddr *from, unsigned int flags)
@@ -242,8 +275,9 @@
     }
   else if (message.revision > 0)
     confirm_copy (daemon, current_at, now);
+  frn_quarantine_take (daemon, ip, message.evidence, now);
   if (message.reply_requested)
-    send_message (daemon, ip, false);
+    reply_to (daemon, ip, now);
 }
 
 static void
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -142,6 +142,7 @@
   struct frn_loss *loss = &pool->losses[pool->loss_count++];
   loss->key = request->key;
   loss->sent_at = send->steer.sent_at;
+  loss->completed = request->query.done > 0;
   rw_str_copy (loss->id, sizeof loss->id, request->id);
 }
 
@@ -150,6 +151,7 @@
 report_end (struct frn_pool *pool, rw_time now)
 {
   const struct ste_target *target = pool->target;
+  sta_inc (pool->daemon->metrics.targets_ended);
   for (size_t i = 0; i < pool->loss_count; i++)
     evt_line (&pool->daemon->log, EVT_NORMAL, "target", now,
               "ended with a request: target=%s service=%s id=%s key=%016llx "
@@ -158,6 +160,10 @@
               evt_value (rw_str_from (pool->losses[i].id)).text,
               (unsigned long long)pool->losses[i].key,
               (long long)((now - pool->losses[i].sent_at) / RW_MSEC));
+  for (size_t i = 0; i < pool->loss_count; i++)
+    if (!pool->losses[i].completed)
+      frn_quarantine_on_end (pool->daemon, target, pool->losses[i].key,
+                             pool->losses[i].sent_at, pool->lost_at);
   pool->loss_count = 0;
 }
 
@@ -439,6 +445,7 @@
   if (send != NULL)
     {
       note_loss (pool, send, rw_now ());
+      frn_quarantine_on_loss (send->request);
       send->conn = NULL;
       end_send (send, STE_FAILED, rw_now ());
       frn_on_send_failed (send, GAT_FAIL_UNKNOWN, "connection lost");
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -122,8 +122,8 @@
   free (request);
 }
 
-static bool
-has_open_sends (const struct frn_request *request)
+bool
+frn_has_open_sends (const struct frn_request *request)
 {
   for (const struct frn_send *s = request->sends; s != NULL; s = s->next)
     if (s->state != FRN_SEND_ENDED)
@@ -134,7 +134,7 @@
 void
 frn_request_release (struct frn_request *request)
 {
-  if (!request->ended || request->closing || has_open_sends (request))
+  if (!request->ended || request->closing || frn_has_open_sends (request))
     return;
   request->closing = true;
   uv_close ((uv_handle_t *)&request->timer, on_timer_closed);
@@ -146,7 +146,9 @@
 on_timer (uv_timer_t *timer)
 {
   struct frn_request *request = timer->data;
-  if (!request->ended)
+  if (request->awaits_trial)
+    frn_quarantine_give_up (request);
+  else if (!request->ended)
     frn_request_run (request);
   else
     {
@@ -160,6 +162,7 @@
 {
   request->ended = true;
   request->conn = NULL;
+  frn_quarantine_forget (request);
   frn_abandon_if_cheaper (request, FRN_ALL_PARTS);
   uv_timer_start (&request->timer, on_timer, LINGER_TIME / RW_MSEC, 0);
   frn_request_release (request);
@@ -192,6 +195,12 @@
   uv_timer_start (&request->timer, on_timer, ms, 0);
 }
 
+void
+frn_request_wait (struct frn_request *request, uint64_t time_ms)
+{
+  uv_timer_start (&request->timer, on_timer, time_ms, 0);
+}
+
 /* When a relay that had no reply is to be given up, seen at NOW.  */
 static rw_time
 relay_deadline (const struct frn_request *request, rw_time now)
@@ -381,6 +390,7 @@
       return;
     }
   sta_inc (metrics->send_outcome[FRN_SEND_OK]);
+  frn_quarantine_on_done (request, send->target);
   if (is_gather)
     sbq_count_part (&request->stats->sizes, message->body.len);
   if (request->ended)
@@ -431,14 +441,9 @@
                                     sizeof (struct ste_target *));
 }
 
-/* Sends the parts from this daemon, or refuses the request.  */
-static void
-start_local (struct frn_request *request)
+void
+frn_request_admit (struct frn_request *request)
 {
-  struct gat_plan plan = frn_make_plan (request);
-  request->mode = FRN_MODE_LOCAL;
-  init_query (request, &plan);
-  frn_bind_services (request);
   rw_time now = rw_now ();
   if (request->order != NULL)
     {
@@ -458,6 +463,18 @@
   frn_request_end (request);
 }
 
+/* Sends the parts from this daemon, or refuses the request.  */
+static void
+start_local (struct frn_request *request)
+{
+  struct gat_plan plan = frn_make_plan (request);
+  request->mode = FRN_MODE_LOCAL;
+  init_query (request, &plan);
+  frn_bind_services (request);
+  if (frn_quarantine_admit (request))
+    frn_request_admit (request);
+}
+
 /* Forwards the request to a larger peer, as one part with a single attempt.
    After a failure this daemon sends the parts itself only if the peer
    certainly did not begin the request; otherwise a part could run more often
--- a/cmd/rwfront/subquery.c
+++ b/cmd/rwfront/subquery.c
@@ -11,6 +11,9 @@
    microseconds, separated by commas.  The sender has no reports of these
    targets.  */
 #define DELAYS_HEADER "X-Rwf-Queue-Delays"
+/* In the answer: the parts that were not run are held back, see
+   lib/quarantine.  */
+#define HELD_HEADER "X-Rwf-Held"
 #define MAX_DELAY (60 * RW_SEC)
 /* A request with a larger sum of headers and body is not delegated.  */
 #define MAX_DELEGATED_BYTES 4096
@@ -250,6 +253,7 @@
           list.len = 0;
           break;
         case SBQ_FAILED:
+          frn_quarantine_on_loss (request);
           gat_on_delegated_failure (query, part, given,
                                     used != SBQ_ALL_ATTEMPTS ? used : given,
                                     now);
@@ -295,6 +299,8 @@
   else if (message->status == 200 && results.len > 0)
     {
       sta_inc (metrics->send_outcome[FRN_SEND_OK]);
+      if (h1_header_value (message, HELD_HEADER).len > 0)
+        request->attempt.held = true;
       take_delays (send, message, now);
       take_results (send, results, message->body, now);
     }
@@ -423,6 +429,8 @@
       query->parts[i].body.len = 0;
   rw_buf_printf (&headers, RESULTS_HEADER ": %.*s\r\n",
                  RW_STR_ARG (rw_buf_str (&results)));
+  if (request->attempt.held)
+    rw_buf_printf (&headers, HELD_HEADER ": 1\r\n");
   write_delays (request, &headers);
   frn_answer_merged (request, rw_buf_str (&headers));
   rw_buf_finish (&results);
--- a/lib/cat/cat.h
+++ b/lib/cat/cat.h
@@ -93,6 +93,7 @@
   struct rw_str host; /* numeric address */
   uint16_t port;
   struct rw_str dc;
+  struct rw_str version; /* of its software; empty: not stated */
   bool draining;
   rw_time warmup_left;   /* how long the target is still cold; 0: warm */
   unsigned int slots;    /* requests it runs at once */
--- a/lib/gossip/codec.c
+++ b/lib/gossip/codec.c
@@ -8,6 +8,14 @@
 #define FLAG_LEAVING 1U
 #define FLAG_REPLY_REQUESTED 2U
 #define FLAG_CUT_OFF 4U
+/* Sections follow the entries, each with its tag and length.  Daemons skip the
+   tags that they do not know, and those of before there were sections do not
+   read that far.  */
+#define TAG_EVIDENCE 1U
+#define SECTION_HEAD_BYTES 8
+/* Encoded sizes of a message without entries, and of an entry.  */
+#define HEAD_BYTES 32
+#define ENTRY_BYTES 16
 /* Upper limit of all ages in a message, a day: greater ages are of no use.  */
 #define MAX_AGE_MS 86400000U
 
@@ -46,6 +54,13 @@
   return TRUE;
 }
 
+size_t
+gos_evidence_space (const struct gos_message *message)
+{
+  return GOS_MAX_DATAGRAM - HEAD_BYTES - message->count * ENTRY_BYTES
+         - SECTION_HEAD_BYTES;
+}
+
 size_t
 gos_encode (const struct gos_message *message, char *data, size_t size)
 {
@@ -54,7 +69,39 @@
   if (copy.staleness_ms > MAX_AGE_MS)
     copy.staleness_ms = MAX_AGE_MS;
   xdrmem_create (&xdr, data, (unsigned int)size, XDR_ENCODE);
-  return code_message (&xdr, &copy) ? xdr_getpos (&xdr) : 0;
+  if (!code_message (&xdr, &copy))
+    return 0;
+  size_t used = xdr_getpos (&xdr);
+  if (copy.evidence.len == 0)
+    return used;
+  unsigned int tag = TAG_EVIDENCE;
+  unsigned int len = (unsigned int)copy.evidence.len;
+  if (copy.evidence.len > size - used
+      || size - used - copy.evidence.len < SECTION_HEAD_BYTES
+      || !xdr_u_int (&xdr, &tag) || !xdr_u_int (&xdr, &len))
+    return 0;
+  memcpy (data + used + SECTION_HEAD_BYTES, copy.evidence.ptr, len);
+  return used + SECTION_HEAD_BYTES + len;
+}
+
+/* Reads the sections of DATA from the position of XDR on.  What cannot be read
+   is left out: the rest of the message holds.  */
+static void
+read_sections (XDR *xdr, struct rw_str data, struct gos_message *message)
+{
+  size_t at = xdr_getpos (xdr);
+  unsigned int tag;
+  unsigned int len;
+  while (data.len - at >= SECTION_HEAD_BYTES && xdr_u_int (xdr, &tag)
+         && xdr_u_int (xdr, &len) && len <= data.len - at - SECTION_HEAD_BYTES)
+    {
+      at += SECTION_HEAD_BYTES;
+      if (tag == TAG_EVIDENCE)
+        message->evidence = (struct rw_str){ data.ptr + at, len };
+      at += len;
+      if (len % sizeof (uint32_t) != 0 || !xdr_setpos (xdr, (unsigned int)at))
+        return;
+    }
 }
 
 int
@@ -72,5 +119,6 @@
   if (!code_message (&xdr, message))
     return rw_err_set (err, RW_E_PARSE, "gossip", RW_LIT ("peer"),
                        "malformed message");
+  read_sections (&xdr, data, message);
   return 0;
 }
--- a/lib/gossip/gossip.c
+++ b/lib/gossip/gossip.c
@@ -30,6 +30,11 @@
 #define MAX_STALENESS (86400 * RW_SEC)
 /* Messages request a reply while fewer live members are known.  */
 #define MIN_MEMBERS_WITHOUT_REPLY 10
+/* Messages request a reply if no peer was heard of for this time: each daemon
+   gets two periodic messages a second on average.  */
+#define SILENCE_TIME (2 * RW_SEC)
+/* A daemon may decide for all this long after its start.  */
+#define SETTLE_TIME (6 * RW_SEC)
 /* News that a copy is current is passed on if it is this much newer than what
    was known, and not more often than at this interval.  */
 #define MIN_CONFIRM_GAIN (400 * RW_MSEC)
@@ -157,6 +162,7 @@
       mark_left (gossip, from, now);
       return;
     }
+  gossip->last_message = now;
   update_member (gossip, from, message->dc, message->capacity, now, now);
   struct gos_member *member = find_member (gossip, from);
   if (member == NULL)
@@ -220,6 +226,7 @@
           + (rw_time)rw_rng_below (&gossip->rng, GOS_SEND_INTERVAL / 2);
   if (max > 0 && s->seed_count > 0
       && (gossip->count < MIN_MEMBERS_WITHOUT_SEED || bootstrapping
+          || gos_live_count (gossip, now) < MIN_MEMBERS_WITHOUT_SEED
           || rw_rng_below (&gossip->rng, SEED_DIVISOR) == 0))
     {
       size_t i = (size_t)rw_rng_below (&gossip->rng, s->seed_count);
@@ -328,9 +335,43 @@
 gos_should_request_reply (const struct gos_gossip *gossip, rw_time now)
 {
   return gos_is_joining (gossip, now)
+         || now - gossip->last_message > SILENCE_TIME
          || gos_live_count (gossip, now) < MIN_MEMBERS_WITHOUT_REPLY;
 }
 
+bool
+gos_owns (const struct gos_gossip *gossip, uint64_t key, rw_time now,
+          uint32_t *owner)
+{
+  uint64_t lowest = rw_hash_u64 (key, gossip->settings.ip);
+  *owner = gossip->settings.ip;
+  for (size_t i = 0; i < gossip->count; i++)
+    {
+      const struct gos_member *member = &gossip->members[i];
+      uint64_t hash = rw_hash_u64 (key, member->ip);
+      if (is_alive (member, now) && hash < lowest)
+        {
+          lowest = hash;
+          *owner = member->ip;
+        }
+    }
+  return *owner == gossip->settings.ip;
+}
+
+bool
+gos_may_decide (const struct gos_gossip *gossip, rw_time now)
+{
+  size_t recent = 0;
+  for (size_t i = 0; i < gossip->count; i++)
+    {
+      const struct gos_member *member = &gossip->members[i];
+      recent
+          += !member->left && now - member->last_heard < GOS_COUNT_HOLD_TIME;
+    }
+  return now - gossip->started >= SETTLE_TIME
+         && 2 * (gos_live_count (gossip, now) + 1) > recent + 1;
+}
+
 const struct gos_member *
 gos_next_member (const struct gos_gossip *gossip, uint32_t capacity,
                  rw_time now, size_t *position)
--- a/lib/gossip/gossip.h
+++ b/lib/gossip/gossip.h
@@ -74,6 +74,9 @@
                             current */
   size_t count;
   struct gos_entry entries[GOS_MAX_ENTRIES];
+  /* Evidence against requests, in a form that its library knows; may be empty.
+     In a decoded message it points into the data.  */
+  struct rw_str evidence;
 };
 
 struct gos_settings
@@ -98,6 +101,7 @@
   rw_time started;
   rw_time next_send;
   rw_time passed_on_at; /* last gos_should_pass_on that was true */
+  rw_time last_message; /* of any peer; 0: none */
   size_t held_count;    /* highest count, held for GOS_COUNT_HOLD_TIME */
   rw_time held_at;      /* when the count was last as high as that */
 };
@@ -111,6 +115,15 @@
    to one seed and one random member.  */
 size_t gos_tick (struct gos_gossip *gossip, rw_time now, uint32_t *to,
                  size_t max);
+/* Returns whether the owner of KEY among the live daemons is this one; else
+   *OWNER is its address.  The owner is chosen by rendezvous hashing, so
+   daemons that know the same members agree on it.  */
+bool gos_owns (const struct gos_gossip *gossip, uint64_t key, rw_time now,
+               uint32_t *owner);
+/* Returns whether this daemon may decide for all of them: it has run for a
+   while, and it hears of most of the daemons that were live within
+   GOS_COUNT_HOLD_TIME.  */
+bool gos_may_decide (const struct gos_gossip *gossip, rw_time now);
 /* Stores in TO the addresses of up to MAX random live members, most of them in
    this daemon's data centre, and returns their number.  The caller announces a
    change to them.  An address may occur twice.  */
@@ -134,7 +147,8 @@
 void gos_on_message (struct gos_gossip *gossip, uint32_t from,
                      const struct gos_message *message, rw_time now);
 /* Returns whether messages should request a reply: while this daemon is
-   joining, and while it knows few live members.  */
+   joining, while it knows few live members, and after a silence of all peers:
+   it may have been cut off or frozen, and have missed news.  */
 bool gos_should_request_reply (const struct gos_gossip *gossip, rw_time now);
 /* Returns whether this daemon started less than GOS_JOIN_TIME ago, so that it
    may not know all members yet.  */
@@ -209,6 +223,8 @@
 uint32_t gos_pick_source (struct gos_gossip *gossip, int64_t revision,
                           rw_time now);
 
+/* Returns how many bytes of evidence fit into MESSAGE besides its entries.  */
+size_t gos_evidence_space (const struct gos_message *message);
 /* Encodes MESSAGE into DATA and returns the length, or 0 if SIZE is too small
    or a field is out of range.  A staleness of more than a day is sent as a
    day.  */
--- a/lib/steer/fleet.c
+++ b/lib/steer/fleet.c
@@ -209,6 +209,7 @@
     }
   target->revision = revision;
   target->dc = rw_hash (entry->dc);
+  target->version = (uint32_t)rw_hash (entry->version);
   target->slots = entry->slots > 0 ? entry->slots : 1;
   if (!is_restored || cold_until > target->cold_until)
     target->cold_until = cold_until;
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -41,6 +41,7 @@
   uint64_t dc;           /* hash of the data centre's name */
   unsigned int slots;    /* requests it runs at once, at least 1 */
   int64_t start_time_ms; /* of its process, as listed; 0: not stated */
+  uint32_t version;      /* hash of its software's version */
   int64_t revision;      /* of the list entry */
   bool draining;
   bool announced_leaving; /* in a reply; holds as long as the process runs */
