--- a/lib/gossip/test_gossip.c
+++ b/lib/gossip/test_gossip.c
@@ -461,3 +461,113 @@
   assert_int_equal (gos_pick_delegates (&gossip, 400, true, later, out), 2);
   gos_finish (&gossip);
 }
+
+/* A message as all versions before the sections encoded it.  */
+static const unsigned char old_message[]
+    = { 0x52, 0x57, 0x47, 0x01, 0x00, 0x00, 0x00, 0x02, 0x11, 0x22, 0x33,
+        0x44, 0x00, 0x00, 0x00, 0xaa, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+        0x00, 0x4d, 0x00, 0x00, 0x04, 0xd2, 0x00, 0x00, 0x00, 0x02, 0x0a,
+        0x01, 0x00, 0x09, 0x11, 0x22, 0x33, 0x44, 0x00, 0x00, 0x00, 0xaa,
+        0x00, 0x00, 0x00, 0xfa, 0x0a, 0x02, 0x00, 0x15, 0x55, 0x66, 0x77,
+        0x88, 0x00, 0x00, 0x01, 0x54, 0x00, 0x00, 0x0f, 0xa0 };
+
+/* Guards against builds that cannot read each other's messages while the fleet
+   is upgraded: an old message is read, and what an old build reads of a new
+   one is the same.  */
+TEST (messages_of_other_versions_are_read)
+{
+  struct gos_message message;
+  struct rw_err err;
+  char data[GOS_MAX_DATAGRAM];
+  char evidence[] = "evidence";
+  struct rw_str old = { (const char *)old_message, sizeof old_message };
+  assert_int_equal (gos_decode (old, &message, &err), 0);
+  assert_int_equal (message.dc, 0x11223344);
+  assert_int_equal (message.revision, 77);
+  assert_int_equal (message.staleness_ms, 1234);
+  assert_true (message.reply_requested);
+  assert_int_equal (message.count, 2);
+  assert_int_equal (message.entries[1].ip, 0x0a020015);
+  assert_int_equal (message.evidence.len, 0);
+  message.evidence = (struct rw_str){ evidence, 8 };
+  size_t len = gos_encode (&message, data, sizeof data);
+  assert_int_equal (len, sizeof old_message + 16);
+  assert_memory_equal (data, old_message, sizeof old_message);
+  /* A section of a later version comes first.  */
+  memmove (data + sizeof old_message + 12, data + sizeof old_message, 16);
+  memcpy (data + sizeof old_message, "\0\0\0\x63\0\0\0\4abcd", 12);
+  assert_int_equal (
+      gos_decode ((struct rw_str){ data, len + 12 }, &message, &err), 0);
+  assert_true (rw_str_eq (message.evidence, (struct rw_str){ evidence, 8 }));
+}
+
+/* Guards against datagrams that are too long to be sent.  */
+TEST (evidence_fits_beside_the_entries)
+{
+  struct gos_message message = { .count = 0 };
+  char data[GOS_MAX_DATAGRAM];
+  char evidence[GOS_MAX_DATAGRAM] = "";
+  for (message.count = 0; message.count <= GOS_MAX_ENTRIES; message.count++)
+    {
+      message.evidence
+          = (struct rw_str){ evidence, gos_evidence_space (&message) };
+      assert_int_equal (gos_encode (&message, data, sizeof data),
+                        GOS_MAX_DATAGRAM);
+      message.evidence.len++;
+      assert_int_equal (gos_encode (&message, data, sizeof data), 0);
+    }
+}
+
+/* When daemon CUT is cut off.  */
+static const size_t cut = 7;
+#define CUT_FROM (10 * RW_SEC)
+#define CUT_TO (40 * RW_SEC)
+
+static bool
+is_cut (size_t from, size_t to, rw_time now)
+{
+  return (from == cut || to == cut) && now >= CUT_FROM && now < CUT_TO;
+}
+
+/* Guards against a daemon that was cut off for so long that all others count
+   as dead, and hears their news only by chance: 4 s after the cut it must
+   have.  */
+TEST (a_daemon_that_was_cut_off_hears_the_others_again)
+{
+  static const size_t fleets[] = { 13, 139, 300 };
+  for (size_t n = 0; n < RW_ARRAY_LEN (fleets); n++)
+    {
+      start_all (fleets[n], 3);
+      fleet.is_lost = is_cut;
+      run (0, CUT_TO + 4 * RW_SEC);
+      assert_true (fleet.daemons[cut].last_message > CUT_TO);
+      assert_true (gos_live_count (&fleet.daemons[cut], CUT_TO + 4 * RW_SEC)
+                   > 0);
+      stop_all ();
+    }
+}
+
+/* Guards against a limit of trials that two daemons grant, each for itself:
+   daemons agree on the owner of a key, and one that hears of few others
+   decides nothing.  */
+TEST (one_daemon_decides_for_all)
+{
+  start_all (15, 3);
+  run (0, 14 * RW_SEC);
+  rw_time now = 14 * RW_SEC;
+  for (uint64_t key = 0; key < 100; key++)
+    {
+      uint32_t owner;
+      size_t owners = 0;
+      for (size_t i = 0; i < fleet.count; i++)
+        owners
+            += gos_owns (&fleet.daemons[i], rw_hash_u64 (key, 0), now, &owner);
+      assert_int_equal (owners, 1);
+    }
+  assert_true (gos_may_decide (&fleet.daemons[cut], now));
+  fleet.is_lost = is_cut;
+  run (now, 30 * RW_SEC);
+  assert_false (gos_may_decide (&fleet.daemons[cut], 30 * RW_SEC));
+  assert_true (gos_may_decide (&fleet.daemons[0], 30 * RW_SEC));
+  stop_all ();
+}
