An end that several daemons report counts once; the soak plays the fault

One of its targets had started again under its id; daemons that had not read the new entry yet reported its next end under the old process, so that two ends counted as three. Ends are told apart by the target and a second of time now, not by what each daemon knows of the process. The software that a request ended is tried again after 15 s in place of 30: what was held back by chance is free sooner, and the trials of a record stay three.

The soak checks that no other request is held back, and that after 6 s of calm the crashing one is sent no more.

--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -70,6 +70,7 @@
   FRN_MECH_LATENESS,   /* answers sent earlier by what they are late */
   FRN_MECH_SUBSETS,    /* connections to some targets of a service only */
   FRN_MECH_PREOPEN,    /* connections opened in advance */
+  FRN_MECH_QUARANTINE, /* holding back what crashes targets */
   FRN_MECH_COUNT
 };
 
@@ -806,6 +807,7 @@
   struct frn_pool *pool;
   struct frn_pool_conn *next; /* of the pool */
   struct frn_send *send;      /* in flight; null: none */
+  uint64_t last_id; /* hash of the id of the last request sent; 0: none */
   rw_time opened_at;
   rw_time idle_since; /* 0: not connected yet */
   rw_time idle_limit; /* not reused after this idle time; 0: no limit */
--- a/cmd/rwfront/quarantine.c
+++ b/cmd/rwfront/quarantine.c
@@ -32,12 +32,6 @@
              : (uint32_t)rw_hash_u64 (service->key, target->version);
 }
 
-static uint64_t
-process_of (const struct ste_target *target)
-{
-  return rw_hash_u64 (target->key, (uint64_t)target->start_time_ms);
-}
-
 static void
 on_push_timer (uv_timer_t *timer)
 {
@@ -133,12 +127,13 @@
                        const struct ste_target *target, uint64_t key,
                        rw_time sent_at, rw_time ended_at)
 {
-  struct qua_end end = { .process = process_of (target),
+  struct qua_end end = { .target = target->key,
                          .software = software_of (target),
                          .sent_at = sent_at,
                          .ended_at = ended_at };
   /* Without a way to the targets, their end cannot be seen.  */
-  if (daemon->reach.state.cut_off)
+  if (daemon->reach.state.cut_off
+      || daemon->settings.without[FRN_MECH_QUARANTINE])
     return;
   qua_on_end (&daemon->quarantine.table, key, &end, rw_now ());
   push_news (daemon);
--- a/cmd/rwfront/settings.c
+++ b/cmd/rwfront/settings.c
@@ -123,6 +123,8 @@
       return "subsets";
     case FRN_MECH_PREOPEN:
       return "preopen";
+    case FRN_MECH_QUARANTINE:
+      return "quarantine";
     case FRN_MECH_COUNT:
       break;
     }
--- a/lib/quarantine/codec.c
+++ b/lib/quarantine/codec.c
@@ -58,7 +58,7 @@
       || !code_count (xdr, &r->trial_count, QUA_MAX_TRIALS))
     return FALSE;
   for (size_t i = 0; i < r->end_count; i++)
-    if (!xdr_uint64_t (xdr, &r->ends[i].process)
+    if (!xdr_uint64_t (xdr, &r->ends[i].target)
         || !xdr_uint32_t (xdr, &r->ends[i].software)
         || !code_time (xdr, &r->ends[i].sent_at, now)
         || !code_time (xdr, &r->ends[i].ended_at, now))
--- a/lib/quarantine/quarantine.c
+++ b/lib/quarantine/quarantine.c
@@ -17,7 +17,8 @@
 #define GRANT_LIFE (1 * RW_SEC)
 /* Software under which the request ended a target may be tried again once,
    this long after the last end: the evidence may have been chance.  */
-#define RETRY_TIME (30 * RW_SEC)
+#define RETRY_TIME (15 * RW_SEC)
+#define SAME_END_MS ((int32_t)(QUA_SAME_END_TIME / RW_MSEC))
 /* Times of peers that differ by less are the same.  */
 #define SAME_TIME (50 * RW_MSEC)
 /* The next send waits so long for the outcome of one that goes alone.  */
@@ -243,15 +244,21 @@
   return r->end_count < before;
 }
 
-/* Returns whether PROCESS was seen to end before, and remembers it.  */
+/* Returns whether END was seen before, and remembers it.  */
 static bool
-note_seen (struct qua_record *r, uint64_t process)
+note_seen (struct qua_record *r, const struct qua_end *end)
 {
+  struct qua_seen new
+      = { (uint32_t)end->target, (uint32_t)(end->ended_at / RW_MSEC) };
   size_t count = r->seen_count < QUA_MAX_SEEN ? r->seen_count : QUA_MAX_SEEN;
   for (size_t i = 0; i < count; i++)
-    if (r->seen[i] == (uint32_t)process)
-      return true;
-  r->seen[r->seen_count++ % QUA_MAX_SEEN] = (uint32_t)process;
+    {
+      int32_t later = (int32_t)(new.at_ms - r->seen[i].at_ms);
+      if (r->seen[i].target == new.target
+          && later < SAME_END_MS &&later > -SAME_END_MS)
+        return true;
+    }
+  r->seen[r->seen_count++ % QUA_MAX_SEEN] = new;
   return false;
 }
 
@@ -259,8 +266,7 @@
 static bool
 add_end (struct qua_record *r, const struct qua_end *end)
 {
-  if (!counts (r, end) || note_seen (r, end->process)
-      || r->end_count == QUA_MAX_ENDS)
+  if (!counts (r, end) || note_seen (r, end) || r->end_count == QUA_MAX_ENDS)
     return false;
   if (r->end_count >= QUA_HELD_ENDS && has_ended (r, end->software)
       && (ended_repeatedly (r) || !is_later (r, end))
--- a/lib/quarantine/quarantine.h
+++ b/lib/quarantine/quarantine.h
@@ -31,8 +31,8 @@
 #define QUA_LEARN_TIME (4 * RW_SEC)
 /* Of the ends of a request those are kept that matter: the first ones, one
    that shows that they go on, those of other software, and those that count as
-   trials.  The processes of others are remembered for a while, so that old
-   news of them is not taken for new ends.  */
+   trials.  Others are remembered for a while, so that old news of them is not
+   taken for new ends.  */
 #define QUA_MAX_ENDS 8
 #define QUA_MAX_SEEN 64
 /* Requests that are kept.  If there are more, the one that ended the fewest
@@ -40,10 +40,13 @@
    that are held back go last.  */
 #define QUA_MAX_RECORDS 1024
 
-/* A target's process that ended before it had answered the request.  */
+/* A target's process that ended before it had answered the request.  Daemons
+   may not agree on what tells a process from an earlier one at its place, so
+   ends of a target within QUA_SAME_END_TIME count as one.  */
+#define QUA_SAME_END_TIME RW_SEC
 struct qua_end
 {
-  uint64_t process;  /* hash of what tells it from others */
+  uint64_t target;   /* hash of its id */
   uint32_t software; /* hash of the service's name and version */
   rw_time sent_at;   /* when the request was sent there */
   rw_time ended_at;
@@ -64,13 +67,20 @@
   rw_time at;      /* when it was granted */
 };
 
+/* An end that is known.  */
+struct qua_seen
+{
+  uint32_t target; /* low half of the hash */
+  uint32_t at_ms;  /* low half of its time */
+};
+
 struct qua_record
 {
   uint64_t key;
   struct qua_end ends[QUA_MAX_ENDS]; /* that count, as learned */
   size_t end_count;
-  uint32_t seen[QUA_MAX_SEEN]; /* low halves of processes, a ring */
-  size_t seen_count;           /* ever written to it */
+  struct qua_seen seen[QUA_MAX_SEEN]; /* ends of all kinds, a ring */
+  size_t seen_count;                  /* ever written to it */
   struct qua_proof proofs[QUA_MAX_PROOFS];
   size_t proof_count;
   struct qua_trial trials[QUA_MAX_TRIALS]; /* by their time */
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -153,6 +153,8 @@
   soak.store_faults = o.seed % 2 == 1;
   soak.drills = o.seed >= SOK_FIRST_DRILL_SEED;
   soak.cuts = o.seed >= SOK_FIRST_CUT_SEED;
+  soak.crashes = o.seed >= SOK_FIRST_CRASH_SEED;
+  soak.crashing_runs = -1;
   soak.limits = o.seed >= SOK_FIRST_LIMIT_SEED;
   soak.scratch = rw_xmalloc (H1_READ_BUF_SIZE);
   /* Addresses of the loopback range that other soaks do not use.  */
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -28,6 +28,11 @@
 #define SOK_FIRST_LIMIT_SEED 3000
 /* And from here on daemons that are cut off from the searchers.  */
 #define SOK_FIRST_CUT_SEED 4000
+/* And from here on searchers that crash, by themselves or under a request that
+   some callers send.  */
+#define SOK_FIRST_CRASH_SEED 5000
+/* That request, below the prefix of its route.  */
+#define SOK_CRASHING_PATH "crashing"
 
 struct sok_soak;
 
@@ -76,6 +81,7 @@
   rw_time sent;
   char id[32];
   const char *route;
+  bool crashing; /* it sends the request that crashes searchers */
 };
 
 struct sok_soak
@@ -102,10 +108,13 @@
   bool healing;
   bool ended;
   bool store_faults; /* this seed disturbs the store */
-  bool drills;      /* this seed restores it, and targets announce their end */
-  bool limits;      /* searchers name limits */
-  bool cuts;        /* daemons are cut off from the searchers */
-  rw_time restored; /* the store, and not written again yet; 0: it is */
+  bool drills;  /* this seed restores it, and targets announce their end */
+  bool limits;  /* searchers name limits */
+  bool cuts;    /* daemons are cut off from the searchers */
+  bool crashes; /* a request crashes searchers */
+  long crashing_runs; /* of it when all daemons should hold it back; -1: not
+                         that far yet */
+  rw_time restored;   /* the store, and not written again yet; 0: it is */
   uint64_t next_id;
   char refused[SOK_MAX_REFUSED][32]; /* unsafe requests answered 503 */
   size_t refused_count;
@@ -137,6 +146,10 @@
                     const char *ip);
 void sok_proxy_set (struct sok_proxy *proxy, enum sok_proxy_mode mode);
 
+/* Returns how often searchers have run a request that crashes them, -1 if the
+   stand-ins do not say.  */
+long sok_crashing_runs (struct sok_soak *soak);
+
 void sok_client_init (struct sok_soak *soak, size_t index);
 void sok_client_stop (struct sok_client *client);
 
