Never send a request again on the connection of its last send

A target that refused a request and got it again on the same connection could send a second copy of the refusal late: it bears the same request id, so it was taken for the answer to the second send. The caller was told that the request had not run while it ran, and it was sent a third time. Reported by operators of similar systems; it could happen here, where a service has one usable target.

--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -234,6 +234,7 @@
 {
   struct rw_buf out;
   conn->send = send;
+  conn->last_id = rw_hash (send->request->id);
   send->conn = conn;
   send->state = FRN_SEND_SENT;
   rw_buf_init (&out);
@@ -245,6 +246,24 @@
   rw_buf_finish (&out);
 }
 
+/* Takes the oldest queued send that CONN may carry.  A request is not sent
+   again on the connection of its last send: a second copy of the answer to
+   that could not be told from the answer to this one.  Peers send no copies.
+ */
+static struct frn_send *
+take_queued (struct frn_pool_conn *conn)
+{
+  struct frn_pool *pool = conn->pool;
+  for (struct frn_send *s = pool->queue_head; s != NULL; s = s->queue_next)
+    if (pool->target->service->of_peers
+        || conn->last_id != rw_hash (s->request->id))
+      {
+        queue_remove (pool, s);
+        return s;
+      }
+  return NULL;
+}
+
 static void
 on_idle (struct h1_client *h1)
 {
@@ -263,12 +282,11 @@
     pool->loss_count = 0;
   if (h1->keep_alive_timeout > 0)
     conn->idle_limit = (rw_time)(h1->keep_alive_timeout * IDLE_LIMIT_RATIO);
-  if (pool->queue_head != NULL)
-    {
-      struct frn_send *send = pool->queue_head;
-      queue_remove (pool, send);
-      start_send (conn, send);
-    }
+  struct frn_send *send = take_queued (conn);
+  if (send != NULL)
+    start_send (conn, send);
+  else if (pool->queue_head != NULL)
+    pool_serve (pool);
 }
 
 /* Records the limit that REPLY names.  SENT_AT is when its request was sent;
@@ -538,9 +556,11 @@
         conn_close (conn);
       else if (pool->queue_head != NULL)
         {
-          struct frn_send *send = pool->queue_head;
-          queue_remove (pool, send);
-          start_send (conn, send);
+          struct frn_send *send = take_queued (conn);
+          if (send != NULL)
+            start_send (conn, send);
+          else
+            conn_close (conn);
         }
     }
   size_t queued = 0;
--- a/tests/rwfsite/control.c
+++ b/tests/rwfsite/control.c
@@ -10,7 +10,7 @@
    POST /store/backup
    POST /store/restore (goes back to the backup, in the next era)
    POST /store/era (states an era from now on)
-   POST /searcher/ID/none|hang|error|shed|reset|drain|stop
+   POST /searcher/ID/none|hang|error|shed|reset|repeat|drain|stop
    POST /searcher/ID/start (as another process, if it had stopped or announced)
    POST /searcher/ID/publish (writes its entry again)
    POST /searcher/ID/announce/0|1 (says in its answers that it leaves)
@@ -64,11 +64,10 @@
   {
     const char *name;
     enum site_fault fault;
-  } faults[] = { { "none", SITE_FAULT_NONE },
-                 { "hang", SITE_FAULT_HANG },
-                 { "error", SITE_FAULT_ERROR },
-                 { "shed", SITE_FAULT_SHED },
-                 { "reset", SITE_FAULT_RESET } };
+  } faults[]
+      = { { "none", SITE_FAULT_NONE },   { "hang", SITE_FAULT_HANG },
+          { "error", SITE_FAULT_ERROR }, { "shed", SITE_FAULT_SHED },
+          { "reset", SITE_FAULT_RESET }, { "repeat", SITE_FAULT_REPEAT } };
   for (size_t i = 0; i < RW_ARRAY_LEN (faults); i++)
     if (rw_str_eq_cstr (what, faults[i].name))
       {
--- a/tests/rwfsite/searcher.c
+++ b/tests/rwfsite/searcher.c
@@ -175,6 +175,34 @@
   refuse (conn, 503, headers);
 }
 
+/* The data of a connection whose last request was refused by repeat.  */
+static char refused_mark;
+
+/* Refuses a request, or runs it at its second arrival.  IS_MARKED: the last
+   request on CONN was refused so.  */
+static void
+repeat (struct site_searcher *searcher, struct h1_conn *conn,
+        const struct h1_message *message, bool is_marked)
+{
+  char headers[200];
+  struct rw_str id = h1_header_value (message, "X-Redwingfork-Request-Id");
+  bool is_second = rw_str_eq_cstr (id, searcher->refused_id);
+  if (is_second && !is_marked)
+    {
+      run (searcher, conn, message);
+      return;
+    }
+  if (is_second)
+    count_run (searcher, searcher->refused_id, false);
+  h1_conn_set_data (conn, &refused_mark);
+  rw_str_copy (searcher->refused_id, sizeof searcher->refused_id, id);
+  snprintf (headers, sizeof headers,
+            "X-Redwingfork-Not-Executed: 1\r\n"
+            "X-Redwingfork-Request-Id: %s\r\n",
+            searcher->refused_id);
+  refuse (conn, 503, headers);
+}
+
 /* Counts an arrival against the limit that the searcher names.  */
 static void
 check_limit (struct site_searcher *searcher, rw_time now)
@@ -235,6 +263,7 @@
   struct site_searcher *searcher = arg;
   struct rw_str expected
       = h1_header_value (message, "X-Redwingfork-Expect-Instance");
+  bool is_marked = h1_conn_data (conn) == &refused_mark;
   h1_conn_set_data (conn, NULL);
   if (ways_from (searcher->site, h1_conn_peer (conn)) == SITE_WAYS_RESET)
     {
@@ -251,6 +280,8 @@
     refuse (conn, 421, "X-Redwingfork-Instance-Id: another\r\n");
   else if (searcher->fault == SITE_FAULT_SHED)
     shed (searcher, conn);
+  else if (searcher->fault == SITE_FAULT_REPEAT)
+    repeat (searcher, conn, message, is_marked);
   else
     run (searcher, conn, message);
 }
--- a/tests/rwfsite/site.h
+++ b/tests/rwfsite/site.h
@@ -45,7 +45,10 @@
   SITE_FAULT_HANG,  /* takes requests and never answers */
   SITE_FAULT_ERROR, /* 500 */
   SITE_FAULT_SHED,  /* 503, not run */
-  SITE_FAULT_RESET  /* runs and ends the connection */
+  SITE_FAULT_RESET, /* runs and ends the connection */
+  /* Refuses a request once; if it comes again on the same connection, sends
+     the refusal a second time in the place of the answer, and runs it.  */
+  SITE_FAULT_REPEAT
 };
 
 /* The ways from a daemon to all searchers.  */
@@ -89,6 +92,7 @@
   rw_time arrived[SITE_MAX_ARRIVALS]; /* since then, a ring */
   uint64_t arrived_count;
   uint64_t over_limit; /* arrivals beyond what the limit allows */
+  char refused_id[80]; /* of the last refusal of SITE_FAULT_REPEAT */
   rw_time paused_until;
   uint64_t arrivals;
   rw_time changed; /* when it began to leave */
