Refuse at once when all targets of a service have ended

What callers saw: with all targets of a service down, requests were held until their deadline (1,485 of 1,500 ms), and the daemon opened connections without a pause.

Cause: a connection that could not be opened was replaced at once as long as another one was being opened, so the pool never had none, which is what ends the wait of the queued sends. The end of a target is seen sooner by this, too.

--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -471,10 +471,12 @@
   if (!conn->proven)
     note_refused (pool, rw_now ());
   check_losses (pool, rw_now ());
-  if (connecting && pool->conn_count == 0)
-    back_off (pool, "cannot connect");
-  else
+  /* A connection that could not be opened is not replaced at once: the others
+     take the queued sends, or the last one that fails ends the wait.  */
+  if (!connecting)
     pool_serve (pool);
+  else if (pool->conn_count == 0)
+    back_off (pool, "cannot connect");
 }
 
 static void
@@ -651,6 +653,8 @@
   check_losses (pool, now);
   if ((timed_out && pool->conn_count == 0) || is_connect_overdue (pool, now))
     back_off (pool, "no connection in time");
+  else if (pool->queue_head != NULL)
+    pool_serve (pool);
 }
 
 /* Whether a connection to TARGET is opened in advance, so that a first send or
