A planned stop answers what was accepted

What callers saw: connections that were accepted shortly before the exit, or waited at the listener, were reset without an answer; so were requests that crossed the close of an idle connection, and relays and subqueries of peers that were still running.

Cause: the daemon exited as soon as no request of a caller was pending. A new connection whose first request is on its way is not pending, nor is one that the kernel has accepted, nor a peer's.

Now it accepts what waits, stops to listen, closes only connections on which nothing is unread, pending or about to come, and exits when all callers' connections have ended and no peer's request runs, at the latest as before.

--- a/cmd/rwfront/daemon.c
+++ b/cmd/rwfront/daemon.c
@@ -47,16 +47,19 @@
   uv_stop (daemon->loop);
 }
 
-/* Called at each tick of a planned stop.  Exits once no request is running, or
-   at the latest EXIT_MARGIN before the stop time ends.  */
+/* Called at each tick of a planned stop.  Exits once no request of a caller or
+   a peer is running or on its way, or at the latest EXIT_MARGIN before the
+   stop time ends.  */
 static void
 continue_stop (struct frn_daemon *daemon, rw_time now)
 {
   rw_time elapsed = now - daemon->stop_started;
   if (elapsed < ROTATION_OUT_TIME)
     return;
+  h1_server_stop_listening (&daemon->caller_server);
   h1_server_close_idle (&daemon->caller_server);
-  if (daemon->caller_server.busy_count == 0
+  if ((daemon->caller_server.conn_count == 0
+       && daemon->peers.server.busy_count == 0)
       || elapsed > daemon->settings.stop_time - EXIT_MARGIN)
     stop_loop (daemon);
 }
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -192,7 +192,10 @@
 /* Makes each connection end after its next reply.  New connections and
    requests are still accepted.  */
 void h1_server_drain (struct h1_server *server);
-/* Closes the connections on which no request is pending or arriving.  */
+/* Accepts the connections that wait, and then no more.  */
+void h1_server_stop_listening (struct h1_server *server);
+/* Closes the connections on which no request is pending or arriving, but not
+   those that are so new that the first one is on its way.  */
 void h1_server_close_idle (struct h1_server *server);
 /* Closes the listener and all connections; pending requests are reported by
    on_disconnect.  */
--- a/lib/h1/server.c
+++ b/lib/h1/server.c
@@ -1,7 +1,10 @@
 #include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "h1.h"
 
@@ -14,6 +17,9 @@
 /* Time in which a caller can read the last reply before the socket is closed.
    If the caller still sends, closing resets the connection.  */
 #define LINGER_TIME (500 * RW_MSEC)
+/* A new connection is not idle for this time: its first request is on its way.
+ */
+#define FIRST_REQUEST_TIME (500 * RW_MSEC)
 
 enum conn_state
 {
@@ -35,6 +41,7 @@
   bool in_pipelined;  /* deliver_pipelined is running */
   bool keep_alive;    /* of the pending request */
   bool continue_sent; /* "100 Continue" */
+  bool had_request;
   /* CONN_READING: start of the idle time, or first byte of the request;
      CONN_LINGER: time of the last reply.  */
   rw_time state_since;
@@ -228,6 +235,7 @@
   if (consumed < len)
     rw_buf_append (&conn->pipelined, data + consumed, len - consumed);
   conn->state = CONN_PENDING;
+  conn->had_request = true;
   conn->keep_alive = conn->reader.keep_alive;
   server->busy_count++;
   h1_reader_message (&conn->reader, &message);
@@ -320,12 +328,9 @@
   return ntohl (addr.sin_addr.s_addr);
 }
 
-static void
-on_connection (uv_stream_t *listener, int status)
+static struct h1_conn *
+conn_new (struct h1_server *server)
 {
-  struct h1_server *server = listener->data;
-  if (status != 0)
-    return;
   struct h1_conn *conn = rw_xcalloc (1, sizeof *conn);
   uv_tcp_init (server->loop, &conn->tcp);
   conn->tcp.data = conn;
@@ -338,8 +343,15 @@
     conn->next->prev = conn;
   server->conns = conn;
   server->conn_count++;
-  if (uv_accept (listener, (uv_stream_t *)&conn->tcp) != 0
-      || server->conn_count > server->max_conns
+  return conn;
+}
+
+/* Begins to read from CONN; R is the result of accepting it.  */
+static void
+conn_begin (struct h1_conn *conn, int r)
+{
+  struct h1_server *server = conn->server;
+  if (r != 0 || server->conn_count > server->max_conns
       || (server->ops->on_accept != NULL
           && !server->ops->on_accept (server->arg, conn)))
     {
@@ -350,6 +362,37 @@
   uv_read_start ((uv_stream_t *)&conn->tcp, on_alloc, on_read);
 }
 
+static void
+on_connection (uv_stream_t *listener, int status)
+{
+  struct h1_server *server = listener->data;
+  if (status != 0)
+    return;
+  struct h1_conn *conn = conn_new (server);
+  conn_begin (conn, uv_accept (listener, (uv_stream_t *)&conn->tcp));
+}
+
+void
+h1_server_stop_listening (struct h1_server *server)
+{
+  uv_os_fd_t listener;
+  int fd;
+  if (uv_is_closing ((uv_handle_t *)&server->listener))
+    return;
+  /* Closing the listener would reset the connections that wait there.  */
+  if (uv_fileno ((uv_handle_t *)&server->listener, &listener) == 0)
+    while ((fd = accept4 (listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC))
+           >= 0)
+      {
+        struct h1_conn *conn = conn_new (server);
+        int r = uv_tcp_open (&conn->tcp, fd);
+        if (r != 0)
+          close (fd);
+        conn_begin (conn, r);
+      }
+  uv_close ((uv_handle_t *)&server->listener, NULL);
+}
+
 static void
 check_timeout (struct h1_conn *conn, rw_time now)
 {
@@ -420,14 +463,29 @@
   server->draining = true;
 }
 
+/* Returns whether no request is pending on CONN, arriving or on its way as far
+   as can be known.  */
+static bool
+is_idle (const struct h1_conn *conn, rw_time now)
+{
+  uv_os_fd_t fd;
+  int unread = 0;
+  if (conn->state != CONN_READING || conn->reader.started
+      || (!conn->had_request && now - conn->state_since < FIRST_REQUEST_TIME))
+    return false;
+  return uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) != 0
+         || ioctl (fd, FIONREAD, &unread) != 0 || unread == 0;
+}
+
 void
 h1_server_close_idle (struct h1_server *server)
 {
+  rw_time now = monotonic_now ();
   struct h1_conn *next;
   for (struct h1_conn *conn = server->conns; conn != NULL; conn = next)
     {
       next = conn->next;
-      if (conn->state == CONN_READING && !conn->reader.started)
+      if (is_idle (conn, now))
         conn_close (conn);
     }
 }
