--- a/lib/gossip/test_gossip.c
+++ b/lib/gossip/test_gossip.c
@@ -494,8 +494,10 @@
   assert_int_equal (len, sizeof old_message + 16);
   assert_memory_equal (data, old_message, sizeof old_message);
   /* A section of a later version comes first.  */
+  static const unsigned char later[12]
+      = { 0, 0, 0, 99, 0, 0, 0, 4, 'a', 'b', 'c', 'd' };
   memmove (data + sizeof old_message + 12, data + sizeof old_message, 16);
-  memcpy (data + sizeof old_message, "\0\0\0\x63\0\0\0\4abcd", 12);
+  memcpy (data + sizeof old_message, later, sizeof later);
   assert_int_equal (
       gos_decode ((struct rw_str){ data, len + 12 }, &message, &err), 0);
   assert_true (rw_str_eq (message.evidence, (struct rw_str){ evidence, 8 }));
--- a/tests/process/crash.sh
+++ b/tests/process/crash.sh
@@ -73,6 +73,17 @@
     fail "the reason in the log"
 echo "ok: a request that crashes single targets"
 
+# The same software is tried once, as the evidence may have been chance.
+before=$(count deadly)
+tried() {
+	request "try-$(date +%N)" /safe/deadly 2 >/dev/null
+	grep -q 'quarantine: trial: id=try-' "$DIR"/vm-*.log
+}
+await "a trial of the same software" tried
+sleep 1
+for n in 1 2 3 4; do request "after-$n" /safe/deadly $n >/dev/null; done
+expect "sends in a trial" "$(count deadly)" $((before + 1))
+
 # A daemon that starts with nothing learns it from its peers.
 kill -9 "$VM4"
 wait "$VM4" 2>/dev/null
