Bound the work that the loss of a data centre makes for the quarantine

At the size of docs/CAPACITY.md some 20,000 requests are in flight at targets that end together. A full table was searched whole for each new record, and news went out as fast as they came. Now one of 16 records makes room, news with enough evidence go first, and rounds of news are 50 ms apart when not all fitted into one. RWF_WITHOUT=quarantine ignores the evidence of peers, too.

test_crashing: it_is_stopped_while_a_data_centre_is_lost, 1,600 requests at ends of one moment beside a crashing request. It shows no difference for the order of the news.

--- a/cmd/rwfront/quarantine.c
+++ b/cmd/rwfront/quarantine.c
@@ -5,6 +5,9 @@
 
 /* News are collected for this time before they are sent.  */
 #define PUSH_DELAY_MS 5
+/* Time between two rounds if not all news fitted into the first, as when a
+   whole data centre is lost.  */
+#define BACKLOG_DELAY_MS 50
 /* Peers that get each news, and messages of one round.  */
 #define PUSH_FANOUT 5
 #define PUSH_MESSAGES 4
@@ -52,7 +55,7 @@
                                  (struct rw_str){ evidence, len }, now);
     }
   if (table->has_news)
-    uv_timer_start (timer, on_push_timer, PUSH_DELAY_MS, 0);
+    uv_timer_start (timer, on_push_timer, BACKLOG_DELAY_MS, 0);
 }
 
 /* Lets news go out soon.  */
@@ -396,8 +399,8 @@
   struct frn_quarantine *q = &daemon->quarantine;
   struct frn_wanted wanted = { daemon, from, now };
   struct frn_request *waiter = q->waiter;
-  if (evidence.len == 0 || daemon->loop_lag > MAX_LAG
-      || now - daemon->last_tick > MAX_LAG)
+  if (evidence.len == 0 || daemon->settings.without[FRN_MECH_QUARANTINE]
+      || daemon->loop_lag > MAX_LAG || now - daemon->last_tick > MAX_LAG)
     return;
   if (qua_read (&q->table, evidence, on_wanted, &wanted, now) != 0)
     evt_line (&daemon->log, EVT_NORMAL, "peer", now,
--- a/lib/quarantine/codec.c
+++ b/lib/quarantine/codec.c
@@ -103,23 +103,34 @@
   return write_item (ITEM_RECORD, body, xdr_getpos (&xdr), out, size);
 }
 
-size_t
-qua_write_news (struct qua_table *table, char *out, size_t size, rw_time now)
+/* Writes the news that have enough evidence, or the others, as ARE_KNOWN says.
+ *USED is the length so far.  Returns whether all fitted.  */
+static bool
+write_news (struct qua_table *table, bool are_known, char *out, size_t size,
+            size_t *used, rw_time now)
 {
   size_t position = 0;
-  size_t used = 0;
   struct qua_record *r;
   while ((r = rw_map_next (&table->records, &position)) != NULL)
     {
-      if (!r->is_news)
+      if (!r->is_news || (r->known_at > 0) != are_known)
         continue;
-      size_t len = write_record (r, out + used, size - used, now);
+      size_t len = write_record (r, out + *used, size - *used, now);
       if (len == 0)
-        return used;
+        return false;
       r->is_news = false;
-      used += len;
+      *used += len;
     }
-  table->has_news = false;
+  return true;
+}
+
+size_t
+qua_write_news (struct qua_table *table, char *out, size_t size, rw_time now)
+{
+  size_t used = 0;
+  if (write_news (table, true, out, size, &used, now)
+      && write_news (table, false, out, size, &used, now))
+    table->has_news = false;
   return used;
 }
 
--- a/lib/quarantine/quarantine.c
+++ b/lib/quarantine/quarantine.c
@@ -18,7 +18,7 @@
 /* Software under which the request ended a target may be tried again once,
    this long after the last end: the evidence may have been chance.  */
 #define RETRY_TIME (15 * RW_SEC)
-#define SAME_END_MS ((int32_t)(QUA_SAME_END_TIME / RW_MSEC))
+#define SAME_END_MS (int)(QUA_SAME_END_TIME / RW_MSEC)
 /* Times of peers that differ by less are the same.  */
 #define SAME_TIME (50 * RW_MSEC)
 /* The next send waits so long for the outcome of one that goes alone.  */
@@ -26,6 +26,8 @@
 /* Lost sends of an attempt, without a completed one, after which its sends go
    alone.  */
 #define MAX_LOSSES 2
+/* Records among which the one is chosen that is dropped from a full table.  */
+#define DROP_CANDIDATES 16
 /* Records are dropped when they have not changed for this time, those without
    an end that counts sooner.  */
 #define RECORD_LIFE (86400 * RW_SEC)
@@ -95,17 +97,23 @@
   free (record);
 }
 
+/* Drops a record if the table is full: of some in a row from a random place
+   on, the one that goes first.  */
 static void
 make_room (struct qua_table *table)
 {
-  size_t position = 0;
-  struct qua_record *r;
   struct qua_record *first = NULL;
   if (table->records.len < QUA_MAX_RECORDS)
     return;
-  while ((r = rw_map_next (&table->records, &position)) != NULL)
-    if (first == NULL || goes_before (r, first))
-      first = r;
+  size_t position = (size_t)rw_rng_below (&table->rng, table->records.cap);
+  for (size_t i = 0; i < DROP_CANDIDATES; i++)
+    {
+      struct qua_record *r = rw_map_next (&table->records, &position);
+      if (r == NULL)
+        position = 0;
+      else if (first == NULL || goes_before (r, first))
+        first = r;
+    }
   if (first != NULL)
     drop (table, first);
 }
@@ -253,9 +261,8 @@
   size_t count = r->seen_count < QUA_MAX_SEEN ? r->seen_count : QUA_MAX_SEEN;
   for (size_t i = 0; i < count; i++)
     {
-      int32_t later = (int32_t)(new.at_ms - r->seen[i].at_ms);
-      if (r->seen[i].target == new.target
-          && later < SAME_END_MS &&later > -SAME_END_MS)
+      int later = (int32_t)(new.at_ms - r->seen[i].at_ms);
+      if (r->seen[i].target == new.target && abs (later) < SAME_END_MS)
         return true;
     }
   r->seen[r->seen_count++ % QUA_MAX_SEEN] = new;
--- a/lib/quarantine/quarantine.h
+++ b/lib/quarantine/quarantine.h
@@ -35,8 +35,8 @@
    taken for new ends.  */
 #define QUA_MAX_ENDS 8
 #define QUA_MAX_SEEN 64
-/* Requests that are kept.  If there are more, the one that ended the fewest
-   targets goes first, and of several the one that changed least lately; those
+/* Requests that are kept.  If there are more, those that ended the fewest
+   targets go first, and of several the ones that changed least lately; those
    that are held back go last.  */
 #define QUA_MAX_RECORDS 1024
 
@@ -193,8 +193,9 @@
 /* Longest item in bytes.  */
 #define QUA_MAX_ITEM 320
 
-/* Writes records that are news to OUT, as many as fit into SIZE bytes, which
-   then are no news any more.  Returns the length.  */
+/* Writes records that are news to OUT, as many as fit into SIZE bytes, those
+   with enough evidence first; they then are no news any more.  Returns the
+   length.  */
 size_t qua_write_news (struct qua_table *table, char *out, size_t size,
                        rw_time now);
 /* Writes the next records that count, in turn, as many as fit into SIZE bytes.
--- a/lib/quarantine/test_crashing.c
+++ b/lib/quarantine/test_crashing.c
@@ -545,6 +545,34 @@
     }
 }
 
+/* Guards against news of a crashing request that wait behind those of
+   thousands of others, which were in flight when a data centre was lost.  */
+TEST_WITH_FIXTURE (it_is_stopped_while_a_data_centre_is_lost)
+{
+  for (uint64_t seed = 1; seed <= 2; seed++)
+    {
+      set_up_fleet (f, 40, 8, seed);
+      start_arrivals (f, CRASHING, 2);
+      play_for (f, 200 * RW_MSEC);
+      for (size_t i = 0; i < f->daemon_count; i++)
+        for (uint64_t key = 0; key < 40; key++)
+          {
+            struct qua_end end = { .target = key,
+                                   .software = 1,
+                                   .sent_at = f->now - RUN_TIME,
+                                   .ended_at = f->now };
+            qua_on_end (&f->daemons[i].table, rw_hash_u64 (key, i), &end,
+                        f->now);
+            push_news (f, i);
+          }
+      play_for (f, 30 * RW_SEC);
+      assert_true (f->ends >= 3);
+      assert_true (f->late_sends <= 3);
+      for (size_t i = 0; i < f->daemon_count; i++)
+        assert_true (f->daemons[i].table.records.len <= QUA_MAX_RECORDS);
+    }
+}
+
 /* Guards against daemons that start with nothing and send the request again.
  */
 TEST_WITH_FIXTURE (restarted_daemons_learn)
