--- a/lib/quarantine/quarantine.h
+++ b/lib/quarantine/quarantine.h
@@ -138,7 +138,7 @@
    software.  */
 bool qua_is_held (const struct qua_record *record, rw_time now);
 
-/* Records that END befell the request KEY.  */
+/* Records END, of a target under the request KEY.  */
 void qua_on_end (struct qua_table *table, uint64_t key,
                  const struct qua_end *end, rw_time now);
 /* Records that a target with SOFTWARE completed the request KEY.  */
