--- a/lib/cat/cat.h
+++ b/lib/cat/cat.h
@@ -6,7 +6,7 @@
 #ifndef CAT_CAT_H
 #define CAT_CAT_H
 
-#include "base.h"
+#include "org.h"
 
 enum cat_route_kind
 {
@@ -28,6 +28,7 @@
   struct rw_str host;
   struct rw_str prefix;      /* of the path; begins and ends with a slash */
   bool idempotent;           /* a request may run more than once */
+  bool is_public;            /* needs no key of an organisation */
   unsigned int priority;     /* 0 is the highest */
   rw_time timeout;           /* from the start of a request to its answer */
   rw_time aim;               /* time in which an answer has its full value */
@@ -81,7 +82,8 @@
   size_t route_count;
   struct cat_service *services; /* heap */
   size_t service_count;
-  struct rw_map routes_by_prefix; /* by the hash of host and prefix */
+  struct org_directory organisations; /* none: no request needs a key */
+  struct rw_map routes_by_prefix;     /* by the hash of host and prefix */
   struct rw_map services_by_name; /* index plus 1, by the hash of the name */
 };
 
--- a/lib/cat/config.c
+++ b/lib/cat/config.c
@@ -10,6 +10,7 @@
 {
   struct cat_config *config = rw_xcalloc (1, sizeof *config);
   rw_arena_init (&config->arena, ARENA_BLOCK_BYTES);
+  org_init (&config->organisations);
   rw_map_init (&config->routes_by_prefix);
   rw_map_init (&config->services_by_name);
   config->refs = 1;
@@ -28,6 +29,7 @@
 {
   if (config == NULL || --config->refs > 0)
     return;
+  org_finish (&config->organisations);
   rw_map_finish (&config->routes_by_prefix);
   rw_map_finish (&config->services_by_name);
   rw_arena_finish (&config->arena);
