Admit requests by key, and serve organisations by priority and fair shares

Change: rwfront checks the key of each request unless its route is public, drops it, and names the organisation to targets and, in a form that older daemons refuse, to peers. With strict revocation a copy that is not confirmed admits no key. The priority of an organisation goes before that of the route; lib/fair tells who is above its usual load, and who was served much less than others. Without organisations the same bytes go out.

--- a/cmd/rwfront/admin.c
+++ b/cmd/rwfront/admin.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "frn_quarantine.h"
 #include "front.h"
 
 /* Enough for the readiness checks and a few metric collectors.  */
--- a/cmd/rwfront/answer.c
+++ b/cmd/rwfront/answer.c
@@ -25,6 +25,8 @@
       return "gone";
     case FRN_NO_ROUTE:
       return "no-route";
+    case FRN_NO_KEY:
+      return "no-key";
     case FRN_INVALID:
       return "invalid";
     case FRN_OUTCOME_COUNT:
@@ -38,7 +40,8 @@
 static const char *
 describe_overload (const struct frn_request *request, char *buf, size_t size)
 {
-  const struct shd_route *shed = &request->stats->shed;
+  static const struct shd_route none;
+  const struct shd_route *shed = request->shed != NULL ? request->shed : &none;
   snprintf (buf, size,
             " share=%.2f delay_ms=%.0f target_delay_ms=%.0f retry_ms=%lld",
             shed->share, shed->delay / RW_MSEC, shed->target / RW_MSEC,
--- a/cmd/rwfront/callers.c
+++ b/cmd/rwfront/callers.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "access.h"
 #include "front.h"
 
 /* The longest time that a request waits for the first configuration, which
@@ -21,34 +22,74 @@
                                 h1_header_value (message, "Host"), path);
 }
 
+/* Answers STATUS to a request that is not begun, and counts OUTCOME.  The line
+   says that the request was not begun as it is WHAT.  */
+static void
+decline (struct frn_daemon *daemon, const struct frn_arrival *arrival,
+         enum frn_outcome outcome, int status, const char *what)
+{
+  sta_inc (daemon->metrics.no_route.outcome[outcome]);
+  evt_line (&daemon->log, EVT_NORMAL, "request", rw_now (),
+            "%s: id=%s path=%s status=%d version=%llu", what,
+            evt_value (arrival->head->id).text,
+            evt_value (arrival->message->target).text, status,
+            (unsigned long long)daemon->config->version);
+  frn_answer_refusal (arrival->conn, status, -1);
+}
+
+/* Answers 503 as the keys known here may have been revoked meanwhile.  */
+static void
+refuse_stale (struct frn_daemon *daemon, const struct frn_arrival *arrival)
+{
+  rw_time now = rw_now ();
+  rw_time age = now - daemon->peers.current_at;
+  sta_inc (daemon->metrics.no_route.outcome[FRN_REFUSED]);
+  sta_inc (daemon->metrics.refusal[FRN_REFUSE_STALE]);
+  evt_line (&daemon->log, EVT_NORMAL, "request", now,
+            "refused: id=%s status=503 error=\"keys are not confirmed\" "
+            "age_ms=%lld",
+            evt_value (arrival->head->id).text, (long long)(age / RW_MSEC));
+  frn_answer_refusal (arrival->conn, 503,
+                      shd_retry_after (age - daemon->settings.revocation_time,
+                                       arrival->head->time_left_ms * RW_MSEC,
+                                       &daemon->fleet.rng));
+}
+
 void
 frn_request_serve (struct frn_daemon *daemon, struct h1_conn *conn,
                    const struct h1_message *message, rw_time start,
                    bool relayed)
 {
   struct plt_request head;
-  struct cat_route *route = frn_find_route (daemon, message);
+  struct frn_arrival arrival = { .conn = conn,
+                                 .message = message,
+                                 .head = &head,
+                                 .route = frn_find_route (daemon, message),
+                                 .start = start,
+                                 .relayed = relayed };
   plt_read_request (message, &head);
-  if (route == NULL)
+  if (arrival.route == NULL)
     {
-      sta_inc (daemon->metrics.no_route.outcome[FRN_NO_ROUTE]);
-      evt_line (&daemon->log, EVT_NORMAL, "request", rw_now (),
-                "no route: id=%s path=%s version=%llu",
-                evt_value (head.id).text, evt_value (message->target).text,
-                (unsigned long long)daemon->config->version);
-      frn_answer_refusal (conn, 404, -1);
+      decline (daemon, &arrival, FRN_NO_ROUTE, 404, "no route");
       return;
     }
   if (head.id.len == 0)
     {
-      sta_inc (daemon->metrics.no_route.outcome[FRN_INVALID]);
-      evt_line (&daemon->log, EVT_NORMAL, "request", rw_now (),
-                "without id: path=%s", evt_value (message->target).text);
-      frn_answer_refusal (conn, 400, -1);
+      decline (daemon, &arrival, FRN_INVALID, 400, "without id");
       return;
     }
-  frn_request_begin (daemon, conn, message, route, &head, start, relayed,
-                     NULL);
+  switch (frn_access_check (daemon, &arrival))
+    {
+    case FRN_ACCESS_GRANTED:
+      frn_request_begin (daemon, &arrival);
+      break;
+    case FRN_ACCESS_NO_KEY:
+      decline (daemon, &arrival, FRN_NO_KEY, 401, "no valid key");
+      break;
+    case FRN_ACCESS_STALE:
+      refuse_stale (daemon, &arrival);
+      break;
+    }
 }
 
 /* Answers 503 because no configuration is known.  */
--- a/cmd/rwfront/daemon.c
+++ b/cmd/rwfront/daemon.c
@@ -4,6 +4,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "frn_quarantine.h"
 #include "front.h"
 
 #define TICK_MS 100
@@ -167,6 +168,7 @@
   frn_pool_sweep (daemon, now);
   frn_reach_tick (daemon, now);
   frn_quarantine_tick (daemon, now);
+  fai_sweep (&daemon->fair, now);
   ste_sweep (&daemon->fleet, frn_pool_release, daemon, now);
   frn_parked_serve (daemon, now);
   evt_flush (&daemon->log, now);
@@ -224,6 +226,7 @@
   apply_settings (daemon);
   rw_map_init (&daemon->route_stats);
   rw_map_init (&daemon->shed_groups);
+  fai_init (&daemon->fair);
   daemon->scratch = rw_xmalloc (H1_READ_BUF_SIZE);
   /* In force until the first configuration.  */
   daemon->caller_limits = (struct h1_limits){
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -15,6 +15,7 @@
    peers.c      gossip, and transfers of the store's items between daemons
    callers.c    requests as they arrive, and those that wait for a
                 configuration
+   access.c     whose request it is
    request.c    one request from its arrival to its end
    plan.c       the parts, times and limits of a request
    parts.c      choice of targets, and the sends of parts
@@ -37,6 +38,7 @@
 
 #include "cat.h"
 #include "event.h"
+#include "fair.h"
 #include "follow.h"
 #include "gather.h"
 #include "gossip.h"
@@ -71,6 +73,7 @@
   FRN_MECH_SUBSETS,    /* connections to some targets of a service only */
   FRN_MECH_PREOPEN,    /* connections opened in advance */
   FRN_MECH_QUARANTINE, /* holding back what crashes targets */
+  FRN_MECH_FAIR,       /* shares of organisations under pressure */
   FRN_MECH_COUNT
 };
 
@@ -97,6 +100,9 @@
   double budget_ratio;       /* hedges and retries per first send */
   double budget_slack;       /* additional ones per window, all daemons */
   rw_time budget_window;
+  bool strict_revocation; /* a copy older than REVOCATION_TIME may not
+                             admit keys */
+  rw_time revocation_time;
   bool without[FRN_MECH_COUNT];
 };
 
@@ -127,6 +133,7 @@
   FRN_FAILED,   /* failure answered; a target may have run it */
   FRN_GONE,     /* the caller disconnected before the answer */
   FRN_NO_ROUTE, /* 404 */
+  FRN_NO_KEY,   /* 401 */
   FRN_INVALID,  /* 400, 408, 413, 431 */
   FRN_OUTCOME_COUNT
 };
@@ -149,6 +156,7 @@
   FRN_REFUSE_OVERLOAD,  /* the queues of the targets are too long */
   FRN_REFUSE_BUSY,      /* targets refused it or were unreachable */
   FRN_REFUSE_HELD,      /* it crashes targets */
+  FRN_REFUSE_STALE,     /* keys may have been revoked meanwhile */
   FRN_REFUSAL_COUNT
 };
 
@@ -198,6 +206,17 @@
   struct sta_series *log_left_out; /* lines dropped by the rate limit */
 };
 
+/* Overload control of the requests of a route that have one rank: the priority
+   of their organisation.  */
+struct frn_shed_class
+{
+  unsigned int rank;
+  struct shd_route shed;
+  rw_time logged_at; /* last line about it; 0: none since it began */
+};
+/* The last class takes further ranks as well.  */
+#define FRN_MAX_SHED_CLASSES 8
+
 /* Statistics of a route, kept when the configuration changes.  Routes of
    several versions with the same name share them.  */
 struct frn_route_stats
@@ -207,8 +226,8 @@
   struct ste_latency subquery_latency;
   struct sbq_sizes sizes;
   struct gat_patience patience;
-  struct shd_route shed;
-  rw_time shed_logged_at;  /* last line about it; 0: none since it began */
+  struct frn_shed_class shed_classes[FRN_MAX_SHED_CLASSES];
+  size_t shed_class_count;
   struct rw_rng split_rng; /* draws the service of a split route */
   struct frn_route_metrics metrics;
 };
@@ -329,6 +348,7 @@
   rw_time config_since;      /* when it came into force */
   struct rw_map route_stats; /* struct frn_route_stats by hash of the name */
   struct rw_map shed_groups; /* struct shd_group by key of a service */
+  struct fai_table fair;     /* shares of organisations under pressure */
   struct h1_budget reply_budget;  /* bodies of replies that are arriving */
   struct h1_limits caller_limits; /* from the configuration */
   struct h1_server caller_server;
@@ -460,6 +480,20 @@
    of the requests; the shares of all daemons add up to at most the limit.  */
 size_t frn_shard_sharers (const struct frn_daemon *daemon);
 bool frn_is_relay_header (struct rw_str name);
+/* Appends the header that names the organisation of a forwarded request.  */
+void frn_relay_write_organisation (const struct frn_request *request,
+                                   struct rw_buf *out);
+/* Begins the value of a header that marks what is forwarded for an
+   organisation.  */
+#define FRN_ORGANISATION_MARK "@"
+/* Returns that mark, or an empty string if REQUEST has no organisation.  */
+const char *frn_organisation_mark (const struct frn_request *request);
+/* Takes the mark off *TEXT.  Returns whether it was there.  */
+bool frn_take_organisation_mark (struct rw_str *text);
+/* Returns the organisation that the peer names in MESSAGE, null: none.  */
+const struct org_organisation *
+frn_relay_organisation (const struct frn_daemon *daemon,
+                        const struct h1_message *message);
 /* Appends the header that marks a forwarded request.  */
 void frn_relay_write_header (const struct frn_send *send, struct rw_buf *out);
 /* Returns the time that the caller of a forwarded request has spent, as the
@@ -543,8 +577,10 @@
   struct rw_arena arena;
   struct h1_conn *conn; /* of the caller; null once the request has ended */
   struct cat_config *config; /* the version it began with; a reference */
+  const struct org_organisation *organisation; /* of CONFIG; null: none */
   struct cat_route *route;
   struct frn_route_stats *stats;
+  const struct shd_route *shed; /* that decided on it; null: none did */
   struct gat_query query;
   struct ste_service **services;   /* of each part */
   struct ste_target **tried;       /* targets of all sends; see tried_of */
@@ -588,14 +624,21 @@
 void frn_request_wait (struct frn_request *request, uint64_t time_ms);
 /* Whether a send of REQUEST is queued or in flight.  */
 bool frn_has_open_sends (const struct frn_request *request);
-/* Starts the request MESSAGE, which arrived at START, on ROUTE of the current
-   configuration.  HEAD is the decoded head of MESSAGE.  ORDER, which is
-   copied, says which subquery is asked for; null for a whole request.  */
-void frn_request_begin (struct frn_daemon *daemon, struct h1_conn *conn,
-                        const struct h1_message *message,
-                        struct cat_route *route,
-                        const struct plt_request *head, rw_time start,
-                        bool relayed, const struct sbq_order *order);
+/* A request as it arrived.  */
+struct frn_arrival
+{
+  struct h1_conn *conn;
+  const struct h1_message *message;
+  const struct plt_request *head; /* decoded head of MESSAGE */
+  struct cat_route *route;        /* of the current configuration */
+  const struct org_organisation *organisation; /* of it; null: none */
+  const struct sbq_order *order; /* the subquery asked for; null: none */
+  rw_time start;
+  bool relayed; /* a peer forwarded it */
+};
+/* Starts the request of ARRIVAL, of which what is needed is copied.  */
+void frn_request_begin (struct frn_daemon *daemon,
+                        const struct frn_arrival *arrival);
 /* Sends the parts that are due, then answers, fails or waits for the next
    event.  */
 void frn_request_run (struct frn_request *request);
@@ -701,51 +744,6 @@
 /* Closes the probes.  */
 void frn_reach_finish (struct frn_daemon *daemon);
 
-/* Requests that crash targets.  */
-
-int frn_quarantine_init (struct frn_daemon *daemon);
-void frn_quarantine_finish (struct frn_daemon *daemon);
-/* Periodic work.  */
-void frn_quarantine_tick (struct frn_daemon *daemon, rw_time now);
-/* Records that the process of TARGET ended before it answered the request KEY,
-   which was sent there at SENT_AT.  */
-void frn_quarantine_on_end (struct frn_daemon *daemon,
-                            const struct ste_target *target, uint64_t key,
-                            rw_time sent_at, rw_time ended_at);
-/* Records that TARGET completed REQUEST.  */
-void frn_quarantine_on_done (const struct frn_request *request,
-                             const struct ste_target *target);
-/* Records that the connection of a send of REQUEST was lost.  */
-void frn_quarantine_on_loss (struct frn_request *request);
-/* Decides whether a request whose parts are bound to their services is
-   admitted.  Returns false if it was refused, or waits for a trial; then
-   frn_request_admit goes on with it.  */
-bool frn_quarantine_admit (struct frn_request *request);
-/* Refuses a request that waited for a trial in vain.  */
-void frn_quarantine_give_up (struct frn_request *request);
-/* Forgets that REQUEST waits.  */
-void frn_quarantine_forget (const struct frn_request *request);
-/* Returns when PART may be sent, as qua_delay does.  */
-rw_time frn_quarantine_delay (struct frn_request *request, size_t part,
-                              rw_time now);
-/* Picks a target for REQUEST as ste_pick does, without those whose software
-   must not get it.  */
-struct ste_target *frn_quarantine_pick (struct frn_request *request,
-                                        struct ste_service *service,
-                                        const struct ste_latency *latency,
-                                        struct ste_target *const *tried,
-                                        size_t tried_n, rw_time now);
-/* Whether the next send of REQUEST goes alone, so not with others to a
-   delegate.  */
-bool frn_quarantine_sends_alone (const struct frn_request *request,
-                                 rw_time now);
-/* Takes the evidence that the daemon FROM sent.  */
-void frn_quarantine_take (struct frn_daemon *daemon, uint32_t from,
-                          struct rw_str evidence, rw_time now);
-/* Answers the operator's request MESSAGE at the admin port.  Returns false,
-   without an answer, if it is another one.  */
-bool frn_quarantine_serve (struct frn_daemon *daemon, struct h1_conn *conn,
-                           const struct h1_message *message);
 /* Sends EVIDENCE alone to the daemon IP (host order).  */
 void frn_peers_send_evidence (struct frn_daemon *daemon, uint32_t ip,
                               struct rw_str evidence, rw_time now);
--- a/cmd/rwfront/metrics.c
+++ b/cmd/rwfront/metrics.c
@@ -19,6 +19,8 @@
       return "targets-refused";
     case FRN_REFUSE_HELD:
       return "held-back";
+    case FRN_REFUSE_STALE:
+      return "keys-not-confirmed";
     case FRN_REFUSAL_COUNT:
       break;
     }
--- a/cmd/rwfront/overload.c
+++ b/cmd/rwfront/overload.c
@@ -40,71 +40,123 @@
   return shd_critical_delay (delays, count, plan->min_parts);
 }
 
-/* Writes a line when the route begins or ceases to refuse requests, and
+/* The rank of REQUEST: an organisation's priority goes before the route's.  */
+static unsigned int
+rank_of (const struct frn_request *request)
+{
+  const struct org_organisation *o = request->organisation;
+  return o != NULL && o->has_priority ? o->priority : 0;
+}
+
+/* The class of REQUEST, added at the first request of its rank.  */
+static struct frn_shed_class *
+class_of (const struct frn_request *request)
+{
+  struct frn_route_stats *stats = request->stats;
+  unsigned int rank = rank_of (request);
+  for (size_t i = 0; i < stats->shed_class_count; i++)
+    if (stats->shed_classes[i].rank == rank)
+      return &stats->shed_classes[i];
+  if (stats->shed_class_count == FRN_MAX_SHED_CLASSES)
+    return &stats->shed_classes[FRN_MAX_SHED_CLASSES - 1];
+  struct frn_shed_class *class = &stats->shed_classes
+                                      [stats->shed_class_count++];
+  class->rank = rank;
+  shd_init (&class->shed);
+  return class;
+}
+
+/* Writes a line when the class begins or ceases to refuse requests, and
    regularly in between.  */
 static void
-log_share (const struct frn_request *request, rw_time now)
+log_share (const struct frn_request *request, struct frn_shed_class *class,
+           rw_time now)
 {
-  struct frn_route_stats *stats = request->stats;
-  const struct shd_route *shed = &stats->shed;
+  const struct shd_route *shed = &class->shed;
   bool ended = shed->share == 0;
-  if (ended && stats->shed_logged_at == 0)
+  if (ended && class->logged_at == 0)
     return;
-  if (!ended && stats->shed_logged_at > 0
-      && now - stats->shed_logged_at < LOG_INTERVAL)
+  if (!ended && class->logged_at > 0 && now - class->logged_at < LOG_INTERVAL)
     return;
   evt_line (&request->daemon->log, EVT_NORMAL, "overload", now,
-            "%s: route=%s share=%.2f delay_ms=%.1f target_delay_ms=%.1f "
-            "work_ms=%.1f",
+            "%s: route=%s rank=%u share=%.2f delay_ms=%.1f "
+            "target_delay_ms=%.1f work_ms=%.1f",
             ended ? "ended" : "refusing",
-            evt_value (request->route->name).text, shed->share,
+            evt_value (request->route->name).text, class->rank, shed->share,
             shed->delay / RW_MSEC, shed->target / RW_MSEC,
-            stats->part_latency.work.mean / RW_MSEC);
-  stats->shed_logged_at = ended ? 0 : now;
+            request->stats->part_latency.work.mean / RW_MSEC);
+  class->logged_at = ended ? 0 : now;
 }
 
-/* Adapts the share of the route that is refused.  SLACK is the time that a
-   part may wait in a queue.  */
+/* Adapts the share of CLASS that is refused.  SLACK is the time that a part
+   may wait in a queue.  */
 static void
-update_share (const struct frn_request *request, rw_time now)
+update_share (const struct frn_request *request, struct frn_shed_class *class,
+              rw_time now)
 {
   struct frn_route_stats *stats = request->stats;
   const struct gat_plan *plan = &request->query.plan;
   struct shd_group *group = group_of (request);
   rw_time budget = plan->soft_deadline - request->start + request->time_spent;
   struct shd_claim claim
-      = { .key = rw_hash (request->route->name),
+      = { .key = rw_hash_u64 (rw_hash (request->route->name), class->rank),
+          .rank = class->rank,
           .priority = request->route->priority,
           .work = stats->part_latency.work.mean,
           .slack = (double)budget - stats->part_latency.work.mean,
           .seen_at = now };
   shd_group_claim (group, &claim);
-  shd_update (&stats->shed, queue_delay (request, now),
+  shd_update (&class->shed, queue_delay (request, now),
               shd_target_delay (group, claim.key, now), now);
-  log_share (request, now);
+  log_share (request, class, now);
   struct frn_route_metrics *metrics = frn_metrics_for_route (
       &request->daemon->metrics, stats, request->route->name);
-  sta_set_value (metrics->refused_share, stats->shed.share);
-  sta_set_value (metrics->queue_delay, stats->shed.delay / RW_SEC);
+  sta_set_value (metrics->refused_share, class->shed.share);
+  sta_set_value (metrics->queue_delay, class->shed.delay / RW_SEC);
+}
+
+/* Decides on REQUEST of CLASS.  An organisation far above its usual load comes
+   last, one that was served much less often than others comes first.  */
+static bool
+is_admitted (const struct frn_request *request, struct frn_shed_class *class,
+             rw_time now)
+{
+  struct fai_table *fair = &request->daemon->fair;
+  const struct org_organisation *o = request->organisation;
+  enum fai_standing standing = FAI_NORMAL;
+  enum shd_order order = shd_order_of (request->time_spent,
+                                       request->query.plan.soft_deadline - now,
+                                       request->stats->part_latency.work.mean);
+  if (o != NULL && !request->daemon->settings.without[FRN_MECH_FAIR])
+    {
+      fai_on_request (fair, o->id, now);
+      standing = fai_standing (fair, o->id, now);
+    }
+  if (standing == FAI_ABOVE_USUAL)
+    order = SHD_LAST;
+  bool is_admitted = shd_admit (&class->shed, order)
+                     || (standing == FAI_NEGLECTED && order == SHD_FIRST);
+  if (o != NULL && class->shed.share > 0)
+    fai_on_decision (fair, o->id, is_admitted, now);
+  return is_admitted;
 }
 
 bool
 frn_overload_admit (struct frn_request *request)
 {
-  struct frn_route_stats *stats = request->stats;
+  struct frn_shed_class *class;
   rw_time now = rw_now ();
   if (request->daemon->settings.without[FRN_MECH_OVERLOAD])
     return true;
-  if (shd_update_due (&stats->shed, now))
-    update_share (request, now);
-  enum shd_order order = shd_order_of (request->time_spent,
-                                       request->query.plan.soft_deadline - now,
-                                       stats->part_latency.work.mean);
-  if (shd_admit (&stats->shed, order))
+  class = class_of (request);
+  request->shed = &class->shed;
+  if (shd_update_due (&class->shed, now))
+    update_share (request, class, now);
+  if (is_admitted (request, class, now))
     return true;
   request->last_error = "overload";
   frn_refuse_request (request, FRN_REFUSE_OVERLOAD,
-                      shd_retry_after (shd_pressure_time (&stats->shed, now),
+                      shd_retry_after (shd_pressure_time (&class->shed, now),
                                        request->time_left_ms * RW_MSEC,
                                        &request->daemon->fleet.rng));
   frn_request_end (request);
@@ -119,4 +171,5 @@
   while ((group = rw_map_next (&daemon->shed_groups, &position)) != NULL)
     free (group);
   rw_map_finish (&daemon->shed_groups);
+  fai_finish (&daemon->fair);
 }
--- a/cmd/rwfront/parts.c
+++ b/cmd/rwfront/parts.c
@@ -1,6 +1,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "frn_quarantine.h"
 #include "front.h"
 
 /* A hedge is tried again after this time if no target is fast enough for it.
--- a/cmd/rwfront/peers.c
+++ b/cmd/rwfront/peers.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "frn_quarantine.h"
 #include "front.h"
 
 /* A daemon reads the store itself if its copy was not confirmed as current for
--- a/cmd/rwfront/plan.c
+++ b/cmd/rwfront/plan.c
@@ -33,7 +33,6 @@
       ste_latency_init (&stats->part_latency, route->aim);
       ste_latency_init (&stats->relay_latency, route->aim * 2);
       ste_latency_init (&stats->subquery_latency, route->aim * 2);
-      shd_init (&stats->shed);
       rw_rng_init (&stats->split_rng, rw_rng_next (&daemon->fleet.rng));
       rw_map_put (&daemon->route_stats, key, stats);
     }
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "frn_quarantine.h"
 #include "front.h"
 
 /* Between the 6 ms that connecting within a data centre takes and the 1 s
--- a/cmd/rwfront/quarantine.c
+++ b/cmd/rwfront/quarantine.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "front.h"
+#include "frn_quarantine.h"
 
 /* News are collected for this time before they are sent.  */
 #define PUSH_DELAY_MS 5
--- a/cmd/rwfront/relay.c
+++ b/cmd/rwfront/relay.c
@@ -6,6 +6,11 @@
    configuration.  A peer with another version refuses the request, so that the
    callers of one daemon never see an older version after a newer one.  */
 #define RELAY_HEADER "X-Rwf-Relay"
+/* The name of the organisation of a forwarded request.  The value of the
+   header that marks such a request, or a subquery, then begins with
+   FRN_ORGANISATION_MARK: a daemon of a version that does not know
+   organisations cannot read it, and refuses the request before it is begun. */
+#define ORGANISATION_HEADER "X-Rwf-Organisation"
 /* The time in milliseconds that the caller has spent, at this daemon too.  */
 #define SPENT_HEADER "X-Rwf-Spent-Ms"
 #define MAX_SPENT_MS 86400000
@@ -90,7 +95,41 @@
 bool
 frn_is_relay_header (struct rw_str name)
 {
-  return h1_name_eq (name, RELAY_HEADER) || h1_name_eq (name, SPENT_HEADER);
+  return h1_name_eq (name, RELAY_HEADER) || h1_name_eq (name, SPENT_HEADER)
+         || h1_name_eq (name, ORGANISATION_HEADER);
+}
+
+void
+frn_relay_write_organisation (const struct frn_request *request,
+                              struct rw_buf *out)
+{
+  if (request->organisation != NULL)
+    rw_buf_printf (out, ORGANISATION_HEADER ": %.*s\r\n",
+                   RW_STR_ARG (request->organisation->name));
+}
+
+const struct org_organisation *
+frn_relay_organisation (const struct frn_daemon *daemon,
+                        const struct h1_message *message)
+{
+  return org_find_name (&daemon->config->organisations,
+                        h1_header_value (message, ORGANISATION_HEADER));
+}
+
+const char *
+frn_organisation_mark (const struct frn_request *request)
+{
+  return request->organisation != NULL ? FRN_ORGANISATION_MARK : "";
+}
+
+bool
+frn_take_organisation_mark (struct rw_str *text)
+{
+  if (!rw_str_starts (*text, RW_LIT (FRN_ORGANISATION_MARK)))
+    return false;
+  text->ptr += sizeof FRN_ORGANISATION_MARK - 1;
+  text->len -= sizeof FRN_ORGANISATION_MARK - 1;
+  return true;
 }
 
 void
@@ -98,7 +137,8 @@
 {
   const struct frn_request *request = send->request;
   rw_time spent = request->time_spent + rw_now () - request->start;
-  rw_buf_printf (out, RELAY_HEADER ": %llu\r\n" SPENT_HEADER ": %lld\r\n",
+  rw_buf_printf (out, RELAY_HEADER ": %s%llu\r\n" SPENT_HEADER ": %lld\r\n",
+                 frn_organisation_mark (request),
                  (unsigned long long)request->config->version,
                  (long long)(spent / RW_MSEC));
 }
@@ -156,8 +196,10 @@
   int64_t version = 0;
   if (text.len == 0)
     return false;
+  bool is_marked = frn_take_organisation_mark (&text);
   if (rw_str_to_int (text, 0, INT64_MAX, &version) != 0
-      || !frn_serves_peers (daemon, (uint64_t)version))
+      || !frn_serves_peers (daemon, (uint64_t)version)
+      || (is_marked && frn_relay_organisation (daemon, message) == NULL))
     frn_refuse_peer (daemon, conn);
   else
     frn_request_serve (daemon, conn, message, rw_now (), true);
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "frn_quarantine.h"
 #include "front.h"
 
 #define ARENA_BLOCK 8192
@@ -33,15 +34,33 @@
   rw_buf_append (out, "\r\n", 2);
 }
 
+/* Whether the configuration of REQUEST says who callers are.  */
+static bool
+has_organisations (const struct frn_request *request)
+{
+  return request->config->organisations.count > 0;
+}
+
+/* Who asks: the organisation, or else the credentials.  A key of an
+   organisation is no part of it, as peers and logs get the result.  */
+static struct rw_str
+caller_of (const struct frn_request *request, const struct h1_message *message)
+{
+  if (request->organisation != NULL)
+    return request->organisation->name;
+  if (has_organisations (request))
+    return (struct rw_str){ NULL, 0 };
+  return h1_header_value (message, "Authorization");
+}
+
 /* The key of REQUEST, which is MESSAGE: a hash of the method, host, path,
-   query, credentials and body.  */
+   query, caller and body.  */
 static uint64_t
 key_of (const struct frn_request *request, const struct h1_message *message)
 {
   const struct rw_str fields[]
       = { request->method, h1_header_value (message, "Host"),
-          h1_header_value (message, "Authorization"), request->path_query,
-          request->body };
+          caller_of (request, message), request->path_query, request->body };
   uint64_t key = 0;
   for (size_t i = 0; i < RW_ARRAY_LEN (fields); i++)
     key = rw_hash_u64 (key, rw_hash (fields[i]));
@@ -67,7 +86,8 @@
       struct rw_str name = message->headers[i].name;
       if (!h1_is_hop_by_hop (message, name) && !plt_sets_header (name)
           && !h1_name_eq (name, "Content-Length")
-          && !frn_is_relay_header (name) && !frn_is_subquery_header (name))
+          && !frn_is_relay_header (name) && !frn_is_subquery_header (name)
+          && !(has_organisations (request) && plt_names_caller (name)))
         append_header (&lines, &message->headers[i]);
     }
   request->header_lines = rw_arena_str (&request->arena, rw_buf_str (&lines));
@@ -95,12 +115,16 @@
     {
     case FRN_SCOPE_PART:
       plt_write_expected_target (out, send->target->id);
+      if (request->organisation != NULL)
+        plt_write_organisation (out, request->organisation->name);
       break;
     case FRN_SCOPE_SUBQUERY:
       frn_subquery_write_header (send, out);
+      frn_relay_write_organisation (request, out);
       break;
     case FRN_SCOPE_QUERY:
       frn_relay_write_header (send, out);
+      frn_relay_write_organisation (request, out);
       break;
     }
   if (needs_content_length (request))
@@ -493,23 +517,38 @@
   frn_request_run (request);
 }
 
+/* Copies ORDER into the arena of REQUEST.  */
+static void
+copy_order (struct frn_request *request, const struct sbq_order *order)
+{
+  request->order
+      = rw_arena_zalloc (&request->arena, 1, sizeof *request->order);
+  *request->order = *order;
+  request->order->shards = rw_arena_alloc (
+      &request->arena, order->shard_count * sizeof *order->shards);
+  memcpy (request->order->shards, order->shards,
+          order->shard_count * sizeof *order->shards);
+}
+
 void
-frn_request_begin (struct frn_daemon *daemon, struct h1_conn *conn,
-                   const struct h1_message *message, struct cat_route *route,
-                   const struct plt_request *head, rw_time start, bool relayed,
-                   const struct sbq_order *order)
+frn_request_begin (struct frn_daemon *daemon,
+                   const struct frn_arrival *arrival)
 {
   struct frn_request *request = rw_xcalloc (1, sizeof *request);
+  const struct plt_request *head = arrival->head;
+  struct cat_route *route = arrival->route;
+  rw_time start = arrival->start;
   rw_time limit = route->timeout;
 
   if (head->time_left_ms >= 0 && head->time_left_ms * RW_MSEC < limit)
     limit = head->time_left_ms * RW_MSEC;
   request->daemon = daemon;
-  request->conn = conn;
-  request->relayed = relayed;
+  request->conn = arrival->conn;
+  request->relayed = arrival->relayed;
   request->time_left_ms = head->time_left_ms;
   request->retry_after = -1;
   request->config = cat_config_ref (daemon->config);
+  request->organisation = arrival->organisation;
   request->route = route;
   request->stats = frn_route_stats_of (daemon, route);
   request->start = start;
@@ -517,22 +556,14 @@
   request->next_interim = start + route->aim;
   request->deadline = start + limit - DEADLINE_MARGIN;
   rw_arena_init (&request->arena, ARENA_BLOCK);
-  request->time_spent = frn_time_spent (request, message);
-  copy_message (request, message, head->id);
-  if (order != NULL)
-    {
-      request->order
-          = rw_arena_zalloc (&request->arena, 1, sizeof *request->order);
-      *request->order = *order;
-      request->order->shards = rw_arena_alloc (
-          &request->arena, order->shard_count * sizeof *order->shards);
-      memcpy (request->order->shards, order->shards,
-              order->shard_count * sizeof *order->shards);
-    }
+  request->time_spent = frn_time_spent (request, arrival->message);
+  copy_message (request, arrival->message, head->id);
+  if (arrival->order != NULL)
+    copy_order (request, arrival->order);
   uv_timer_init (daemon->loop, &request->timer);
   request->timer.data = request;
   daemon->request_count++;
-  h1_conn_set_data (conn, request);
+  h1_conn_set_data (arrival->conn, request);
   if (frn_should_relay (daemon, request, rw_now ()))
     start_relay (request);
   else
--- a/cmd/rwfront/settings.c
+++ b/cmd/rwfront/settings.c
@@ -125,6 +125,8 @@
       return "preopen";
     case FRN_MECH_QUARANTINE:
       return "quarantine";
+    case FRN_MECH_FAIR:
+      return "fair";
     case FRN_MECH_COUNT:
       break;
     }
@@ -189,6 +191,10 @@
     return parse_number (value, &s->budget_slack);
   else if (rw_str_eq_cstr (name, "RWF_EXTRA_WINDOW_S"))
     return parse_time (value, RW_SEC, &s->budget_window);
+  else if (rw_str_eq_cstr (name, "RWF_STRICT_REVOCATION"))
+    s->strict_revocation = rw_str_eq_cstr (value, "true");
+  else if (rw_str_eq_cstr (name, "RWF_REVOCATION_MS"))
+    return parse_time (value, RW_MSEC, &s->revocation_time);
   else if (rw_str_eq_cstr (name, "RWF_WITHOUT"))
     return parse_without (value, s);
   return 0; /* unknown names may be settings of a later version */
@@ -207,6 +213,7 @@
   settings->budget_ratio = 0.1;
   settings->budget_slack = 10;
   settings->budget_window = 10 * RW_SEC;
+  settings->revocation_time = 5 * RW_SEC;
 }
 
 /* Checks that the required settings are present and the window is valid.  */
--- a/cmd/rwfront/subquery.c
+++ b/cmd/rwfront/subquery.c
@@ -1,6 +1,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "frn_quarantine.h"
 #include "front.h"
 
 /* Marks a subquery; see sbq_write_order.  */
@@ -190,7 +191,8 @@
                              .shard_count = send->u.subquery.count };
   rw_buf_init (&value);
   sbq_write_order (&order, &value);
-  rw_buf_printf (out, ORDER_HEADER ": %.*s\r\n",
+  rw_buf_printf (out, ORDER_HEADER ": %s%.*s\r\n",
+                 frn_organisation_mark (request),
                  RW_STR_ARG (rw_buf_str (&value)));
   rw_buf_finish (&value);
 }
@@ -352,15 +354,20 @@
   return RW_TIME_NEVER;
 }
 
-/* Returns the route that ORDER is for, or null if it does not fit.  */
+/* Returns the route that ORDER is for, or null if it does not fit, or if the
+   route needs an organisation and ORGANISATION is null.  */
 static struct cat_route *
 route_of (const struct frn_daemon *daemon, const struct h1_message *message,
-          const struct sbq_order *order)
+          const struct sbq_order *order,
+          const struct org_organisation *organisation)
 {
   struct cat_route *route = frn_find_route (daemon, message);
   if (route == NULL || route->kind != CAT_ROUTE_GATHER
       || order->shards[order->shard_count - 1] >= route->u.gather.count)
     return NULL;
+  if (organisation == NULL && !route->is_public
+      && daemon->config->organisations.count > 0)
+    return NULL;
   return route;
 }
 
@@ -372,21 +379,29 @@
   struct rw_arena arena;
   struct sbq_order order;
   struct plt_request head;
-  struct cat_route *route = NULL;
+  struct frn_arrival arrival = { .conn = conn,
+                                 .message = message,
+                                 .head = &head,
+                                 .order = &order,
+                                 .start = rw_now (),
+                                 .relayed = true };
   if (text.len == 0)
     return false;
   rw_arena_init (&arena, 1024);
   plt_read_request (message, &head);
+  (void)frn_take_organisation_mark (&text);
   if (sbq_read_order (text, &arena, &order) == 0 && head.id.len > 0
       && frn_serves_peers (daemon, order.version))
-    route = route_of (daemon, message, &order);
-  if (route == NULL)
+    {
+      arrival.organisation = frn_relay_organisation (daemon, message);
+      arrival.route = route_of (daemon, message, &order, arrival.organisation);
+    }
+  if (arrival.route == NULL)
     frn_refuse_peer (daemon, conn);
   else
     {
       sta_inc (daemon->metrics.subqueries_served);
-      frn_request_begin (daemon, conn, message, route, &head, rw_now (), true,
-                         &order);
+      frn_request_begin (daemon, &arrival);
     }
   rw_arena_finish (&arena);
   return true;
--- a/cmd/rwfront/view.c
+++ b/cmd/rwfront/view.c
@@ -192,9 +192,12 @@
   struct rw_str name;
   if (item->key.len == 0)
     return;
-  if (!item->removed && plt_classify_key (item->key, &name) == PLT_CONFIG
-      && is_new_era (daemon, item->revision))
-    kept = newer_config (daemon, item);
+  if (!item->removed && plt_classify_key (item->key, &name) == PLT_CONFIG)
+    {
+      if (is_new_era (daemon, item->revision))
+        kept = newer_config (daemon, item);
+      kept.value = plt_hide_keys (arena, kept.value);
+    }
   if (rep_put (&daemon->view.replica, &kept))
     apply_item (daemon, arena, &kept);
 }
--- a/lib/shed/shed.c
+++ b/lib/shed/shed.c
@@ -73,6 +73,13 @@
   return ldexp (1 / claim->work, -(int)claim->priority);
 }
 
+/* Whether the requests of A are served before those of B.  */
+static bool
+goes_before (const struct shd_claim *a, const struct shd_claim *b)
+{
+  return a->rank != b->rank ? a->rank < b->rank : value_of (a) > value_of (b);
+}
+
 double
 shd_target_delay (const struct shd_group *group, uint64_t key, rw_time now)
 {
@@ -88,7 +95,7 @@
       if (c == own || now - c->seen_at > CLAIM_TIME)
         continue;
       others++;
-      if (value_of (c) <= value_of (own))
+      if (!goes_before (c, own))
         continue;
       above++;
       slack = fmin (slack, c->slack);
--- a/lib/shed/shed.h
+++ b/lib/shed/shed.h
@@ -4,8 +4,9 @@
    The daemons do not coordinate.  All of them see the same queues at the
    targets, and each refuses the share of its own requests that keeps the delay
    in these queues at a target value.  Routes that use the same targets form a
-   group: those of low value get a short target delay and so give way first,
-   while the delay is still short enough for the others.
+   group: those of low rank, and of low value within a rank, get a short target
+   delay and so give way first, while the delay is still short enough for the
+   others.
 
    Nothing here reads a clock or does I/O.  Delays and work are in
    microseconds.  */
@@ -18,7 +19,8 @@
 /* What a route needs from the targets of its group.  */
 struct shd_claim
 {
-  uint64_t key;          /* of the route */
+  uint64_t key;      /* of the route, and of the rank if there are several */
+  unsigned int rank; /* goes before the value; 0 is the highest */
   unsigned int priority; /* 0 is the highest */
   double work;           /* of a target on a part; above 0 */
   double slack;          /* longest delay with which an answer is in time */
--- a/lib/shed/test_shed.c
+++ b/lib/shed/test_shed.c
@@ -430,8 +430,8 @@
                     SHD_LAST);
 }
 
-static const struct shd_claim heavy = { 1, 1, 20000, 110000, RW_SEC };
-static const struct shd_claim light = { 2, 2, 6700, 44000, RW_SEC };
+static const struct shd_claim heavy = { 1, 0, 1, 20000, 110000, RW_SEC };
+static const struct shd_claim light = { 2, 0, 2, 6700, 44000, RW_SEC };
 
 /* Guards against a target delay that leaves the light requests of a group no
    time, and against a short one for a route that is alone.  */
@@ -533,3 +533,22 @@
                      100 * RW_MSEC, 200 * RW_MSEC);
   assert_true (shd_retry_after (0, -1, &rng) > 0);
 }
+
+/* Guards against routes whose work decides although their callers'
+   organisations differ in priority.  */
+TEST (the_rank_goes_before_the_value)
+{
+  struct shd_group group = { .count = 0 };
+  struct shd_claim low
+      = { .key = 1, .rank = 2, .work = 1, .slack = 100000, .seen_at = RW_SEC };
+  struct shd_claim high = {
+    .key = 2, .rank = 1, .work = 50, .slack = 100000, .seen_at = RW_SEC
+  };
+  shd_group_claim (&group, &low);
+  shd_group_claim (&group, &high);
+  assert_true (shd_target_delay (&group, 2, RW_SEC)
+               > shd_target_delay (&group, 1, RW_SEC));
+  group.claims[0].rank = 1;
+  assert_true (shd_target_delay (&group, 2, RW_SEC)
+               < shd_target_delay (&group, 1, RW_SEC));
+}
--- a/tests/tier.sh
+++ b/tests/tier.sh
@@ -217,7 +217,10 @@
 	shards=0
 	for i in $(seq "$1"); do
 		search "$2" "$3" "$4" "part $i"
-		grep -q '^200 ' $LOGS/status || continue
+		if ! grep -q '^200 ' $LOGS/status; then
+			echo "search $i: $(cat $LOGS/status): $(cat $LOGS/answer)"
+			continue
+		fi
 		ANSWERED=$((ANSWERED + 1))
 		c=$(sed -n 's/.*"covered":\([0-9]*\).*/\1/p' $LOGS/answer)
 		n=$(sed -n 's/.*"shards":\([0-9]*\).*/\1/p' $LOGS/answer)
