--- a/tests/rwfsite/control.c
+++ b/tests/rwfsite/control.c
@@ -24,7 +24,9 @@
    POST /crash/N/PATH (requests for /PATH crash searchers of versions up to N;
    0: none)
    POST /ways/ADDRESS/open|refused|reset (of the daemon to all searchers)
-   GET /report, GET /ran/SERVICE/ID  */
+   GET /report, GET /ran/SERVICE/ID
+   GET /organisation/NAME (requests in its name; no NAME: in that of none)
+   GET /keys (requests that carried a caller's key)  */
 
 static void
 answer (struct h1_conn *conn, int status, struct rw_str body)
@@ -208,6 +210,14 @@
   answer (conn, 200, (struct rw_str){ text, (size_t)len });
 }
 
+static void
+answer_count (struct h1_conn *conn, uint64_t count)
+{
+  char text[32];
+  int len = snprintf (text, sizeof text, "%llu", (unsigned long long)count);
+  answer (conn, 200, (struct rw_str){ text, (size_t)len });
+}
+
 static bool
 change (struct site *site, const struct h1_message *message)
 {
@@ -239,8 +249,16 @@
 on_request (void *arg, struct h1_conn *conn, const struct h1_message *message)
 {
   struct site *site = arg;
+  struct rw_str name = message->target;
   if (rw_str_eq_cstr (message->target, "/report"))
     report (site, conn);
+  else if (rw_str_eq_cstr (message->target, "/keys"))
+    answer_count (conn, site->keys_seen);
+  else if (rw_str_starts (name, RW_LIT ("/organisation/")))
+    {
+      (void)rw_str_token (&name, "/");
+      answer_count (conn, site_requests_of (site, rw_str_token (&name, "/")));
+    }
   else if (rw_str_starts (message->target, RW_LIT ("/ran/")))
     report_runs (site, conn, message->target);
   else
--- a/tests/rwfsite/main.c
+++ b/tests/rwfsite/main.c
@@ -153,6 +153,7 @@
   site.drain_time = 3 * RW_SEC;
   site.limits = (struct h1_limits){ 65536, 1 << 20, 60 * RW_SEC, 60 * RW_SEC };
   rw_map_init (&site.runs);
+  rw_map_init (&site.organisations);
   if (site_store_init (&site, (uint16_t)options.store_port) != 0
       || site_control_init (&site, (uint16_t)options.control_port) != 0)
     {
--- a/tests/rwfsite/searcher.c
+++ b/tests/rwfsite/searcher.c
@@ -144,6 +144,7 @@
   job->timer.data = job;
   h1_conn_set_data (conn, job);
   job->crashes = site_crashes (searcher->site, searcher, message);
+  site_count_caller (searcher->site, message);
   count_run (searcher, job->id, repeatable);
   rw_time leaving_since
       = searcher->announced > 0 ? searcher->announced : searcher->changed;
--- a/tests/rwfsite/site.h
+++ b/tests/rwfsite/site.h
@@ -1,8 +1,9 @@
 /* Stand-ins of the users' platform on loopback: its store, which can only be
    read, and searchers.  They follow the published protocol as far as the tests
    need it.  store.c: items, ranges and watches.  searcher.c: targets with
-   slots, pauses and faults.  crash.c: a request that crashes them.  control.c:
-   what a test changes and asks.  */
+   slots, pauses and faults.  crash.c: a request that crashes them.
+   organisation.c: who the callers are.  control.c: what a test changes and
+   asks.  */
 
 #ifndef SITE_SITE_H
 #define SITE_SITE_H
@@ -15,6 +16,7 @@
 #define SITE_MAX_RUNS 200000
 /* Arrivals at one searcher that are kept to check its limit.  */
 #define SITE_MAX_ARRIVALS 4096
+#define SITE_MAX_ORGANISATIONS 1000
 
 enum site_store_mode
 {
@@ -119,6 +121,12 @@
   uint64_t late_runs;       /* after the daemons should have known */
 };
 
+/* Requests that searchers were sent in the name of an organisation.  */
+struct site_organisation
+{
+  uint64_t requests;
+};
+
 /* A copy of the store that can be restored.  */
 struct site_backup
 {
@@ -152,6 +160,8 @@
   uint64_t twice; /* unsafe requests that ran more than once */
   uint64_t over;  /* parts that ran more often than maxAttempts */
   struct site_crash crash;
+  struct rw_map organisations; /* struct site_organisation by name */
+  uint64_t keys_seen;          /* requests that carried a caller's key */
   rw_time drain_time;
 };
 
@@ -181,6 +191,10 @@
 void site_searcher_limit (struct site_searcher *searcher, double per_s);
 /* Sets the ways from the daemon SOURCE.  */
 void site_set_ways (struct site *site, uint32_t source, enum site_ways ways);
+/* Counts the organisation that MESSAGE names to a searcher, and a key.  */
+void site_count_caller (struct site *site, const struct h1_message *message);
+/* Returns how many requests named the organisation NAME; empty: none.  */
+uint64_t site_requests_of (struct site *site, struct rw_str name);
 uint16_t site_server_port (const struct h1_server *server);
 int site_listen (struct site *site, struct h1_server *server, uint16_t port,
                  const struct h1_server_ops *ops, void *arg);
--- a/tests/site.sh
+++ b/tests/site.sh
@@ -15,11 +15,11 @@
 	CONTROL=$(sed -n 's/.*control=\([0-9]*\).*/\1/p' "$DIR/site.out")
 }
 
-# Writes the settings of daemon N with the processor share CORES.
+# Writes the settings of daemon N with the processor share CORES, in DC or dc-a.
 settings() {
 	cat >"$DIR/vm-$1.settings" <<EOF
 RWF_NAME=vm-$1
-RWF_DC=dc-a
+RWF_DC=${3:-dc-a}
 RWF_CALLERS=$NET.$1:8104
 RWF_READY=$NET.$1:8108
 RWF_PEERS=$NET.$1:7380
@@ -31,9 +31,10 @@
 EOF
 }
 
-# Starts daemon N with the processor share CORES; its id is in PID.
+# Starts daemon N with the processor share CORES, in DC or dc-a; its id is in
+# PID.
 start_front() {
-	settings "$1" "$2"
+	settings "$1" "$2" "${3:-dc-a}"
 	$BIN/rwfront -c -s "$DIR/vm-$1.settings" || fail "settings are checked"
 	$BIN/rwfront -s "$DIR/vm-$1.settings" >"$DIR/vm-$1.log" 2>&1 &
 	PID=$!
