gossip: choose owners among the daemons that all know, and report the live fraction

The entry of a dead member was also reused before GOS_COUNT_HOLD_TIME, so that a partition would be forgotten.

Change: gos_owns chooses among the GOS_LOWEST_HASHES live daemons with the lowest hashes, of which all have recent news. gos_live_fraction is new and counts the same daemons. Entries are reused after GOS_COUNT_HOLD_TIME.

--- a/lib/gossip/gossip.c
+++ b/lib/gossip/gossip.c
@@ -79,14 +79,17 @@
 }
 
 /* Adds a member with the address IP in the place of one that was not heard of
-   for GOS_MEMBER_TIMEOUT, or else at the end of the array.  Returns a null
-   pointer if GOS_MAX_MEMBERS are live.  */
+   for GOS_COUNT_HOLD_TIME, or else at the end of the array.  If the array is
+   full, one that is dead is replaced.  Returns a null pointer if
+   GOS_MAX_MEMBERS are live.  */
 static struct gos_member *
 add_member (struct gos_gossip *gossip, uint32_t ip, rw_time now)
 {
   struct gos_member *member = NULL;
+  rw_time age = gossip->count < GOS_MAX_MEMBERS ? GOS_COUNT_HOLD_TIME
+                                                : GOS_MEMBER_TIMEOUT;
   for (size_t i = 0; i < gossip->count && member == NULL; i++)
-    if (now - gossip->members[i].last_heard >= GOS_MEMBER_TIMEOUT)
+    if (now - gossip->members[i].last_heard >= age)
       member = &gossip->members[i];
   if (member == NULL && gossip->count == GOS_MAX_MEMBERS)
     return NULL;
@@ -254,10 +257,11 @@
   return rw_hash_u64 (ip, 0);
 }
 
-/* Stores in LOWEST the live members with the lowest hashes, in ascending
-   order, and returns their number.  */
+/* Stores in LOWEST the members with the lowest hashes, in ascending order, of
+   those that were heard of within MAX_AGE and did not say that they stop.
+   Returns their number.  */
 static size_t
-find_lowest (const struct gos_gossip *gossip, rw_time now,
+find_lowest (const struct gos_gossip *gossip, rw_time max_age, rw_time now,
              const struct gos_member *lowest[GOS_LOWEST_HASHES])
 {
   size_t count = 0;
@@ -266,7 +270,7 @@
       const struct gos_member *member = &gossip->members[i];
       uint64_t hash = member_hash (member->ip);
       size_t at = count;
-      if (!is_alive (member, now))
+      if (member->left || now - member->last_heard >= max_age)
         continue;
       while (at > 0 && member_hash (lowest[at - 1]->ip) > hash)
         at--;
@@ -306,7 +310,7 @@
                   struct gos_message *message)
 {
   const struct gos_member *lowest[GOS_LOWEST_HASHES];
-  size_t count = find_lowest (gossip, now, lowest);
+  size_t count = find_lowest (gossip, GOS_MEMBER_TIMEOUT, now, lowest);
   gos_fill_head (gossip, message);
   for (size_t i = 0; i < count; i++)
     add_entry (message, lowest[i], now);
@@ -339,25 +343,57 @@
          || gos_live_count (gossip, now) < MIN_MEMBERS_WITHOUT_REPLY;
 }
 
+/* Keeps of the COUNT members in LOWEST those that, with this daemon, are the
+   GOS_LOWEST_HASHES lowest of all.  Returns their number and sets *WITH_SELF
+   to whether this daemon is one of them.  */
+static size_t
+rank_self (const struct gos_gossip *gossip,
+           const struct gos_member *const *lowest, size_t count,
+           bool *with_self)
+{
+  *with_self = count < GOS_LOWEST_HASHES
+               || member_hash (gossip->settings.ip)
+                      < member_hash (lowest[count - 1]->ip);
+  return *with_self && count == GOS_LOWEST_HASHES ? count - 1 : count;
+}
+
 bool
 gos_owns (const struct gos_gossip *gossip, uint64_t key, rw_time now,
           uint32_t *owner)
 {
-  uint64_t lowest = rw_hash_u64 (key, gossip->settings.ip);
+  const struct gos_member *members[GOS_LOWEST_HASHES];
+  bool with_self;
+  size_t count = find_lowest (gossip, GOS_MEMBER_TIMEOUT, now, members);
+  uint64_t lowest = UINT64_MAX;
+  count = rank_self (gossip, members, count, &with_self);
   *owner = gossip->settings.ip;
-  for (size_t i = 0; i < gossip->count; i++)
+  if (with_self)
+    lowest = rw_hash_u64 (key, gossip->settings.ip);
+  for (size_t i = 0; i < count; i++)
     {
-      const struct gos_member *member = &gossip->members[i];
-      uint64_t hash = rw_hash_u64 (key, member->ip);
-      if (is_alive (member, now) && hash < lowest)
+      uint64_t hash = rw_hash_u64 (key, members[i]->ip);
+      if (hash < lowest)
         {
           lowest = hash;
-          *owner = member->ip;
+          *owner = members[i]->ip;
         }
     }
   return *owner == gossip->settings.ip;
 }
 
+double
+gos_live_fraction (const struct gos_gossip *gossip, rw_time now)
+{
+  const struct gos_member *recent[GOS_LOWEST_HASHES];
+  bool with_self;
+  size_t count = find_lowest (gossip, GOS_COUNT_HOLD_TIME, now, recent);
+  count = rank_self (gossip, recent, count, &with_self);
+  size_t live = with_self;
+  for (size_t i = 0; i < count; i++)
+    live += is_alive (recent[i], now);
+  return (double)live / (double)(count + with_self);
+}
+
 bool
 gos_may_decide (const struct gos_gossip *gossip, rw_time now)
 {
@@ -486,7 +522,7 @@
 estimate_count (const struct gos_gossip *gossip, rw_time now)
 {
   const struct gos_member *lowest[GOS_LOWEST_HASHES];
-  size_t count = find_lowest (gossip, now, lowest);
+  size_t count = find_lowest (gossip, GOS_MEMBER_TIMEOUT, now, lowest);
   if (count < GOS_LOWEST_HASHES)
     return 0;
   double fraction
--- a/lib/gossip/gossip.h
+++ b/lib/gossip/gossip.h
@@ -116,14 +116,22 @@
 size_t gos_tick (struct gos_gossip *gossip, rw_time now, uint32_t *to,
                  size_t max);
 /* Returns whether the owner of KEY among the live daemons is this one; else
-   *OWNER is its address.  The owner is chosen by rendezvous hashing, so
-   daemons that know the same members agree on it.  */
+   *OWNER is its address.  The owner is chosen by rendezvous hashing from the
+   GOS_LOWEST_HASHES live daemons with the lowest hashes.  All daemons have
+   recent news of these and so agree on it; of 144 daemons, each takes some of
+   the others for dead at any time.  */
 bool gos_owns (const struct gos_gossip *gossip, uint64_t key, rw_time now,
                uint32_t *owner);
 /* Returns whether this daemon may decide for all of them: it has run for a
    while, and it hears of most of the daemons that were live within
    GOS_COUNT_HOLD_TIME.  */
 bool gos_may_decide (const struct gos_gossip *gossip, rw_time now);
+/* Returns the live daemons over those that were heard of within
+   GOS_COUNT_HOLD_TIME and did not say that they stop, 0 to 1.  Only the
+   GOS_LOWEST_HASHES daemons with the lowest hashes count, of which all daemons
+   have recent news.  Groups of daemons that cannot reach each other get
+   fractions that add up to one when they have found the others silent.  */
+double gos_live_fraction (const struct gos_gossip *gossip, rw_time now);
 /* Stores in TO the addresses of up to MAX random live members, most of them in
    this daemon's data centre, and returns their number.  The caller announces a
    change to them.  An address may occur twice.  */
--- a/lib/gossip/test_gossip.c
+++ b/lib/gossip/test_gossip.c
@@ -573,3 +573,58 @@
   assert_true (gos_may_decide (&fleet.daemons[0], 30 * RW_SEC));
   stop_all ();
 }
+
+#define HALVES_APART_FROM (30 * RW_SEC)
+
+static bool
+crosses_halves (size_t from, size_t to, rw_time now)
+{
+  return from % 2 != to % 2 && now >= HALVES_APART_FROM;
+}
+
+/* Guards against a share of a limit that both sides of a partition take: their
+   live fractions add up to about one, and to all before the partition.  */
+TEST (live_fractions_of_two_halves_add_up_to_one)
+{
+  static const size_t fleets[] = { 3, 30, 144 };
+  for (size_t n = 0; n < RW_ARRAY_LEN (fleets); n++)
+    {
+      start_all (fleets[n], 3);
+      fleet.is_lost = crosses_halves;
+      run (0, HALVES_APART_FROM);
+      for (size_t i = 0; i < fleet.count; i++)
+        assert_true (gos_live_fraction (&fleet.daemons[i], HALVES_APART_FROM)
+                     >= 0.98);
+      rw_time now = HALVES_APART_FROM + 14 * RW_SEC;
+      run (HALVES_APART_FROM, now);
+      double sum = gos_live_fraction (&fleet.daemons[0], now)
+                   + gos_live_fraction (&fleet.daemons[1], now);
+      assert_in_range ((uint64_t)(1000 * sum), 980, 1020);
+      stop_all ();
+    }
+}
+
+/* Guards against owners that daemons of a large fleet disagree on, because
+   each knows recent news of only a part of the others.  */
+TEST (daemons_of_a_large_fleet_agree_on_owners)
+{
+  static const size_t fleets[] = { 144, 300 };
+  for (size_t n = 0; n < RW_ARRAY_LEN (fleets); n++)
+    {
+      rw_time now = 20 * RW_SEC;
+      start_all (fleets[n], 3);
+      run (0, now);
+      size_t several = 0;
+      for (uint64_t key = 0; key < 100; key++)
+        {
+          uint32_t owner;
+          size_t owners = 0;
+          for (size_t i = 0; i < fleet.count; i++)
+            owners += gos_owns (&fleet.daemons[i], rw_hash_u64 (key, 0), now,
+                                &owner);
+          several += owners != 1;
+        }
+      assert_int_equal (several, 0);
+      stop_all ();
+    }
+}
