quota: token buckets at owners, shared by all daemons

Cause: an organisation's limit holds for all daemons together, and one or two daemons may carry its whole load, so a share for each daemon loses most of the limit.

Change: lib/quota divides a limit over one to three buckets, each at the owner that rendezvous hashing chooses. A daemon asks owners for tokens ahead of its load; a grant answers one ask and expires. A reserve and a local bucket stand in for owners that do not answer. The tolerance of the rule is divided among token lifetime, saved tokens, reserve and local buckets.

--- /dev/null
+++ b/lib/quota/parts.h
@@ -0,0 +1,63 @@
+/* Parts of the library: the buckets of an owner and the messages.  */
+
+#ifndef QUO_PARTS_H
+#define QUO_PARTS_H
+
+#include "quota.h"
+
+/* The part of the tolerance, overshoot x rate x window, that each mechanism
+   may use.  They add up to less than one.  */
+#define LIFE_PART 0.32    /* tokens are used up to their lifetime later */
+#define SAVED_PART 0.16   /* a bucket holds the tokens of some time */
+#define RESERVE_PART 0.25 /* rate of the reserve */
+#define LOCAL_PART 0.15   /* rate of all local buckets */
+/* Part of the slack with which all local buckets together begin.  */
+#define LOCAL_START_PART 0.1
+
+/* A daemon grants this long after it became the owner.  Views of a daemon that
+   comes or goes differ for about this time.  */
+#define SETTLE_TIME (1900 * RW_MSEC)
+
+static inline bool
+is_without (const struct quo_table *table, unsigned int mechanism)
+{
+  return (table->without & mechanism) != 0;
+}
+
+/* Returns the number of stripes of LIMIT.  Each bucket holds some tokens.  */
+uint32_t quo_stripes (const struct quo_table *table,
+                      const struct quo_limit *limit);
+/* Returns the key whose owner keeps POOL of ORGANISATION.  */
+uint64_t quo_pool_key (uint64_t organisation, uint32_t pool);
+/* Returns the time in which a bucket without burst saves tokens.  */
+rw_time quo_saved_time (const struct quo_table *table);
+/* Returns how long tokens can be used, counted from the ask.  */
+rw_time quo_token_life (const struct quo_table *table);
+
+void quo_meter_add (struct quo_meter *meter, double count, rw_time now);
+double quo_meter_rate (const struct quo_meter *meter, rw_time now);
+
+/* Follows the fraction of VIEW.  */
+void quo_note_fraction (struct quo_table *table, const struct quo_view *view,
+                        rw_time now);
+/* Answers ASK as the owner of its pool: deducts tokens and sets the answer,
+   tokens and wait of *ANSWER.  */
+void quo_grant (struct quo_table *table, const struct quo_view *view,
+                const struct quo_item *ask, rw_time now,
+                struct quo_item *answer);
+/* Drops buckets that this daemon no longer owns or that nobody asks for; looks
+   at some of them in each call.  */
+void quo_tick_buckets (struct quo_table *table, const struct quo_view *view,
+                       rw_time now);
+
+/* Takes an ask or an answer that the daemon FROM sent.  */
+void quo_take_item (struct quo_table *table, const struct quo_view *view,
+                    uint32_t from, const struct quo_item *item, rw_time now);
+
+/* Writes ITEM to OUT.  Returns its length, 0 if SIZE is too small.  */
+size_t quo_write_item (const struct quo_item *item, char *out, size_t size);
+/* Reads the item at the beginning of MESSAGE and removes it.  Returns 1 if it
+   is of a kind that is not known, 0, or RW_E_PARSE.  */
+int quo_read_item (struct rw_str *message, struct quo_item *item);
+
+#endif
