rwfront: quotas of organisations

Change: cmd/rwfront/quota.c carries asks and grants of lib/quota in a section of gossip messages; requests wait for a token, are refused with 429 and the time of the next one, and give it back if they did not run. An owner of a bucket that was not asked for before grants at once if it has owned the bucket for some time, as gossip now remembers; before, the first requests of each organisation were refused for 2 s. Declarations of relays and subqueries move to forward.h.

--- a/cmd/rwfront/access.c
+++ b/cmd/rwfront/access.c
@@ -1,3 +1,4 @@
+#include "forward.h"
 #include "access.h"
 
 /* Whether the copy of the configuration was confirmed as current too long ago
@@ -17,7 +18,8 @@
     return FRN_ACCESS_GRANTED;
   if (arrival->relayed)
     arrival->organisation = frn_relay_organisation (daemon, arrival->message);
-  if (arrival->organisation != NULL)
+  arrival->checked_by_peer = arrival->organisation != NULL;
+  if (arrival->checked_by_peer)
     return FRN_ACCESS_GRANTED;
   arrival->organisation = org_find_key (organisations, arrival->head->key);
   if (arrival->route->is_public)
--- a/cmd/rwfront/answer.c
+++ b/cmd/rwfront/answer.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
-#include "front.h"
+#include "forward.h"
+#include "frn_quota.h"
 
 /* Retry-After of a request that no target accepted: by then the targets have
    finished a few queued parts.  */
@@ -147,10 +148,12 @@
 frn_refuse_request (struct frn_request *request, enum frn_refusal reason,
                     rw_time retry_after)
 {
+  int status = reason == FRN_REFUSE_QUOTA ? 429 : 503;
   request->retry_after = retry_after;
-  frn_log_outcome (request, FRN_REFUSED, 503);
+  frn_quota_give_back (request);
+  frn_log_outcome (request, FRN_REFUSED, status);
   sta_inc (request->daemon->metrics.refusal[reason]);
-  frn_answer_refusal (request->conn, 503, retry_after);
+  frn_answer_refusal (request->conn, status, retry_after);
 }
 
 void
@@ -249,6 +252,8 @@
   else
     {
       int status = request->target_reply.status;
+      if (status == 503)
+        frn_quota_give_back (request);
       frn_log_outcome (request, status == 503 ? FRN_REFUSED : FRN_PASSED,
                        status);
       h1_conn_reply (request->conn, &request->target_reply);
--- a/cmd/rwfront/daemon.c
+++ b/cmd/rwfront/daemon.c
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include "frn_quarantine.h"
+#include "frn_quota.h"
 #include "front.h"
 
 #define TICK_MS 100
@@ -143,6 +144,7 @@
   daemon->settings = settings;
   apply_settings (daemon);
   frn_peers_update_settings (daemon);
+  frn_quota_update_settings (daemon);
   evt_line (&daemon->log, EVT_STATE, "settings", now, "read again: cause=%s",
             cause);
 }
@@ -168,6 +170,7 @@
   frn_pool_sweep (daemon, now);
   frn_reach_tick (daemon, now);
   frn_quarantine_tick (daemon, now);
+  frn_quota_tick (daemon, now);
   fai_sweep (&daemon->fair, now);
   ste_sweep (&daemon->fleet, frn_pool_release, daemon, now);
   frn_parked_serve (daemon, now);
@@ -255,6 +258,9 @@
   r = frn_quarantine_init (daemon);
   if (r != 0)
     return start_error (err, "quarantine", r);
+  r = frn_quota_init (daemon);
+  if (r != 0)
+    return start_error (err, "quota", r);
   r = frn_store_init (daemon);
   evt_line (&daemon->log, EVT_STATE, "daemon", rw_now (),
             "started: name=%s dc=%s pid=%d", daemon->settings.name,
@@ -290,6 +296,7 @@
   frn_peers_finish (daemon);
   frn_reach_finish (daemon);
   uv_close ((uv_handle_t *)&daemon->quarantine.push_timer, NULL);
+  uv_close ((uv_handle_t *)&daemon->quota.timer, NULL);
   uv_close ((uv_handle_t *)&daemon->tick_timer, NULL);
   uv_close ((uv_handle_t *)&daemon->sigterm, NULL);
   uv_close ((uv_handle_t *)&daemon->sighup, NULL);
@@ -305,6 +312,7 @@
   free_routes (daemon);
   frn_overload_finish (daemon);
   frn_quarantine_finish (daemon);
+  frn_quota_finish (daemon);
   cat_config_unref (daemon->config);
   sta_finish (&daemon->metrics.set);
   evt_finish (&daemon->log);
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -24,6 +24,7 @@
    subquery.c   parts that are left to a delegate in another data centre
    overload.c   refusal of requests that targets have no room for
    quarantine.c requests that are held back, as they crash targets
+   quota.c      quotas of organisations
    pool.c       connection pool of each target
    reach.c      whether this daemon is cut off from the targets
    answer.c     answers to the caller, and the log line of each request
@@ -45,6 +46,7 @@
 #include "h1.h"
 #include "platform.h"
 #include "quarantine.h"
+#include "quota.h"
 #include "reach.h"
 #include "replica.h"
 #include "shed.h"
@@ -74,6 +76,7 @@
   FRN_MECH_PREOPEN,    /* connections opened in advance */
   FRN_MECH_QUARANTINE, /* holding back what crashes targets */
   FRN_MECH_FAIR,       /* shares of organisations under pressure */
+  FRN_MECH_QUOTAS,     /* limits of organisations */
   FRN_MECH_COUNT
 };
 
@@ -103,6 +106,9 @@
   bool strict_revocation; /* a copy older than REVOCATION_TIME may not
                              admit keys */
   rw_time revocation_time;
+  rw_time quota_window; /* see quo_settings */
+  double quota_overshoot;
+  double quota_slack;
   bool without[FRN_MECH_COUNT];
 };
 
@@ -157,6 +163,7 @@
   FRN_REFUSE_BUSY,      /* targets refused it or were unreachable */
   FRN_REFUSE_HELD,      /* it crashes targets */
   FRN_REFUSE_STALE,     /* keys may have been revoked meanwhile */
+  FRN_REFUSE_QUOTA,     /* its organisation is beyond its limit */
   FRN_REFUSAL_COUNT
 };
 
@@ -325,6 +332,16 @@
   struct frn_request *waiter; /* waits for the grant of a trial; may be null */
 };
 
+/* Quotas of organisations.  */
+struct frn_quota
+{
+  struct quo_table table;
+  uv_timer_t timer;                 /* runs at quo_next_event */
+  struct frn_request *first_waiter; /* requests that wait for a token */
+  struct frn_request *last_waiter;
+  unsigned int round; /* counts the times that they were tried again */
+};
+
 /* A request that waits for the first configuration.  */
 struct frn_parked
 {
@@ -359,6 +376,7 @@
   struct frn_peers peers;
   struct frn_reach reach;
   struct frn_quarantine quarantine;
+  struct frn_quota quota;
   char *scratch; /* H1_READ_BUF_SIZE bytes, read buffer of outgoing connections
                   */
   uv_timer_t tick_timer;
@@ -453,99 +471,6 @@
    off.  */
 void frn_peerlist_update_fallbacks (struct frn_daemon *daemon, rw_time now);
 
-/* Relays.  A small VM has too little processor time for requests over many
-   shards, and if all small VMs connected to the targets of the shards, each
-   would get too small a share of a target's connection limit.  Small daemons
-   therefore forward such requests to larger ones.  */
-
-/* Whether REQUEST is to be forwarded to a larger peer.  */
-bool frn_should_relay (struct frn_daemon *daemon,
-                       const struct frn_request *request, rw_time now);
-/* Whether PEERS has one that is neither in backoff nor stalled, and that was
-   listed after the revision SINCE.  */
-bool frn_any_peer_available (const struct ste_service *peers, int64_t since,
-                             rw_time now);
-/* Whether there is a larger peer that is neither in backoff nor stalled.  */
-bool frn_relay_available (const struct frn_daemon *daemon, rw_time now);
-/* Whether there is a peer that serves requests while this daemon is cut off.
- */
-bool frn_fallback_available (const struct frn_daemon *daemon, rw_time now);
-/* Periodic work: updates the lists of larger peers and of delegates from the
-   gossip members.  */
-void frn_peerlist_tick (struct frn_daemon *daemon, rw_time now);
-/* Processor capacity of this daemon in thousandths of a core.  */
-uint32_t frn_own_capacity (const struct frn_daemon *daemon);
-/* The number by which this daemon divides the limits of the shards' targets.
-   It differs between gatherers and other daemons, as the gatherers send most
-   of the requests; the shares of all daemons add up to at most the limit.  */
-size_t frn_shard_sharers (const struct frn_daemon *daemon);
-bool frn_is_relay_header (struct rw_str name);
-/* Appends the header that names the organisation of a forwarded request.  */
-void frn_relay_write_organisation (const struct frn_request *request,
-                                   struct rw_buf *out);
-/* Begins the value of a header that marks what is forwarded for an
-   organisation.  */
-#define FRN_ORGANISATION_MARK "@"
-/* Returns that mark, or an empty string if REQUEST has no organisation.  */
-const char *frn_organisation_mark (const struct frn_request *request);
-/* Takes the mark off *TEXT.  Returns whether it was there.  */
-bool frn_take_organisation_mark (struct rw_str *text);
-/* Returns the organisation that the peer names in MESSAGE, null: none.  */
-const struct org_organisation *
-frn_relay_organisation (const struct frn_daemon *daemon,
-                        const struct h1_message *message);
-/* Appends the header that marks a forwarded request.  */
-void frn_relay_write_header (const struct frn_send *send, struct rw_buf *out);
-/* Returns the time that the caller of a forwarded request has spent, as the
-   sender states; 0 if it does not.  */
-rw_time frn_relay_time_spent (const struct h1_message *message);
-/* Whether the peer of SEND answered that it did not begin what was forwarded.
-   If that is because it is cut off itself, it is avoided for a while.  */
-bool frn_relay_refused (struct frn_send *send,
-                        const struct h1_message *message);
-/* Whether REQUEST, which a peer refused, may be left to another one.  */
-bool frn_may_relay_again (const struct frn_request *request, rw_time now);
-/* The peers that REQUEST is left to.  */
-struct ste_service **frn_relay_peers (struct frn_request *request);
-/* Serves a request from the peer port, or refuses it.  Returns false, without
-   an answer, if it is not a forwarded request.  */
-bool frn_relay_serve (struct frn_daemon *daemon, struct h1_conn *conn,
-                      const struct h1_message *message);
-/* Whether this daemon takes requests of peers now whose configuration has
-   VERSION.  */
-bool frn_serves_peers (const struct frn_daemon *daemon, uint64_t version);
-/* Answers a peer's request that this daemon does not begin.  */
-void frn_refuse_peer (const struct frn_daemon *daemon, struct h1_conn *conn);
-
-/* Subqueries: see lib/subquery.  */
-
-/* Holds back the first send of PART to TARGET if it may become part of a
-   subquery.  Returns whether it did; frn_subquery_flush then sends it.  */
-bool frn_subquery_collect (struct frn_request *request, size_t part,
-                           struct ste_target *target, rw_time now);
-/* Sends the parts held back, to delegates or else to their targets.  */
-void frn_subquery_flush (struct frn_request *request, rw_time now);
-/* Appends the header that says which parts SEND, a subquery, asks for.  */
-void frn_subquery_write_header (const struct frn_send *send,
-                                struct rw_buf *out);
-bool frn_is_subquery_header (struct rw_str name);
-/* Takes the delegate's reply to SEND.  */
-void frn_subquery_take_reply (struct frn_send *send,
-                              const struct h1_message *message);
-/* Records that SEND, a subquery, ended without a reply.  */
-void frn_subquery_fail (struct frn_send *send, enum gat_failure failure,
-                        rw_time now);
-/* Gives up the subqueries that are overdue at a delegate that has stalled.  */
-void frn_subquery_expire (struct frn_request *request, rw_time now);
-/* Returns when to do that again, RW_TIME_NEVER if no subquery is open.  */
-rw_time frn_subquery_expiry (const struct frn_request *request, rw_time now);
-/* Serves a subquery from the peer port, or refuses it.  Returns false, without
-   an answer, if MESSAGE is none.  */
-bool frn_subquery_serve (struct frn_daemon *daemon, struct h1_conn *conn,
-                         const struct h1_message *message);
-/* Answers the subquery that REQUEST serves, with the parts that arrived.  */
-void frn_subquery_answer (struct frn_request *request);
-
 /* Returns the route of MESSAGE, or null; a configuration must be known.  */
 struct cat_route *frn_find_route (const struct frn_daemon *daemon,
                                   const struct h1_message *message);
@@ -595,6 +520,12 @@
   rw_time next_interim;       /* relayed: when to send an interim reply */
   struct qua_attempt attempt; /* see lib/quarantine */
   bool awaits_trial;          /* until this daemon is granted one */
+  bool checked_by_peer; /* a peer has checked the key and taken the token */
+  bool has_token;       /* of its organisation's quota */
+  bool awaits_quota;    /* in the list of waiters, like the next three */
+  unsigned int quota_round;
+  struct frn_request *quota_next;
+  struct frn_request *quota_prev;
   struct rw_str id;
   /* Hash of what is asked and by whom: the same for all repeats, at every
      daemon.  */
@@ -617,6 +548,8 @@
 };
 
 extern const struct h1_server_ops frn_caller_ops;
+/* Goes on with a request that is within its organisation's quota.  */
+void frn_request_start (struct frn_request *request);
 /* Goes on with a request that is not held back: sends its parts, or refuses
    it.  */
 void frn_request_admit (struct frn_request *request);
@@ -634,7 +567,8 @@
   const struct org_organisation *organisation; /* of it; null: none */
   const struct sbq_order *order; /* the subquery asked for; null: none */
   rw_time start;
-  bool relayed; /* a peer forwarded it */
+  bool relayed;         /* a peer forwarded it */
+  bool checked_by_peer; /* and names its organisation */
 };
 /* Starts the request of ARRIVAL, of which what is needed is copied.  */
 void frn_request_begin (struct frn_daemon *daemon,
@@ -709,7 +643,8 @@
    header unless it is negative.  */
 void frn_answer_refusal (struct h1_conn *conn, int status,
                          rw_time retry_after);
-/* Answers 503 to a request that no target has run, and counts the refusal.  */
+/* Answers 503, or 429 beyond a quota, to a request that no target has run, and
+   counts the refusal.  */
 void frn_refuse_request (struct frn_request *request, enum frn_refusal reason,
                          rw_time retry_after);
 /* Returns the time until the least number of parts of REQUEST have a usable
@@ -744,6 +679,9 @@
 /* Closes the probes.  */
 void frn_reach_finish (struct frn_daemon *daemon);
 
+/* Sends the quota message MESSAGE to the daemon IP (host order).  */
+void frn_peers_send_quota (struct frn_daemon *daemon, uint32_t ip,
+                           struct rw_str message, rw_time now);
 /* Sends EVIDENCE alone to the daemon IP (host order).  */
 void frn_peers_send_evidence (struct frn_daemon *daemon, uint32_t ip,
                               struct rw_str evidence, rw_time now);
--- a/cmd/rwfront/metrics.c
+++ b/cmd/rwfront/metrics.c
@@ -21,6 +21,8 @@
       return "held-back";
     case FRN_REFUSE_STALE:
       return "keys-not-confirmed";
+    case FRN_REFUSE_QUOTA:
+      return "quota";
     case FRN_REFUSAL_COUNT:
       break;
     }
--- a/cmd/rwfront/parts.c
+++ b/cmd/rwfront/parts.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "frn_quarantine.h"
+#include "forward.h"
 #include "front.h"
 
 /* A hedge is tried again after this time if no target is fast enough for it.
--- a/cmd/rwfront/peerlist.c
+++ b/cmd/rwfront/peerlist.c
@@ -1,6 +1,7 @@
 #include <arpa/inet.h>
 #include <string.h>
 
+#include "forward.h"
 #include "front.h"
 
 /* A peer counts as larger if it has at least this multiple of this daemon's
--- a/cmd/rwfront/peers.c
+++ b/cmd/rwfront/peers.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 #include "frn_quarantine.h"
+#include "frn_quota.h"
+#include "forward.h"
 #include "front.h"
 
 /* A daemon reads the store itself if its copy was not confirmed as current for
@@ -72,6 +74,15 @@
   send_filled (daemon, ip, &message, now);
 }
 
+void
+frn_peers_send_quota (struct frn_daemon *daemon, uint32_t ip,
+                      struct rw_str quota, rw_time now)
+{
+  struct gos_message message = { .quota = quota };
+  gos_fill_head (&daemon->peers.gossip, &message);
+  send_filled (daemon, ip, &message, now);
+}
+
 /* Sends a gossip message to the daemon IP (host order).  */
 static void
 send_message (struct frn_daemon *daemon, uint32_t ip, bool reply_requested)
@@ -277,6 +288,7 @@
   else if (message.revision > 0)
     confirm_copy (daemon, current_at, now);
   frn_quarantine_take (daemon, ip, message.evidence, now);
+  frn_quota_take (daemon, ip, message.quota, now);
   if (message.reply_requested)
     reply_to (daemon, ip, now);
 }
--- a/cmd/rwfront/plan.c
+++ b/cmd/rwfront/plan.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 
+#include "forward.h"
 #include "front.h"
 
 /* A partial answer is sent this long, plus 1/20 of the aim, before the aim
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "frn_quarantine.h"
+#include "forward.h"
 #include "front.h"
 
 /* Between the 6 ms that connecting within a data centre takes and the 1 s
--- a/cmd/rwfront/relay.c
+++ b/cmd/rwfront/relay.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "forward.h"
 #include "front.h"
 
 /* Marks a forwarded request; the value is the version of the sender's
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -2,6 +2,8 @@
 #include <string.h>
 
 #include "frn_quarantine.h"
+#include "frn_quota.h"
+#include "forward.h"
 #include "front.h"
 
 #define ARENA_BLOCK 8192
@@ -187,6 +189,7 @@
   request->ended = true;
   request->conn = NULL;
   frn_quarantine_forget (request);
+  frn_quota_forget (request);
   frn_abandon_if_cheaper (request, FRN_ALL_PARTS);
   uv_timer_start (&request->timer, on_timer, LINGER_TIME / RW_MSEC, 0);
   frn_request_release (request);
@@ -517,6 +520,15 @@
   frn_request_run (request);
 }
 
+void
+frn_request_start (struct frn_request *request)
+{
+  if (frn_should_relay (request->daemon, request, rw_now ()))
+    start_relay (request);
+  else
+    start_local (request);
+}
+
 /* Copies ORDER into the arena of REQUEST.  */
 static void
 copy_order (struct frn_request *request, const struct sbq_order *order)
@@ -549,6 +561,7 @@
   request->retry_after = -1;
   request->config = cat_config_ref (daemon->config);
   request->organisation = arrival->organisation;
+  request->checked_by_peer = arrival->checked_by_peer;
   request->route = route;
   request->stats = frn_route_stats_of (daemon, route);
   request->start = start;
@@ -564,8 +577,6 @@
   request->timer.data = request;
   daemon->request_count++;
   h1_conn_set_data (arrival->conn, request);
-  if (frn_should_relay (daemon, request, rw_now ()))
-    start_relay (request);
-  else
-    start_local (request);
+  if (frn_quota_admit (request))
+    frn_request_start (request);
 }
--- a/cmd/rwfront/settings.c
+++ b/cmd/rwfront/settings.c
@@ -127,6 +127,8 @@
       return "quarantine";
     case FRN_MECH_FAIR:
       return "fair";
+    case FRN_MECH_QUOTAS:
+      return "quotas";
     case FRN_MECH_COUNT:
       break;
     }
@@ -195,6 +197,12 @@
     s->strict_revocation = rw_str_eq_cstr (value, "true");
   else if (rw_str_eq_cstr (name, "RWF_REVOCATION_MS"))
     return parse_time (value, RW_MSEC, &s->revocation_time);
+  else if (rw_str_eq_cstr (name, "RWF_QUOTA_WINDOW_S"))
+    return parse_time (value, RW_SEC, &s->quota_window);
+  else if (rw_str_eq_cstr (name, "RWF_QUOTA_OVERSHOOT"))
+    return parse_number (value, &s->quota_overshoot);
+  else if (rw_str_eq_cstr (name, "RWF_QUOTA_SLACK"))
+    return parse_number (value, &s->quota_slack);
   else if (rw_str_eq_cstr (name, "RWF_WITHOUT"))
     return parse_without (value, s);
   return 0; /* unknown names may be settings of a later version */
@@ -214,6 +222,7 @@
   settings->budget_slack = 10;
   settings->budget_window = 10 * RW_SEC;
   settings->revocation_time = 5 * RW_SEC;
+  settings->quota_window = 5 * RW_SEC;
 }
 
 /* Checks that the required settings are present and the window is valid.  */
@@ -230,6 +239,8 @@
     return setting_error (err, RW_LIT ("RWF_PEERS"), "is required");
   if (s->budget_window < RW_SEC)
     return setting_error (err, RW_LIT ("RWF_EXTRA_WINDOW_S"), "is below 1 s");
+  if (s->quota_window < RW_SEC)
+    return setting_error (err, RW_LIT ("RWF_QUOTA_WINDOW_S"), "is below 1 s");
   return 0;
 }
 
--- a/cmd/rwfront/subquery.c
+++ b/cmd/rwfront/subquery.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "frn_quarantine.h"
+#include "forward.h"
 #include "front.h"
 
 /* Marks a subquery; see sbq_write_order.  */
@@ -384,7 +385,8 @@
                                  .head = &head,
                                  .order = &order,
                                  .start = rw_now (),
-                                 .relayed = true };
+                                 .relayed = true,
+                                 .checked_by_peer = true };
   if (text.len == 0)
     return false;
   rw_arena_init (&arena, 1024);
--- a/cmd/rwfront/test_relay.c
+++ b/cmd/rwfront/test_relay.c
@@ -1,5 +1,6 @@
 #include <math.h>
 
+#include "forward.h"
 #include "front.h"
 #include "unit.h"
 
--- a/lib/gossip/codec.c
+++ b/lib/gossip/codec.c
@@ -12,6 +12,7 @@
    tags that they do not know, and those of before there were sections do not
    read that far.  */
 #define TAG_EVIDENCE 1U
+#define TAG_QUOTA 2U
 #define SECTION_HEAD_BYTES 8
 /* Encoded sizes of a message without entries, and of an entry.  */
 #define HEAD_BYTES 32
@@ -61,6 +62,27 @@
          - SECTION_HEAD_BYTES;
 }
 
+/* Appends a section to the USED bytes of DATA, which has room for SIZE;
+   nothing if BODY is empty.  Returns the bytes used then, 0 if SIZE is too
+   small.  */
+static size_t
+append_section (char *data, size_t size, size_t used, unsigned int tag,
+                struct rw_str body)
+{
+  XDR xdr;
+  unsigned int len = (unsigned int)body.len;
+  if (body.len == 0)
+    return used;
+  if (size - used < SECTION_HEAD_BYTES
+      || body.len > size - used - SECTION_HEAD_BYTES)
+    return 0;
+  xdrmem_create (&xdr, data + used, SECTION_HEAD_BYTES, XDR_ENCODE);
+  if (!xdr_u_int (&xdr, &tag) || !xdr_u_int (&xdr, &len))
+    return 0;
+  memcpy (data + used + SECTION_HEAD_BYTES, body.ptr, body.len);
+  return used + SECTION_HEAD_BYTES + body.len;
+}
+
 size_t
 gos_encode (const struct gos_message *message, char *data, size_t size)
 {
@@ -71,17 +93,10 @@
   xdrmem_create (&xdr, data, (unsigned int)size, XDR_ENCODE);
   if (!code_message (&xdr, &copy))
     return 0;
-  size_t used = xdr_getpos (&xdr);
-  if (copy.evidence.len == 0)
-    return used;
-  unsigned int tag = TAG_EVIDENCE;
-  unsigned int len = (unsigned int)copy.evidence.len;
-  if (copy.evidence.len > size - used
-      || size - used - copy.evidence.len < SECTION_HEAD_BYTES
-      || !xdr_u_int (&xdr, &tag) || !xdr_u_int (&xdr, &len))
-    return 0;
-  memcpy (data + used + SECTION_HEAD_BYTES, copy.evidence.ptr, len);
-  return used + SECTION_HEAD_BYTES + len;
+  size_t used = append_section (data, size, xdr_getpos (&xdr), TAG_EVIDENCE,
+                                copy.evidence);
+  return used > 0 ? append_section (data, size, used, TAG_QUOTA, copy.quota)
+                  : 0;
 }
 
 /* Reads the sections of DATA from the position of XDR on.  What cannot be read
@@ -98,6 +113,8 @@
       at += SECTION_HEAD_BYTES;
       if (tag == TAG_EVIDENCE)
         message->evidence = (struct rw_str){ data.ptr + at, len };
+      else if (tag == TAG_QUOTA)
+        message->quota = (struct rw_str){ data.ptr + at, len };
       at += len;
       if (len % sizeof (uint32_t) != 0 || !xdr_setpos (xdr, (unsigned int)at))
         return;
--- a/lib/gossip/gossip.c
+++ b/lib/gossip/gossip.c
@@ -357,30 +357,79 @@
   return *with_self && count == GOS_LOWEST_HASHES ? count - 1 : count;
 }
 
-bool
-gos_owns (const struct gos_gossip *gossip, uint64_t key, rw_time now,
-          uint32_t *owner)
+/* Sets OWNERS to the daemons that can own keys at NOW.  */
+static void
+find_owners (const struct gos_gossip *gossip, rw_time now,
+             struct gos_owners *owners)
 {
   const struct gos_member *members[GOS_LOWEST_HASHES];
   bool with_self;
   size_t count = find_lowest (gossip, GOS_MEMBER_TIMEOUT, now, members);
-  uint64_t lowest = UINT64_MAX;
   count = rank_self (gossip, members, count, &with_self);
-  *owner = gossip->settings.ip;
-  if (with_self)
-    lowest = rw_hash_u64 (key, gossip->settings.ip);
+  owners->at = now;
+  owners->count = 0;
   for (size_t i = 0; i < count; i++)
+    owners->ips[owners->count++] = members[i]->ip;
+  if (with_self)
+    owners->ips[owners->count++] = gossip->settings.ip;
+}
+
+/* Returns the one of OWNERS that owns KEY.  */
+static uint32_t
+pick_owner (const struct gos_owners *owners, uint64_t key)
+{
+  uint32_t owner = 0;
+  uint64_t lowest = UINT64_MAX;
+  for (size_t i = 0; i < owners->count; i++)
     {
-      uint64_t hash = rw_hash_u64 (key, members[i]->ip);
+      uint64_t hash = rw_hash_u64 (key, owners->ips[i]);
       if (hash < lowest)
         {
           lowest = hash;
-          *owner = members[i]->ip;
+          owner = owners->ips[i];
         }
     }
+  return owner;
+}
+
+bool
+gos_owns (const struct gos_gossip *gossip, uint64_t key, rw_time now,
+          uint32_t *owner)
+{
+  struct gos_owners owners;
+  find_owners (gossip, now, &owners);
+  *owner = pick_owner (&owners, key);
   return *owner == gossip->settings.ip;
 }
 
+void
+gos_note_owners (struct gos_gossip *gossip, rw_time now)
+{
+  size_t last = (gossip->owners_next + GOS_OWNERS_KEPT - 1) % GOS_OWNERS_KEPT;
+  if (now - gossip->owners[last].at < GOS_OWNERS_INTERVAL)
+    return;
+  find_owners (gossip, now, &gossip->owners[gossip->owners_next]);
+  gossip->owners_next = (gossip->owners_next + 1) % GOS_OWNERS_KEPT;
+}
+
+rw_time
+gos_owned_for (const struct gos_gossip *gossip, uint64_t key, rw_time now)
+{
+  rw_time since = now;
+  for (size_t i = 1; i <= GOS_OWNERS_KEPT; i++)
+    {
+      const struct gos_owners *owners
+          = &gossip->owners[(gossip->owners_next + GOS_OWNERS_KEPT - i)
+                            % GOS_OWNERS_KEPT];
+      /* A gap means that this daemon did not run.  */
+      if (owners->at == 0 || since - owners->at > 4 * GOS_OWNERS_INTERVAL
+          || pick_owner (owners, key) != gossip->settings.ip)
+        break;
+      since = owners->at;
+    }
+  return now - since;
+}
+
 double
 gos_live_fraction (const struct gos_gossip *gossip, rw_time now)
 {
--- a/lib/gossip/gossip.h
+++ b/lib/gossip/gossip.h
@@ -77,6 +77,8 @@
   /* Evidence against requests, in a form that its library knows; may be empty.
      In a decoded message it points into the data.  */
   struct rw_str evidence;
+  /* Asks for tokens of quotas, or grants of them; likewise.  */
+  struct rw_str quota;
 };
 
 struct gos_settings
@@ -91,6 +93,18 @@
   uint64_t rng_seed;
 };
 
+/* The daemons that could own keys at some time.  */
+struct gos_owners
+{
+  rw_time at;
+  uint32_t ips[GOS_LOWEST_HASHES];
+  size_t count;
+};
+/* The last of them that are kept: those of GOS_OWNERS_KEPT times
+   GOS_OWNERS_INTERVAL.  */
+#define GOS_OWNERS_INTERVAL (250 * RW_MSEC)
+#define GOS_OWNERS_KEPT 16
+
 struct gos_gossip
 {
   struct gos_settings settings;
@@ -104,6 +118,8 @@
   rw_time last_message; /* of any peer; 0: none */
   size_t held_count;    /* highest count, held for GOS_COUNT_HOLD_TIME */
   rw_time held_at;      /* when the count was last as high as that */
+  struct gos_owners owners[GOS_OWNERS_KEPT]; /* a ring */
+  size_t owners_next;
 };
 
 /* Copies SETTINGS.  */
@@ -122,6 +138,13 @@
    the others for dead at any time.  */
 bool gos_owns (const struct gos_gossip *gossip, uint64_t key, rw_time now,
                uint32_t *owner);
+/* Keeps who can own keys at NOW, at most each GOS_OWNERS_INTERVAL; to be
+   called regularly.  */
+void gos_note_owners (struct gos_gossip *gossip, rw_time now);
+/* Returns for how long this daemon has owned KEY without a break: rather too
+   short than too long, and at most the time that gos_note_owners covers.  */
+rw_time gos_owned_for (const struct gos_gossip *gossip, uint64_t key,
+                       rw_time now);
 /* Returns whether this daemon may decide for all of them: it has run for a
    while, and it hears of most of the daemons that were live within
    GOS_COUNT_HOLD_TIME.  */
--- a/lib/gossip/test_gossip.c
+++ b/lib/gossip/test_gossip.c
@@ -628,3 +628,52 @@
       stop_all ();
     }
 }
+
+/* Guards against sections that take each other's place: a message may carry
+   evidence and quota messages, or one of them.  */
+TEST (sections_are_read_as_written)
+{
+  static const char *const bodies[][2]
+      = { { "evid", "" }, { "", "quot" }, { "evid", "quotquot" } };
+  struct rw_err err;
+  char data[GOS_MAX_DATAGRAM];
+  for (size_t i = 0; i < RW_ARRAY_LEN (bodies); i++)
+    {
+      struct gos_message message = { .dc = 7 };
+      struct gos_message read;
+      message.evidence = rw_str_from (bodies[i][0]);
+      message.quota = rw_str_from (bodies[i][1]);
+      size_t len = gos_encode (&message, data, sizeof data);
+      assert_true (len > 0);
+      assert_int_equal (gos_decode ((struct rw_str){ data, len }, &read, &err),
+                        0);
+      assert_true (rw_str_eq (read.evidence, message.evidence));
+      assert_true (rw_str_eq (read.quota, message.quota));
+    }
+}
+
+/* Guards against a daemon that grants as an owner of long standing although it
+   became one only now: after its start, or since the owner before it ended. */
+TEST (the_time_of_ownership_begins_anew)
+{
+  rw_time now = 0;
+  uint64_t owned = 0;
+  start_all (30, 3);
+  for (; now <= 10 * RW_SEC; now += 100 * RW_MSEC)
+    {
+      run (now, now + 100 * RW_MSEC);
+      for (size_t i = 0; i < fleet.count; i++)
+        gos_note_owners (&fleet.daemons[i], now);
+      if (now != 500 * RW_MSEC && now != 10 * RW_SEC)
+        continue;
+      for (uint64_t key = 0; key < 100; key++)
+        for (size_t i = 0; i < fleet.count; i++)
+          {
+            rw_time time = gos_owned_for (&fleet.daemons[i], key, now);
+            assert_true (time <= now);
+            owned += now == 10 * RW_SEC && time >= 2 * RW_SEC;
+          }
+    }
+  assert_in_range (owned, 98, 102);
+  stop_all ();
+}
--- a/lib/org/org.c
+++ b/lib/org/org.c
@@ -171,13 +171,17 @@
                                  : NULL;
 }
 
+const struct org_organisation *
+org_find_id (const struct org_directory *directory, uint64_t id)
+{
+  uintptr_t stored = (uintptr_t)rw_map_get (&directory->by_name, id);
+  return stored != 0 ? &directory->list[stored - 1] : NULL;
+}
+
 const struct org_organisation *
 org_find_name (const struct org_directory *directory, struct rw_str name)
 {
-  uintptr_t stored
-      = (uintptr_t)rw_map_get (&directory->by_name, rw_hash (name));
-  if (stored == 0)
-    return NULL;
-  const struct org_organisation *found = &directory->list[stored - 1];
-  return rw_str_eq (found->name, name) ? found : NULL;
+  const struct org_organisation *found
+      = org_find_id (directory, rw_hash (name));
+  return found != NULL && rw_str_eq (found->name, name) ? found : NULL;
 }
--- a/lib/org/org.h
+++ b/lib/org/org.h
@@ -80,5 +80,8 @@
 /* Returns the organisation NAME, or null.  */
 const struct org_organisation *
 org_find_name (const struct org_directory *directory, struct rw_str name);
+/* Returns the organisation whose name has the hash ID, or null.  */
+const struct org_organisation *
+org_find_id (const struct org_directory *directory, uint64_t id);
 
 #endif
--- a/lib/quota/fleet.h
+++ b/lib/quota/fleet.h
@@ -153,6 +153,13 @@
   return owner;
 }
 
+static rw_time
+find_owned_time (void *arg, uint64_t key, rw_time now)
+{
+  struct daemon *d = arg;
+  return gos_owned_for (&d->gossip, key, now);
+}
+
 static bool
 find_limit (void *arg, uint64_t organisation, struct quo_limit *limit)
 {
@@ -331,7 +338,12 @@
   gos_init (&d->gossip, &settings, fleet.now);
   quo_init (&d->table, &quotas, seed + 1, fleet.now);
   d->table.without = fleet.without;
-  d->view = (struct quo_view){ d, find_owner, find_limit, fleet.count, 1 };
+  d->view = (struct quo_view){ .arg = d,
+                               .owner = find_owner,
+                               .limit = find_limit,
+                               .daemons = fleet.count,
+                               .fraction = 1,
+                               .owned_for = find_owned_time };
   d->timer = 0;
   d->waiting = 0;
   d->generation++;
@@ -366,6 +378,7 @@
     {
       d->view.daemons = gos_daemon_count (&d->gossip, fleet.now);
       d->view.fraction = gos_live_fraction (&d->gossip, fleet.now);
+      gos_note_owners (&d->gossip, fleet.now);
       quo_tick (&d->table, &d->view, fleet.now);
       flush (i);
     }
--- a/lib/quota/owner.c
+++ b/lib/quota/owner.c
@@ -183,13 +183,19 @@
   return true;
 }
 
-/* Adds an empty bucket for ASK.  Returns a null pointer if there is no
+/* Adds a bucket for ASK, with the tokens of the time for which this daemon has
+   been the owner, when nobody asked.  Returns a null pointer if there is no
    room.  */
 static struct quo_bucket *
-add_bucket (struct quo_table *table, const struct quo_item *ask, double rate,
-            double cap, rw_time now)
+add_bucket (struct quo_table *table, const struct quo_view *view,
+            const struct quo_item *ask, double rate, double cap, rw_time now)
 {
-  rw_time age = (rw_time)ask->age_ms * RW_MSEC;
+  rw_time owned = 0;
+  if (view->owned_for != NULL)
+    owned = view->owned_for (view->arg,
+                             quo_pool_key (ask->organisation, ask->pool), now);
+  rw_time asked = (rw_time)ask->age_ms * RW_MSEC;
+  rw_time age = asked > owned ? asked : owned;
   rw_time rest = age < SETTLE_TIME ? SETTLE_TIME - age : 0;
   if (!make_room (table, now))
     return NULL;
@@ -199,7 +205,9 @@
   bucket->rate = rate;
   bucket->cap = cap;
   bucket->at = now;
-  bucket->owned_since = now;
+  bucket->owned_since = now - owned;
+  if (owned > SETTLE_TIME)
+    bucket->tokens = fmin (rate * (double)(owned - SETTLE_TIME) / RW_SEC, cap);
   bucket->settled_at
       = is_without (table, QUO_WITHOUT_SETTLE) ? now : now + rest;
   rw_map_put (&table->buckets, quo_pool_key (ask->organisation, ask->pool),
@@ -299,7 +307,7 @@
       return;
     }
   if (bucket == NULL)
-    bucket = add_bucket (table, ask, rate, cap, now);
+    bucket = add_bucket (table, view, ask, rate, cap, now);
   if (bucket == NULL)
     return;
   bucket->asked_at = now;
--- a/lib/quota/parts.h
+++ b/lib/quota/parts.h
@@ -14,9 +14,10 @@
 /* Part of the slack with which all local buckets together begin.  */
 #define LOCAL_START_PART 0.1
 
-/* A daemon grants this long after it became the owner.  Views of a daemon that
-   comes or goes differ for about this time.  */
-#define SETTLE_TIME (1900 * RW_MSEC)
+/* A daemon grants this long after it became the owner.  Views of the daemons
+   that may be owners differ for less than this time, also after a start of
+   all.  */
+#define SETTLE_TIME (600 * RW_MSEC)
 
 static inline bool
 is_without (const struct quo_table *table, unsigned int mechanism)
--- a/lib/quota/quota.h
+++ b/lib/quota/quota.h
@@ -46,6 +46,9 @@
   bool (*limit) (void *arg, uint64_t organisation, struct quo_limit *limit);
   size_t daemons;  /* that divide a limit; rather too many than too few */
   double fraction; /* live daemons of those seen in the last minute, 0 to 1 */
+  /* Returns for how long this daemon has owned KEY without a break, at most
+     some seconds; null: not known.  */
+  rw_time (*owned_for) (void *arg, uint64_t key, rw_time now);
 };
 
 enum quo_verdict
