--- a/lib/cat/cat.h
+++ b/lib/cat/cat.h
@@ -60,7 +60,9 @@
   struct rw_str name;
   unsigned int max_connections; /* that a target accepts; 0: not stated */
   double warmup_limit_per_s;    /* requests to a cold target; 0: not stated */
-  void *user;                   /* set and owned by the caller */
+  uint32_t entry; /* position in the document's list of services, from 1; 0:
+                     only routes name it */
+  void *user;     /* set and owned by the caller */
 };
 
 /* What a caller may send, and how long it may take.  */
--- a/lib/cat/config.c
+++ b/lib/cat/config.c
@@ -45,9 +45,12 @@
   uintptr_t stored = (uintptr_t)rw_map_get (&config->services_by_name, key);
   if (stored != 0)
     return (uint32_t)stored - 1;
-  config->services
-      = rw_xrealloc (config->services,
-                     (config->service_count + 1) * sizeof *config->services);
+  /* The array is full whenever its length is 0 or a power of two.  */
+  size_t count = config->service_count;
+  if ((count & (count - 1)) == 0)
+    config->services
+        = rw_xrealloc (config->services,
+                       (count > 0 ? 2 * count : 1) * sizeof *config->services);
   struct cat_service *service = &config->services[config->service_count++];
   memset (service, 0, sizeof *service);
   service->name = rw_arena_str (&config->arena, name);
--- a/lib/org/org.c
+++ b/lib/org/org.c
@@ -158,6 +158,18 @@
   return 0;
 }
 
+const struct org_organisation *
+org_find_digest (const struct org_directory *directory,
+                 const struct org_digest *digest)
+{
+  if (directory->key_cap == 0)
+    return NULL;
+  const struct org_key *slot
+      = slot_of (directory->keys, directory->key_cap, digest);
+  return slot->organisation != 0 ? &directory->list[slot->organisation - 1]
+                                 : NULL;
+}
+
 const struct org_organisation *
 org_find_key (const struct org_directory *directory, struct rw_str key)
 {
@@ -165,10 +177,7 @@
   if (directory->key_cap == 0 || key.len == 0)
     return NULL;
   org_digest_key (key, &digest);
-  const struct org_key *slot
-      = slot_of (directory->keys, directory->key_cap, &digest);
-  return slot->organisation != 0 ? &directory->list[slot->organisation - 1]
-                                 : NULL;
+  return org_find_digest (directory, &digest);
 }
 
 const struct org_organisation *
--- a/lib/org/org.h
+++ b/lib/org/org.h
@@ -77,6 +77,10 @@
    constant time.  It belongs to DIRECTORY.  */
 const struct org_organisation *
 org_find_key (const struct org_directory *directory, struct rw_str key);
+/* Returns the organisation that holds the key with DIGEST, or null.  */
+const struct org_organisation *
+org_find_digest (const struct org_directory *directory,
+                 const struct org_digest *digest);
 /* Returns the organisation NAME, or null.  */
 const struct org_organisation *
 org_find_name (const struct org_directory *directory, struct rw_str name);
