--- a/cmd/rwfctl/test_rwfctl.c
+++ b/cmd/rwfctl/test_rwfctl.c
@@ -219,6 +219,49 @@
                  "2 daemons answered\n");
 }
 
+#define ORGANISATION(NAME, LIMIT, HERE, REFUSED)                              \
+  "{\"name\":\"" NAME "\",\"limit_per_s\":" LIMIT ",\"burst\":4,\"keys\":2,"  \
+  "\"here_per_s\":" HERE ",\"taken\":9,\"refused\":" REFUSED                  \
+  ",\"tokens\":1.5,\"owner\":true,\"granted_per_s\":1,\"decided_ms_ago\":5}"
+
+/* Guards against an organisation that is shown once for each daemon, against
+   the limit of an older configuration, and against a daemon that is left out
+   without a word.  */
+TEST_WITH_FIXTURE (test_organisations)
+{
+  static const char *const texts[]
+      = { "{\"vm\":\"m1\",\"version\":6,\"copy_age_ms\":3000,"
+          "\"organisations\":[" ORGANISATION (
+              "beta", "0", "0", "0") "," ORGANISATION ("alpha", "12", "1.5",
+                                                       "2") "],"
+                                                            "\"left_out\":3}",
+          "{\"vm\":\"m2\",\"version\":7,\"copy_age_ms\":200,"
+          "\"organisations\":[" ORGANISATION ("alpha", "10", "6",
+                                              "5") "],"
+                                                   "\"left_out\":0}",
+          NULL };
+
+  make_reports (&f->reports, texts, 2);
+  assert_int_equal (ctl_print_organisations (&f->reports, f->out.file),
+                    CTL_OK);
+  fflush (f->out.file);
+  assert_string_equal (
+      f->out.text,
+      "alpha  limit 10/s  burst 4 (version 7; other daemons have another "
+      "limit)  use 7.5/s (75%)  refused 7  largest share 80% at m2  keys 2  "
+      "oldest copy 3.0 s at m1\n"
+      "beta  limit none  use 0.0/s  refused 0  keys 2  oldest copy 3.0 s at "
+      "m1\n"
+      "2 organisations, 2 daemons answered\n"
+      "a daemon left out 3 organisations\n");
+  ctl_reports_finish (&f->reports);
+  reopen_output (&f->out);
+  make_reports (&f->reports, texts, 3);
+  assert_int_equal (ctl_print_organisations (&f->reports, f->out.file),
+                    CTL_PROBLEM);
+  assert_prints (&f->out, "no answer from 127.0.0.1:2: refused\n");
+}
+
 #define TRACE "0af7651916cd43dd8448eb211c80319c"
 #define SPAN(VM, ID, PARENT, START, END)                                      \
   "{\"resourceSpans\":[{\"resource\":{\"attributes\":[{\"key\":"              \
@@ -263,13 +306,13 @@
 {
   assert_int_equal (
       ctl_check_rules ("f", RW_LIT ("target a # x: y\ntarget b slots=0 # z\n"),
-                       NULL, f->out.file, f->err.file),
-      CTL_PROBLEM);
+                       NULL, false, f->out.file, f->err.file),
+      CTL_REFUSED);
   assert_prints (&f->err, "f:2:16: expected a number of 1 to 64, found '0'\n"
                           "    target b slots=0 # z\n"
                           "    requested by z\n");
   assert_int_equal (ctl_check_rules ("f", RW_LIT ("target a # x: y\n"), NULL,
-                                     f->out.file, f->err.file),
+                                     false, f->out.file, f->err.file),
                     CTL_OK);
   assert_prints (&f->out, "    1  target a  # x: y\nf: 1 rules, no errors\n");
 }
@@ -290,7 +333,7 @@
                                "target pd-1 leaving # x\ntarget pd-01 # x\n"
                                "service partsdesk # x\nservice parts # x\n"
                                "caller c # x\n"),
-                       &f->reports, f->out.file, f->err.file),
+                       &f->reports, false, f->out.file, f->err.file),
       CTL_OK);
   fflush (f->err.file);
   assert_string_equal (
