--- a/cmd/rwfctl/test_check.c
+++ b/cmd/rwfctl/test_check.c
@@ -363,7 +363,7 @@
                               "\"secret-3\",\"name\":\"a\"}"))),
       CTL_WARNINGS);
   assert_part (f->out.text, "compared with : 0 changes\n");
-  assert_part (f->err.text, "service \"t\" does not exist");
+  assert_part (f->err.text, "service \"t\" is not in services");
   rw_arena_finish (&arena);
 }
 
--- a/cmd/rwfront/view.c
+++ b/cmd/rwfront/view.c
@@ -58,6 +58,8 @@
       return;
     }
   bind_config (daemon, config);
+  /* A later version that is refused replaces the item, but not this one.  */
+  config->text = rw_arena_str (&config->arena, item->value);
   evt_line (&daemon->log, EVT_STATE, "config", now,
             "in force: version=%llu routes=%zu services=%zu",
             (unsigned long long)config->version, config->route_count,
--- a/lib/cat/cat.h
+++ b/lib/cat/cat.h
@@ -79,6 +79,7 @@
   struct rw_arena arena; /* holds the routes and all strings */
   unsigned int refs;
   uint64_t version;
+  struct rw_str text; /* the document, without keys; empty: not kept */
   struct cat_limits limits;
   struct cat_route *routes;
   size_t route_count;
--- a/lib/lint/check.c
+++ b/lib/lint/check.c
@@ -26,19 +26,17 @@
   const struct lin_path name = { &(path), field, 0 }
 
 /* Warns at PATH if SERVICE, which a route names, is not in the document's list
-   of services.  Returns whether it is.  */
-static bool
+   of services.  */
+static void
 use_service (struct check *check, uint32_t service,
              const struct lin_path *path)
 {
   const struct cat_service *entry = &check->config->services[service];
   check->is_used[service] = true;
-  if (!check->lists_services || entry->entry != 0)
-    return true;
-  lin_add (check->findings, LIN_WARNING, path,
-           "service \"%.*s\" does not exist: it is not in %s",
-           RW_STR_ARG (entry->name), check->fields->services);
-  return false;
+  if (check->lists_services && entry->entry == 0)
+    lin_add (check->findings, LIN_WARNING, path,
+             "service \"%.*s\" is not in %s", RW_STR_ARG (entry->name),
+             check->fields->services);
 }
 
 /* Returns the number of shards that an answer must cover.  */
@@ -50,6 +48,17 @@
   return needed < 1 ? 1 : (size_t)needed;
 }
 
+/* Returns the number of shards of ROUTE whose service is in the document's
+   list of services.  */
+static size_t
+count_listed (const struct check *check, const struct cat_route *route)
+{
+  size_t listed = 0;
+  for (size_t i = 0; i < route->u.gather.count; i++)
+    listed += check->config->services[route->u.gather.services[i]].entry != 0;
+  return listed;
+}
+
 static void
 check_gather (struct check *check, const struct cat_route *route,
               const struct lin_path *path)
@@ -57,16 +66,23 @@
   FIELD (list, *path, check->fields->gather);
   FIELD (share, *path, check->fields->min_share);
   size_t count = route->u.gather.count;
-  size_t existing = 0;
+  size_t listed = count_listed (check, route);
+  bool lists_services = check->lists_services;
   size_t needed = shards_needed (route);
   struct rw_map seen; /* index plus 1, by service plus 1 */
+  /* One warning for a route all of whose shards have no settings.  */
+  if (lists_services && listed == 0)
+    lin_add (check->findings, LIN_WARNING, &list,
+             "none of the %zu services is in %s", count,
+             check->fields->services);
+  check->lists_services = lists_services && listed > 0;
   rw_map_init (&seen);
   for (size_t i = 0; i < count; i++)
     {
       const struct lin_path item = { &list, NULL, i };
       uint32_t service = route->u.gather.services[i];
       uintptr_t first = (uintptr_t)rw_map_get (&seen, (uint64_t)service + 1);
-      existing += use_service (check, service, &item);
+      use_service (check, service, &item);
       if (first == 0)
         rw_map_put (&seen, (uint64_t)service + 1, (void *)(uintptr_t)(i + 1));
       else
@@ -75,10 +91,12 @@
                  RW_STR_ARG (check->config->services[service].name));
     }
   rw_map_finish (&seen);
-  if (existing < needed)
+  check->lists_services = lists_services;
+  if (listed > 0 && listed < needed)
     lin_add (check->findings, LIN_WARNING, &share,
-             "%g of %zu shards are %zu, but only %zu of them exist",
-             route->u.gather.min_share, count, needed, existing);
+             "%g of %zu shards are %zu, but only %zu of them are in %s",
+             route->u.gather.min_share, count, needed, listed,
+             check->fields->services);
   else if (needed == count && route->u.gather.min_share < 1)
     lin_add (check->findings, LIN_WARNING, &share,
              "with %zu shards, no set that lacks one reaches %g: all are "
@@ -96,7 +114,7 @@
       const struct lin_path item = { &list, NULL, i };
       FIELD (service, item, check->fields->service);
       FIELD (weight, item, check->fields->weight);
-      (void)use_service (check, route->u.split.shares[i].service, &service);
+      use_service (check, route->u.split.shares[i].service, &service);
       if (route->u.split.shares[i].weight == 0)
         lin_add (check->findings, LIN_WARNING, &weight,
                  "the weight counts as 0: the service gets no request");
@@ -126,7 +144,7 @@
   switch (route->kind)
     {
     case CAT_ROUTE_SERVICE:
-      (void)use_service (check, route->u.service, &service);
+      use_service (check, route->u.service, &service);
       break;
     case CAT_ROUTE_SPLIT:
       check_split (check, route, &path);
--- a/lib/lint/test_lint.c
+++ b/lib/lint/test_lint.c
@@ -179,7 +179,7 @@
   assert_string_equal (
       check (f),
       "R[0].P: never takes effect: R[1] has the same H and P\n"
-      "R[0].S: service \"missing\" does not exist: it is not in SS\n"
+      "R[0].S: service \"missing\" is not in SS\n"
       "R[2].SPLIT[0].W: the weight counts as 0: the service gets no request\n"
       "SS[1]: no route names the service \"unused\"\n"
       "O[0].K: organisation \"o\" has no key: it cannot send requests\n");
@@ -194,6 +194,18 @@
   assert_string_equal (check (f), "");
 }
 
+/* Guards against a warning for each of many shards, if the list of services
+   has settings of other services only.  */
+TEST_WITH_FIXTURE (shards_without_settings_give_one_warning)
+{
+  struct cat_route *route = add_route (f->config, "r", "/a/", "s");
+  route = add_route (f->config, "g", "/g/", "s");
+  make_gather (f->config, route, 4, 0.75);
+  for (size_t i = 0; i < 4; i++)
+    f->config->services[route->u.gather.services[i]].entry = 0;
+  assert_string_equal (check (f), "R[1].G: none of the 4 services is in SS\n");
+}
+
 /* Guards against limits that contradict each other and are sent.  */
 TEST_WITH_FIXTURE (contradictions_are_reported)
 {
@@ -215,8 +227,8 @@
       "R[0].T: 100 ms are below the A of 200 ms\n"
       "R[0].M: with 3 shards, no set that lacks one reaches 0.9: all are "
       "needed\n"
-      "R[1].G[1]: service \"missing\" does not exist: it is not in SS\n"
-      "R[1].M: 0.9 of 2 shards are 2, but only 1 of them exist\n"
+      "R[1].G[1]: service \"missing\" is not in SS\n"
+      "R[1].M: 0.9 of 2 shards are 2, but only 1 of them are in SS\n"
       "R[2].G[1]: shard 0 is the service \"A\" too\n"
       "O[0].RATE: 0.19 requests per second are less than one in the window of "
       "5 s over which the limit is checked\n"
