--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -29,7 +29,7 @@
    answer.c     answers to the caller, and the log line of each request
    span.c       log lines for the sends of a request
    metrics.c    definitions of the metrics
-   admin.c      readiness and metrics over HTTP  */
+   admin.c, config_admin.c   readiness, metrics, configuration over HTTP  */
 
 #ifndef FRN_FRONT_H
 #define FRN_FRONT_H
--- a/lib/lint/test_lint.c
+++ b/lib/lint/test_lint.c
@@ -198,8 +198,8 @@
    has settings of other services only.  */
 TEST_WITH_FIXTURE (shards_without_settings_give_one_warning)
 {
-  struct cat_route *route = add_route (f->config, "r", "/a/", "s");
-  route = add_route (f->config, "g", "/g/", "s");
+  add_route (f->config, "r", "/a/", "s");
+  struct cat_route *route = add_route (f->config, "g", "/g/", "s");
   make_gather (f->config, route, 4, 0.75);
   for (size_t i = 0; i < 4; i++)
     f->config->services[route->u.gather.services[i]].entry = 0;
