--- a/lib/cat/cat.h
+++ b/lib/cat/cat.h
@@ -60,7 +60,9 @@
   struct rw_str name;
   unsigned int max_connections; /* that a target accepts; 0: not stated */
   double warmup_limit_per_s;    /* requests to a cold target; 0: not stated */
-  void *user;                   /* set and owned by the caller */
+  uint32_t entry; /* position in the document's list of services, from 1; 0:
+                     only routes name it */
+  void *user;     /* set and owned by the caller */
 };
 
 /* What a caller may send, and how long it may take.  */
@@ -77,6 +79,7 @@
   struct rw_arena arena; /* holds the routes and all strings */
   unsigned int refs;
   uint64_t version;
+  struct rw_str text; /* the document, without keys; empty: not kept */
   struct cat_limits limits;
   struct cat_route *routes;
   size_t route_count;
