--- a/tests/process/organisations.sh
+++ b/tests/process/organisations.sh
@@ -132,7 +132,7 @@
 
 # A configuration that cannot be right does not replace the one in force.
 control PUT /item/op/config "$(config 4 "$ALPHA_LESS,$ALPHA_LESS")" >/dev/null
-refused_config() { grep -q 'config: refused: .*used twice' "$DIR/vm-1.log"; }
+refused_config() { grep -q 'config: refused: .*name of another organisation' "$DIR/vm-1.log"; }
 await "an organisation that stands twice is refused" refused_config
 expect "the version in force stays" \
     "$(call t-1 /safe/x 1 -H "$(bearer key-alpha-1)")" 200
