--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -332,9 +332,20 @@
   struct frn_request *waiter; /* waits for the grant of a trial; may be null */
 };
 
+/* Counters of an organisation with a quota.  */
+struct frn_org_metrics
+{
+  struct sta_series *admitted;
+  struct sta_series *refused;
+};
+/* Organisations with counters of their own; further ones share one pair.  */
+#define FRN_MAX_ORG_METRICS 200
+
 /* Quotas of organisations.  */
 struct frn_quota
 {
+  struct rw_map metrics; /* struct frn_org_metrics by organisation */
+  struct frn_org_metrics other_metrics;
   struct quo_table table;
   uv_timer_t timer;                 /* runs at quo_next_event */
   struct frn_request *first_waiter; /* requests that wait for a token */
--- a/cmd/rwfront/quota.c
+++ b/cmd/rwfront/quota.c
@@ -1,10 +1,11 @@
+#include <stdlib.h>
 #include <string.h>
 
 #include "frn_quota.h"
 
 /* The admin port's path of the list of organisations.  */
 #define LIST_PATH "/organisations"
-/* Organisations in one answer, and with counters of their own.  */
+/* Organisations in one answer.  */
 #define MAX_LISTED 1000
 
 static uint32_t
@@ -62,6 +63,41 @@
   };
 }
 
+/* Creates the counters of the organisation NAME.  */
+static void
+init_metrics (struct sta_set *set, struct frn_org_metrics *metrics,
+              struct rw_str name)
+{
+  char text[ORG_MAX_NAME_BYTES + 32];
+  struct rw_str label = sta_label (text, sizeof text, "organisation", name);
+  metrics->admitted
+      = sta_counter (set, "rwf_organisation_admitted_total",
+                     "requests that took a token of a quota", label);
+  metrics->refused = sta_counter (set, "rwf_organisation_refused_total",
+                                  "requests beyond a quota", label);
+}
+
+/* The counters of O, created at its first request.  */
+static struct frn_org_metrics *
+metrics_of (struct frn_daemon *daemon, const struct org_organisation *o)
+{
+  struct frn_quota *q = &daemon->quota;
+  struct frn_org_metrics *metrics = rw_map_get (&q->metrics, o->id);
+  if (metrics != NULL)
+    return metrics;
+  if (q->metrics.len >= FRN_MAX_ORG_METRICS)
+    {
+      if (q->other_metrics.admitted == NULL)
+        init_metrics (&daemon->metrics.set, &q->other_metrics,
+                      (struct rw_str){ NULL, 0 });
+      return &q->other_metrics;
+    }
+  metrics = rw_xcalloc (1, sizeof *metrics);
+  init_metrics (&daemon->metrics.set, metrics, o->name);
+  rw_map_put (&q->metrics, o->id, metrics);
+  return metrics;
+}
+
 static void
 link_waiter (struct frn_quota *q, struct frn_request *request)
 {
@@ -106,11 +142,19 @@
                 ? (long long)((now - usage.decided_at) / RW_MSEC)
                 : -1LL,
             (long long)(retry_after / RW_MSEC));
+  sta_inc (metrics_of (daemon, o)->refused);
   request->last_error = "quota used up";
   frn_refuse_request (request, FRN_REFUSE_QUOTA, retry_after);
   frn_request_end (request);
 }
 
+static void
+take_token (struct frn_request *request)
+{
+  request->has_token = true;
+  sta_inc (metrics_of (request->daemon, request->organisation)->admitted);
+}
+
 static void
 send_messages (struct frn_daemon *daemon, rw_time now)
 {
@@ -156,7 +200,7 @@
       switch (quo_take (&q->table, &view, &limit, true, now, &retry_after))
         {
         case QUO_TAKEN:
-          request->has_token = true;
+          take_token (request);
           frn_request_start (request);
           break;
         case QUO_WAIT:
@@ -197,7 +241,13 @@
 void
 frn_quota_finish (struct frn_daemon *daemon)
 {
-  quo_finish (&daemon->quota.table);
+  struct frn_quota *q = &daemon->quota;
+  size_t position = 0;
+  void *metrics;
+  while ((metrics = rw_map_next (&q->metrics, &position)) != NULL)
+    free (metrics);
+  rw_map_finish (&q->metrics);
+  quo_finish (&q->table);
 }
 
 void
@@ -235,7 +285,7 @@
   switch (verdict)
     {
     case QUO_TAKEN:
-      request->has_token = true;
+      take_token (request);
       break;
     case QUO_WAIT:
       request->quota_round = daemon->quota.round;
--- a/mk/check.sh
+++ b/mk/check.sh
@@ -46,14 +46,15 @@
 step build-fuzz make -j"$jobs" VARIANT=fuzz build || finish
 step format sh mk/format.sh
 step cppcheck sh mk/lint.sh cppcheck
-step tidy sh mk/lint.sh tidy
 
-# Unit tests and scenarios run in virtual time, so they may share the machine.
+# Unit tests and scenarios run in virtual time, so they may share the machine,
+# also with the linter.
+echo "tidy sh mk/lint.sh tidy" >$logs/list
 for t in build/asan/test/test_*; do
 	[ -x "$t" ] && [ -f "$t" ] || continue
 	case $t in *.d) continue ;; esac
 	echo "unit-$(basename "$t") $t"
-done >$logs/list
+done >>$logs/list
 for f in build/fuzz/fuzz/fuzz_*; do
 	[ -x "$f" ] && [ -f "$f" ] || continue
 	n=$(basename "$f")
