--- a/lib/quota/fleet.h
+++ b/lib/quota/fleet.h
@@ -75,7 +75,11 @@
   double per_s;
   enum spread spread;
   size_t fixed;
-  bool is_random; /* Poisson, else evenly spaced */
+  /* At random times, else evenly spaced.  The number in each second is exact:
+     a Poisson process of 0.9 of a limit is above the limit now and then.  */
+  bool is_random;
+  double left;   /* requests in this second */
+  rw_time until; /* end of this second */
 };
 
 enum kind
@@ -388,6 +392,25 @@
   push (fleet.now + GOSSIP_INTERVAL, event, NULL, 0);
 }
 
+/* The time until the next of the requests of SOURCE, which are spread at
+   random over each second.  */
+static double
+random_wait (struct source *source)
+{
+  double skipped = 0;
+  while (source->left < 1)
+    {
+      rw_time start = source->until > 0 ? source->until : fleet.now;
+      source->left += source->per_s;
+      source->until = start + RW_SEC;
+      skipped = (double)(start - fleet.now);
+    }
+  double rest = (double)(source->until - fleet.now) - skipped;
+  double first = 1 - pow (rw_rng_unit (&fleet.rng), 1 / floor (source->left));
+  source->left--;
+  return skipped + rest * first;
+}
+
 static void
 arrive (const struct event *event)
 {
@@ -400,8 +423,9 @@
     i = (size_t)(rw_hash_u64 ((uint64_t)(fleet.now / RW_SEC), s->org)
                  % fleet.count);
   request (i, s->org);
-  double wait = s->is_random ? rw_rng_exponential (&fleet.rng, interval)
-                             : interval * (0.9 + rw_rng_unit (&fleet.rng) / 5);
+  double wait = interval * (0.9 + rw_rng_unit (&fleet.rng) / 5);
+  if (s->is_random)
+    wait = random_wait (s);
   push (fleet.now + (rw_time)fmax (wait, 1), event, NULL, 0);
 }
 
@@ -507,7 +531,11 @@
 {
   assert_true (fleet.source_count < MAX_SOURCES);
   struct source *source = &fleet.sources[fleet.source_count++];
-  *source = (struct source){ number, per_s, spread, fixed, is_random };
+  *source = (struct source){ .org = number,
+                             .per_s = per_s,
+                             .spread = spread,
+                             .fixed = fixed,
+                             .is_random = is_random };
   struct event event = { .kind = EVENT_ARRIVAL, .source = source };
   push (fleet.now + (rw_time)(rw_rng_unit (&fleet.rng) * RW_SEC / per_s),
         &event, NULL, 0);
--- a/lib/quota/owner.c
+++ b/lib/quota/owner.c
@@ -55,6 +55,15 @@
   return (rw_time)fmin (fmax (life, 100 * RW_MSEC), RW_SEC);
 }
 
+double
+quo_spare_rate (const struct quo_table *table, const struct quo_limit *limit,
+                double part, double slack_part)
+{
+  const struct quo_settings *s = &table->settings;
+  return part * s->overshoot * limit->rate_per_s
+         + slack_part * s->slack * RW_SEC / (double)s->window;
+}
+
 /* Tokens that all buckets of LIMIT hold together.  */
 static double
 whole_cap (const struct quo_table *table, const struct quo_limit *limit)
@@ -88,7 +97,7 @@
   uint32_t stripes = quo_stripes (table, limit);
   if (pool == QUO_RESERVE)
     {
-      *rate = RESERVE_PART * table->settings.overshoot * limit->rate_per_s;
+      *rate = quo_spare_rate (table, limit, RESERVE_PART, RESERVE_SLACK_PART);
       *cap = fmax (*rate * (double)quo_saved_time (table) / RW_SEC, 1);
       return *rate > 0;
     }
@@ -230,18 +239,18 @@
   return true;
 }
 
-/* Returns the time until BUCKET may grant, 0 if it may.  */
+/* Returns the time from which BUCKET may grant.  */
 static rw_time
-settle_rest (const struct quo_table *table, const struct quo_bucket *bucket,
-             rw_time now)
+settled_time (const struct quo_table *table, const struct quo_bucket *bucket,
+              rw_time now)
 {
-  rw_time from = bucket->settled_at;
+  rw_time fell_at = table->fraction_fell_at;
   if (is_without (table, QUO_WITHOUT_SETTLE))
-    return 0;
-  if (now - bucket->owned_since < YOUNG_TIME && table->fraction_fell_at > 0
-      && table->fraction_fell_at + SETTLE_TIME > from)
-    from = table->fraction_fell_at + SETTLE_TIME;
-  return from > now ? from - now : 0;
+    return bucket->owned_since;
+  if (now - bucket->owned_since < YOUNG_TIME && fell_at > 0
+      && fell_at + SETTLE_TIME > bucket->settled_at)
+    return fell_at + SETTLE_TIME;
+  return bucket->settled_at;
 }
 
 /* Returns the time from NOW until the next token is there.  */
@@ -277,16 +286,31 @@
   return first - now;
 }
 
-/* The most tokens that a bucket of LIMIT has saved when its new owner begins
-   to grant.  An owner before it may have granted all it had.  */
-static double
-start_tokens (const struct quo_table *table, const struct quo_limit *limit)
+/* Returns whether BUCKET of LIMIT may grant.  When it begins to, it has saved
+   the tokens of a short time at most: an owner before it may have granted all
+   that it had.  */
+static bool
+is_settled (const struct quo_table *table, struct quo_bucket *bucket,
+            const struct quo_limit *limit, rw_time now)
 {
   const struct quo_settings *s = &table->settings;
+  rw_time from = settled_time (table, bucket, now);
+  if (from > now)
+    {
+      bucket->is_settled = false;
+      return false;
+    }
+  if (bucket->is_settled)
+    return true;
   double saved = START_PART * s->overshoot * limit->rate_per_s
                      * (double)s->window / RW_SEC
                  + START_SLACK_PART * s->slack;
-  return saved / quo_stripes (table, limit);
+  double since = bucket->rate * held_fraction (table, now)
+                 * (double)(now - from) / RW_SEC;
+  bucket->tokens
+      = fmin (bucket->tokens, saved / quo_stripes (table, limit) + since);
+  bucket->is_settled = true;
+  return true;
 }
 
 void
@@ -318,13 +342,13 @@
   refill (table, bucket, now);
   set_limit (table, bucket, rate, cap);
   refill (table, bucket, now);
-  answer->wait = settle_rest (table, bucket, now);
   answer->answer = QUO_SETTLING;
-  if (answer->wait > 0)
+  if (!is_settled (table, bucket, &limit, now))
     {
-      bucket->tokens = fmin (bucket->tokens, start_tokens (table, &limit));
+      answer->wait = settled_time (table, bucket, now) - now;
       return;
     }
+  answer->wait = 0;
   answer->tokens = (uint32_t)fmin (floor (bucket->tokens), ask->wanted);
   bucket->tokens -= answer->tokens;
   quo_meter_add (&bucket->granted, answer->tokens, now);
--- a/lib/quota/parts.h
+++ b/lib/quota/parts.h
@@ -13,9 +13,12 @@
 #define START_PART 0.12   /* a new owner begins with those of some time */
 #define RESERVE_PART 0.20 /* rate of the reserve */
 #define LOCAL_PART 0.10   /* rate of all local buckets */
-/* Part of the slack with which a new owner begins.  */
+/* The part of the slack that each mechanism may use in a window.  For small
+   limits it is more than their part of the overshoot.  */
 #define START_SLACK_PART 0.15
-/* Part of the slack with which all local buckets together begin.  */
+#define RESERVE_SLACK_PART 0.25
+#define LOCAL_SLACK_PART 0.1
+/* All local buckets together begin with this part of the slack.  */
 #define LOCAL_START_PART 0.1
 
 /* A daemon grants this long after it became the owner.  Views of a daemon that
@@ -38,6 +41,12 @@
 /* Returns how long tokens can be used, counted from the ask.  */
 rw_time quo_token_life (const struct quo_table *table);
 
+/* Returns the tokens a second that a mechanism may grant beside the owners of
+   LIMIT with its PART of the overshoot and SLACK_PART of the slack.  */
+double quo_spare_rate (const struct quo_table *table,
+                       const struct quo_limit *limit, double part,
+                       double slack_part);
+
 void quo_meter_add (struct quo_meter *meter, double count, rw_time now);
 double quo_meter_rate (const struct quo_meter *meter, rw_time now);
 
--- a/lib/quota/quota.c
+++ b/lib/quota/quota.c
@@ -16,12 +16,15 @@
 /* A daemon is avoided after so many asks without an answer, one after the
    other; a single one may be a lost message.  The first time is doubled with
    each further one.  */
-#define AVOID_FAILURES 2
-#define AVOID_TIME (500 * RW_MSEC)
+#define AVOID_FAILURES 3
+#define AVOID_TIME (250 * RW_MSEC)
 #define MAX_AVOID_TIME (2 * RW_SEC)
 #define FAILURE_LIFE (10 * RW_SEC)
 /* Tokens are asked for this long ahead of the load.  */
 #define AHEAD_TIME (200 * RW_MSEC)
+/* But only as many as are nearly always used before they expire: as the load
+   in their lifetime, less this many times its standard deviation.  */
+#define AHEAD_MARGIN 1.5
 /* A pool that had too few tokens is asked again within these times.  The
    upper one is below the time in which a bucket saves tokens.  */
 #define MIN_BACKOFF (10 * RW_MSEC)
@@ -149,7 +152,7 @@
   if (peer->failures < AVOID_FAILURES)
     return;
   rw_time span = MAX_AVOID_TIME;
-  if (peer->failures < AVOID_FAILURES + 2)
+  if (peer->failures < AVOID_FAILURES + 3)
     span = AVOID_TIME << (peer->failures - AVOID_FAILURES);
   peer->avoid_until = now + span;
 }
@@ -328,7 +331,10 @@
 {
   double rate
       = fmin (quo_meter_rate (&user->demand, now), user->limit.rate_per_s);
-  uint32_t ahead = (uint32_t)fmin (rate * AHEAD_TIME / RW_SEC, UINT16_MAX);
+  double used = rate * (double)quo_token_life (table) / RW_SEC;
+  double most = fmin (rate * AHEAD_TIME / RW_SEC, UINT16_MAX);
+  uint32_t ahead
+      = (uint32_t)fmax (fmin (used - AHEAD_MARGIN * sqrt (used), most), 0);
   uint32_t waiting = waiting_count (user);
   uint32_t have = held_tokens (user);
   if (is_without (table, QUO_WITHOUT_AHEAD))
@@ -355,8 +361,8 @@
 static bool
 is_absent (struct quo_table *table, const struct quo_pool *pool, rw_time now)
 {
-  return pool->is_silent || pool->answer == QUO_SETTLING
-         || pool->answer == QUO_NOT_OWNER
+  bool may_not = pool->answer == QUO_SETTLING || pool->answer == QUO_NOT_OWNER;
+  return pool->is_silent || (may_not && pool->closed_until > now)
          || is_avoided (table, pool->owner, now);
 }
 
@@ -388,14 +394,18 @@
 {
   uint32_t stripes = quo_stripes (table, &user->limit);
   uint32_t waiting = waiting_count (user);
-  uint32_t held = held_tokens (user);
+  uint32_t expected = held_tokens (user);
   bool is_any_absent = false;
   for (uint32_t i = 0; i < stripes; i++)
-    is_any_absent |= is_absent (table, &user->pools[i], now);
-  if (waiting > held && is_any_absent
+    {
+      const struct quo_pool *pool = &user->pools[i];
+      is_any_absent |= is_absent (table, pool, now);
+      expected += pool->is_pending && !pool->is_silent ? pool->wanted : 0;
+    }
+  if (waiting > expected && is_any_absent
       && !is_without (table, QUO_WITHOUT_RESERVE)
       && is_open (table, view, user, QUO_RESERVE, now))
-    send_ask (table, view, user, QUO_RESERVE, waiting - held, now);
+    send_ask (table, view, user, QUO_RESERVE, waiting - expected, now);
 }
 
 /* Asks for the tokens that USER lacks.  */
@@ -574,10 +584,11 @@
             struct quo_user *user, rw_time now)
 {
   double daemons = fmax ((double)view->daemons, 1);
+  double all
+      = quo_spare_rate (table, &user->limit, LOCAL_PART, LOCAL_SLACK_PART);
   struct bkt_rate rate
-      = { .per_s = LOCAL_PART * table->settings.overshoot
-                   * user->limit.rate_per_s
-                   / (is_without (table, QUO_WITHOUT_DIVISION) ? 1 : daemons),
+      = { .per_s
+          = is_without (table, QUO_WITHOUT_DIVISION) ? all : all / daemons,
           .life = LOCAL_LIFE,
           .burst = quo_saved_time (table) };
   uint32_t stripes = quo_stripes (table, &user->limit);
--- a/lib/quota/quota.h
+++ b/lib/quota/quota.h
@@ -158,6 +158,7 @@
   rw_time at;
   rw_time owned_since;
   rw_time settled_at;
+  bool is_settled;     /* it has granted since it settled */
   rw_time promised_at; /* when the caller that was refused last returns */
   rw_time asked_at;
   rw_time checked_at; /* when the view was last asked */
