--- a/lib/quota/fleet.h
+++ b/lib/quota/fleet.h
@@ -122,8 +122,9 @@
   rw_time count_from;
   double worst; /* of all organisations */
   rw_time longest_wait;
-  uint64_t messages; /* of quotas */
-  uint64_t bytes;    /* with headers */
+  uint64_t messages;          /* of quotas */
+  uint64_t bytes;             /* with headers */
+  uint64_t sent[MAX_DAEMONS]; /* of these, by sender */
   uint64_t seed;
 };
 
@@ -204,6 +205,7 @@
       assert_int_not_equal (to, d->gossip.settings.ip);
       fleet.messages++;
       fleet.bytes += len + HEADER_BYTES;
+      fleet.sent[i] += len + HEADER_BYTES;
       if (!is_lost (i, event.to))
         push (fleet.now + delay (), &event, data, len);
       if (rw_rng_unit (&fleet.rng) < fleet.repeated && !is_lost (i, event.to))
--- a/lib/quota/quota.c
+++ b/lib/quota/quota.c
@@ -20,11 +20,17 @@
 #define AVOID_TIME (250 * RW_MSEC)
 #define MAX_AVOID_TIME (2 * RW_SEC)
 #define FAILURE_LIFE (10 * RW_SEC)
-/* Tokens are asked for this long ahead of the load.  */
-#define AHEAD_TIME (200 * RW_MSEC)
-/* But only as many as are nearly always used before they expire: as the load
-   in their lifetime, less this many times its standard deviation.  */
+/* Tokens are asked for ahead of the load.  While no pool is short, unused ones
+   do no harm: the load of most of their lifetime is asked for, shortly before
+   the last ones are used.  */
+#define AHEAD_PART 0.85
+#define EARLY_TIME (30 * RW_MSEC)
+/* Else only for this time, and as many as are nearly always used before they
+   expire: the load in their lifetime, less this many times its standard
+   deviation.  */
+#define SHORT_AHEAD_TIME (200 * RW_MSEC)
 #define AHEAD_MARGIN 1.5
+#define SHORT_MEMORY (5 * RW_SEC)
 /* A pool that had too few tokens is asked again within these times.  The
    upper one is below the time in which a bucket saves tokens.  */
 #define MIN_BACKOFF (10 * RW_MSEC)
@@ -273,6 +279,8 @@
     pool->owner_since = now;
   else if (answer->answer != QUO_SETTLING)
     user->decided_at = now;
+  if (answer->answer == QUO_SHORT)
+    user->short_at = now;
   if (answer->tokens > 0 && expires > now)
     add_lot (user,
              answer->tokens < pool->wanted ? answer->tokens : pool->wanted,
@@ -323,27 +331,44 @@
   push_item (table, &ask);
 }
 
+/* Returns the tokens to hold for the expected load of USER, and sets *LEAST to
+   the number below which more are asked for.  */
+static uint32_t
+tokens_ahead (const struct quo_table *table, const struct quo_user *user,
+              rw_time now, uint32_t *least)
+{
+  double rate
+      = fmin (quo_meter_rate (&user->demand, now), user->limit.rate_per_s);
+  double used = rate * (double)quo_token_life (table) / RW_SEC;
+  double ahead = AHEAD_PART * used;
+  double early = 1 + rate * EARLY_TIME / RW_SEC;
+  *least = 0;
+  if (is_without (table, QUO_WITHOUT_AHEAD))
+    return 0;
+  if (user->short_at > 0 && now - user->short_at < SHORT_MEMORY)
+    {
+      ahead = fmin (used - AHEAD_MARGIN * sqrt (used),
+                    rate * SHORT_AHEAD_TIME / RW_SEC);
+      early = ceil (ahead / 2);
+    }
+  ahead = fmax (fmin (ahead, UINT16_MAX), 0);
+  *least = (uint32_t)fmax (fmin (early, floor (ahead)), 0);
+  return (uint32_t)ahead;
+}
+
 /* Returns the tokens that USER should ask for: those that its waiting requests
    lack, and those of the expected load.  */
 static uint32_t
 missing_tokens (const struct quo_table *table, const struct quo_user *user,
                 rw_time now)
 {
-  double rate
-      = fmin (quo_meter_rate (&user->demand, now), user->limit.rate_per_s);
-  double used = rate * (double)quo_token_life (table) / RW_SEC;
-  double most = fmin (rate * AHEAD_TIME / RW_SEC, UINT16_MAX);
-  uint32_t ahead
-      = (uint32_t)fmax (fmin (used - AHEAD_MARGIN * sqrt (used), most), 0);
+  uint32_t least;
+  uint32_t ahead = tokens_ahead (table, user, now, &least);
   uint32_t waiting = waiting_count (user);
   uint32_t have = held_tokens (user);
-  if (is_without (table, QUO_WITHOUT_AHEAD))
-    ahead = 0;
   for (size_t i = 0; i < QUO_POOLS; i++)
     have += user->pools[i].is_pending ? user->pools[i].wanted : 0;
-  if (have >= waiting + ahead / 2 + ahead % 2)
-    return 0;
-  return waiting + ahead - have;
+  return have >= waiting + least ? 0 : waiting + ahead - have;
 }
 
 /* Returns whether POOL of USER can be asked.  */
