--- a/cmd/rwfront/quota.c
+++ b/cmd/rwfront/quota.c
@@ -24,6 +24,13 @@
   return gos_owned_for (&daemon->peers.gossip, key, now);
 }
 
+static rw_time
+find_unchanged_time (void *arg, rw_time now)
+{
+  const struct frn_daemon *daemon = arg;
+  return gos_owners_unchanged_for (&daemon->peers.gossip, now);
+}
+
 static bool
 find_limit (void *arg, uint64_t organisation, struct quo_limit *limit)
 {
@@ -45,6 +52,7 @@
     .arg = daemon,
     .owner = find_owner,
     .owned_for = find_owned_time,
+    .unchanged_for = find_unchanged_time,
     .limit = find_limit,
     .daemons = daemon->fleet.settings.daemon_count,
     .fraction = gos_live_fraction (&daemon->peers.gossip, now),
--- a/lib/gossip/gossip.c
+++ b/lib/gossip/gossip.c
@@ -412,18 +412,53 @@
   gossip->owners_next = (gossip->owners_next + 1) % GOS_OWNERS_KEPT;
 }
 
+/* Returns the owners that were kept as the one before last by I, null if there
+   are none, or if this daemon did not run between them and SINCE.  */
+static const struct gos_owners *
+kept_owners (const struct gos_gossip *gossip, size_t i, rw_time since)
+{
+  size_t at
+      = (gossip->owners_next + GOS_OWNERS_KEPT - 1 - i) % GOS_OWNERS_KEPT;
+  const struct gos_owners *owners = &gossip->owners[at];
+  return owners->at > 0 && since - owners->at <= 4 * GOS_OWNERS_INTERVAL
+             ? owners
+             : NULL;
+}
+
 rw_time
 gos_owned_for (const struct gos_gossip *gossip, uint64_t key, rw_time now)
 {
   rw_time since = now;
-  for (size_t i = 1; i <= GOS_OWNERS_KEPT; i++)
+  const struct gos_owners *owners;
+  for (size_t i = 0; i < GOS_OWNERS_KEPT; i++)
+    {
+      owners = kept_owners (gossip, i, since);
+      if (owners == NULL || pick_owner (owners, key) != gossip->settings.ip)
+        break;
+      since = owners->at;
+    }
+  return now - since;
+}
+
+/* The owners of a time are kept in the order of their hashes, with this daemon
+   last, so equal sets are equal arrays.  */
+static bool
+are_same (const struct gos_owners *a, const struct gos_owners *b)
+{
+  return a->count == b->count
+         && memcmp (a->ips, b->ips, a->count * sizeof a->ips[0]) == 0;
+}
+
+rw_time
+gos_owners_unchanged_for (const struct gos_gossip *gossip, rw_time now)
+{
+  struct gos_owners present;
+  rw_time since = now;
+  find_owners (gossip, now, &present);
+  for (size_t i = 0; i < GOS_OWNERS_KEPT; i++)
     {
-      const struct gos_owners *owners
-          = &gossip->owners[(gossip->owners_next + GOS_OWNERS_KEPT - i)
-                            % GOS_OWNERS_KEPT];
-      /* A gap means that this daemon did not run.  */
-      if (owners->at == 0 || since - owners->at > 4 * GOS_OWNERS_INTERVAL
-          || pick_owner (owners, key) != gossip->settings.ip)
+      const struct gos_owners *owners = kept_owners (gossip, i, since);
+      if (owners == NULL || !are_same (owners, &present))
         break;
       since = owners->at;
     }
--- a/lib/gossip/gossip.h
+++ b/lib/gossip/gossip.h
@@ -145,6 +145,10 @@
    short than too long, and at most the time that gos_note_owners covers.  */
 rw_time gos_owned_for (const struct gos_gossip *gossip, uint64_t key,
                        rw_time now);
+/* Returns for how long the daemons that can own keys have been the same, with
+   the same bounds.  */
+rw_time gos_owners_unchanged_for (const struct gos_gossip *gossip,
+                                  rw_time now);
 /* Returns whether this daemon may decide for all of them: it has run for a
    while, and it hears of most of the daemons that were live within
    GOS_COUNT_HOLD_TIME.  */
--- a/lib/quota/fleet.h
+++ b/lib/quota/fleet.h
@@ -16,10 +16,13 @@
 #include "unit.h"
 
 #define MAX_DAEMONS 300
+#define MAX_SOURCES 20000
 #define GOSSIP_INTERVAL (50 * RW_MSEC)
 #define TICK_INTERVAL (200 * RW_MSEC)
 /* Daemons apply a new configuration within this time.  */
 #define CONFIG_LAG (1 * RW_SEC)
+/* Time in which the daemons learn of each other before requests begin.  */
+#define WARM_UP (8 * RW_SEC)
 #define MAX_VERDICT_TIME (100 * RW_MSEC)
 /* IP and UDP headers of a message.  */
 #define HEADER_BYTES 28
@@ -56,6 +59,7 @@
   uint64_t served;
   uint64_t refused;
   rw_time last_retry;
+  double worst; /* highest sum of a window over what the rule allows */
 };
 
 enum spread
@@ -71,8 +75,11 @@
   double per_s;
   enum spread spread;
   size_t fixed;
-  bool is_random; /* Poisson, else evenly spaced */
-  rw_time until;
+  /* At random times, else evenly spaced.  The number in each second is exact:
+     a Poisson process of 0.9 of a limit is above the limit now and then.  */
+  bool is_random;
+  double left;   /* requests in this second */
+  rw_time until; /* end of this second */
 };
 
 enum kind
@@ -102,6 +109,8 @@
   size_t count;
   struct org *orgs;
   size_t org_count;
+  struct source sources[MAX_SOURCES];
+  size_t source_count;
   struct rw_heap events;
   struct rw_rng rng;
   rw_time now;
@@ -111,10 +120,11 @@
   double repeated; /* of the quota messages; the copy is later */
   bool (*is_cut) (size_t from, size_t to, rw_time now);
   rw_time count_from;
-  double worst; /* highest sum of a window over what the rule allows */
+  double worst; /* of all organisations */
   rw_time longest_wait;
-  uint64_t messages; /* of quotas */
-  uint64_t bytes;    /* with headers */
+  uint64_t messages;          /* of quotas */
+  uint64_t bytes;             /* with headers */
+  uint64_t sent[MAX_DAEMONS]; /* of these, by sender */
   uint64_t seed;
 };
 
@@ -160,6 +170,13 @@
   return gos_owned_for (&d->gossip, key, now);
 }
 
+static rw_time
+find_unchanged_time (void *arg, rw_time now)
+{
+  struct daemon *d = arg;
+  return gos_owners_unchanged_for (&d->gossip, now);
+}
+
 static bool
 find_limit (void *arg, uint64_t organisation, struct quo_limit *limit)
 {
@@ -202,6 +219,7 @@
       assert_int_not_equal (to, d->gossip.settings.ip);
       fleet.messages++;
       fleet.bytes += len + HEADER_BYTES;
+      fleet.sent[i] += len + HEADER_BYTES;
       if (!is_lost (i, event.to))
         push (fleet.now + delay (), &event, data, len);
       if (rw_rng_unit (&fleet.rng) < fleet.repeated && !is_lost (i, event.to))
@@ -256,7 +274,8 @@
       org->cap = cap;
     }
   org->passed[(org->first + org->len++) % org->cap] = fleet.now;
-  fleet.worst = fmax (fleet.worst, (double)org->len / allowed (org));
+  org->worst = fmax (org->worst, (double)org->len / allowed (org));
+  fleet.worst = fmax (fleet.worst, org->worst);
   if (fleet.now >= fleet.count_from)
     org->served++;
 }
@@ -343,7 +362,8 @@
                                .limit = find_limit,
                                .daemons = fleet.count,
                                .fraction = 1,
-                               .owned_for = find_owned_time };
+                               .owned_for = find_owned_time,
+                               .unchanged_for = find_unchanged_time };
   d->timer = 0;
   d->waiting = 0;
   d->generation++;
@@ -364,6 +384,15 @@
   d->is_down = true;
 }
 
+/* Sets the view of D.  In large fleets this is done less often, as it takes
+   most of the time of a test.  */
+static void
+look_around (struct daemon *d)
+{
+  d->view.daemons = gos_daemon_count (&d->gossip, fleet.now);
+  d->view.fraction = gos_live_fraction (&d->gossip, fleet.now);
+}
+
 static void
 tick (size_t i, const struct event *event)
 {
@@ -376,8 +405,9 @@
   if (fleet.now / TICK_INTERVAL
       != (fleet.now - GOSSIP_INTERVAL) / TICK_INTERVAL)
     {
-      d->view.daemons = gos_daemon_count (&d->gossip, fleet.now);
-      d->view.fraction = gos_live_fraction (&d->gossip, fleet.now);
+      if (fleet.count < 100
+          || fleet.now / RW_SEC != (fleet.now - TICK_INTERVAL) / RW_SEC)
+        look_around (d);
       gos_note_owners (&d->gossip, fleet.now);
       quo_tick (&d->table, &d->view, fleet.now);
       flush (i);
@@ -385,22 +415,40 @@
   push (fleet.now + GOSSIP_INTERVAL, event, NULL, 0);
 }
 
+/* The time until the next of the requests of SOURCE, which are spread at
+   random over each second.  */
+static double
+random_wait (struct source *source)
+{
+  double skipped = 0;
+  while (source->left < 1)
+    {
+      rw_time start = source->until > 0 ? source->until : fleet.now;
+      source->left += source->per_s;
+      source->until = start + RW_SEC;
+      skipped = (double)(start - fleet.now);
+    }
+  double rest = (double)(source->until - fleet.now) - skipped;
+  double first = 1 - pow (rw_rng_unit (&fleet.rng), 1 / floor (source->left));
+  source->left--;
+  return skipped + rest * first;
+}
+
 static void
 arrive (const struct event *event)
 {
   struct source *s = event->source;
   double interval = RW_SEC / s->per_s;
   size_t i = s->fixed;
-  if (fleet.now >= s->until)
-    return;
   if (s->spread == SPREAD_EVEN)
     i = (size_t)rw_rng_below (&fleet.rng, fleet.count);
   if (s->spread == SPREAD_MOVING)
     i = (size_t)(rw_hash_u64 ((uint64_t)(fleet.now / RW_SEC), s->org)
                  % fleet.count);
   request (i, s->org);
-  double wait = s->is_random ? rw_rng_exponential (&fleet.rng, interval)
-                             : interval * (0.9 + rw_rng_unit (&fleet.rng) / 5);
+  double wait = interval * (0.9 + rw_rng_unit (&fleet.rng) / 5);
+  if (s->is_random)
+    wait = random_wait (s);
   push (fleet.now + (rw_time)fmax (wait, 1), event, NULL, 0);
 }
 
@@ -499,14 +547,72 @@
   free (fleet.orgs);
 }
 
-/* Starts requests from SOURCE, which stays the caller's.  */
+/* Starts requests of organisation NUMBER at PER_S.  */
 static void
-add_source (struct source *source)
+add_load (size_t number, double per_s, enum spread spread, size_t fixed,
+          bool is_random)
 {
+  assert_true (fleet.source_count < MAX_SOURCES);
+  struct source *source = &fleet.sources[fleet.source_count++];
+  *source = (struct source){ .org = number,
+                             .per_s = per_s,
+                             .spread = spread,
+                             .fixed = fixed,
+                             .is_random = is_random };
   struct event event = { .kind = EVENT_ARRIVAL, .source = source };
-  push (fleet.now
-            + (rw_time)(rw_rng_unit (&fleet.rng) * RW_SEC / source->per_s),
+  push (fleet.now + (rw_time)(rw_rng_unit (&fleet.rng) * RW_SEC / per_s),
         &event, NULL, 0);
 }
 
+/* The part of the requests since COUNT_FROM that was not served.  */
+static inline double
+lost_part (size_t number)
+{
+  const struct org *org = &fleet.orgs[number];
+  assert_true (org->offered > 0);
+  return 1 - (double)org->served / (double)org->offered;
+}
+
+/* Load and faults in a fleet of COUNT daemons.  */
+typedef void (*pattern_fn) (size_t count, uint64_t seed, unsigned int without);
+
+/* Runs PATTERN and prints the result.  Lines of failures give the seed.  */
+static inline void
+run (const char *name, pattern_fn pattern, size_t count, uint64_t seed,
+     unsigned int without)
+{
+  pattern (count, seed, without);
+  printf ("%s: daemons=%zu seed=%llu without=%u sum/allowed=%.3f "
+          "longest wait=%.1f ms\n",
+          name, count, (unsigned long long)seed, without, fleet.worst,
+          (double)fleet.longest_wait / RW_MSEC);
+  stop_fleet ();
+}
+
+/* Runs PATTERN in fleets of several sizes, small ones with several seeds, and
+   checks what holds in every pattern.  */
+static inline void
+check_pattern (const char *name, pattern_fn pattern)
+{
+  static const size_t sizes[] = { 3, 30, 144, 300 };
+  for (size_t n = 0; n < RW_ARRAY_LEN (sizes); n++)
+    for (uint64_t seed = 1; seed <= (sizes[n] < 100 ? 2 : 1); seed++)
+      {
+        run (name, pattern, sizes[n], seed, 0);
+        assert_true (fleet.worst <= 1);
+        assert_true (fleet.longest_wait <= MAX_VERDICT_TIME);
+      }
+}
+
+/* Two organisations send four times their limit, one at all daemons and one at
+   one daemon.  */
+static inline void
+start_far_above (size_t count, uint64_t seed, unsigned int without)
+{
+  start_fleet (count, 2, 500, 1, seed, without);
+  run_until (WARM_UP);
+  add_load (0, 2000, SPREAD_EVEN, 0, true);
+  add_load (1, 2000, SPREAD_ONE, count / 2, true);
+}
+
 #endif
--- a/lib/quota/parts.h
+++ b/lib/quota/parts.h
@@ -6,18 +6,27 @@
 #include "quota.h"
 
 /* The part of the tolerance, overshoot x rate x window, that each mechanism
-   may use.  They add up to less than one.  */
+   may use.  They add up to less than one, with the tokens that a daemon gets
+   back and uses later.  */
 #define LIFE_PART 0.32    /* tokens are used up to their lifetime later */
 #define SAVED_PART 0.16   /* a bucket holds the tokens of some time */
-#define RESERVE_PART 0.25 /* rate of the reserve */
-#define LOCAL_PART 0.15   /* rate of all local buckets */
-/* Part of the slack with which all local buckets together begin.  */
+#define START_PART 0.12   /* a new owner begins with those of some time */
+#define RESERVE_PART 0.20 /* rate of the reserve */
+#define LOCAL_PART 0.10   /* rate of all local buckets */
+/* The part of the slack that each mechanism may use in a window.  For small
+   limits it is more than their part of the overshoot.  */
+#define START_SLACK_PART 0.15
+#define RESERVE_SLACK_PART 0.25
+#define LOCAL_SLACK_PART 0.1
+/* All local buckets together begin with this part of the slack.  */
 #define LOCAL_START_PART 0.1
 
-/* A daemon grants this long after it became the owner.  Views of the daemons
-   that may be owners differ for less than this time, also after a start of
-   all.  */
-#define SETTLE_TIME (600 * RW_MSEC)
+/* A daemon grants this long after it became the owner.  Views of a daemon that
+   comes or goes differ for about this time.  */
+#define SETTLE_TIME (1900 * RW_MSEC)
+/* It grants sooner if by its view no owner has changed for this time: then the
+   views agree.  After a start of all that is so within about a second.  */
+#define STABLE_TIME (800 * RW_MSEC)
 
 static inline bool
 is_without (const struct quo_table *table, unsigned int mechanism)
@@ -35,6 +44,12 @@
 /* Returns how long tokens can be used, counted from the ask.  */
 rw_time quo_token_life (const struct quo_table *table);
 
+/* Returns the tokens a second that a mechanism may grant beside the owners of
+   LIMIT with its PART of the overshoot and SLACK_PART of the slack.  */
+double quo_spare_rate (const struct quo_table *table,
+                       const struct quo_limit *limit, double part,
+                       double slack_part);
+
 void quo_meter_add (struct quo_meter *meter, double count, rw_time now);
 double quo_meter_rate (const struct quo_meter *meter, rw_time now);
 
--- a/lib/quota/quota.c
+++ b/lib/quota/quota.c
@@ -16,12 +16,24 @@
 /* A daemon is avoided after so many asks without an answer, one after the
    other; a single one may be a lost message.  The first time is doubled with
    each further one.  */
-#define AVOID_FAILURES 2
-#define AVOID_TIME (500 * RW_MSEC)
+#define AVOID_FAILURES 3
+#define AVOID_TIME (250 * RW_MSEC)
 #define MAX_AVOID_TIME (2 * RW_SEC)
 #define FAILURE_LIFE (10 * RW_SEC)
-/* Tokens are asked for this long ahead of the load.  */
-#define AHEAD_TIME (200 * RW_MSEC)
+/* Tokens are asked for ahead of the load.  While no pool is short, unused ones
+   do no harm: the load of most of their lifetime is asked for, shortly before
+   the last ones are used.  */
+#define AHEAD_PART 0.85
+#define EARLY_TIME (30 * RW_MSEC)
+/* A load of less in a token's lifetime is not steady: many daemons with a
+   little of it each would waste more than a tenth.  */
+#define MIN_STEADY 4.0
+/* Else only for this time, and as many as are nearly always used before they
+   expire: the load in their lifetime, less this many times its standard
+   deviation.  */
+#define SHORT_AHEAD_TIME (200 * RW_MSEC)
+#define AHEAD_MARGIN 1.5
+#define SHORT_MEMORY (5 * RW_SEC)
 /* A pool that had too few tokens is asked again within these times.  The
    upper one is below the time in which a bucket saves tokens.  */
 #define MIN_BACKOFF (10 * RW_MSEC)
@@ -149,7 +161,7 @@
   if (peer->failures < AVOID_FAILURES)
     return;
   rw_time span = MAX_AVOID_TIME;
-  if (peer->failures < AVOID_FAILURES + 2)
+  if (peer->failures < AVOID_FAILURES + 3)
     span = AVOID_TIME << (peer->failures - AVOID_FAILURES);
   peer->avoid_until = now + span;
 }
@@ -270,6 +282,8 @@
     pool->owner_since = now;
   else if (answer->answer != QUO_SETTLING)
     user->decided_at = now;
+  if (answer->answer == QUO_SHORT && pool == &user->pools[user->first])
+    user->first = (user->first + 1) % QUO_MAX_STRIPES;
   if (answer->tokens > 0 && expires > now)
     add_lot (user,
              answer->tokens < pool->wanted ? answer->tokens : pool->wanted,
@@ -320,24 +334,45 @@
   push_item (table, &ask);
 }
 
+/* Returns the tokens to hold for the expected load of USER, and sets *LEAST to
+   the number below which more are asked for.  */
+static uint32_t
+tokens_ahead (const struct quo_table *table, const struct quo_user *user,
+              rw_time now, uint32_t *least)
+{
+  double rate
+      = fmin (quo_meter_rate (&user->demand, now), user->limit.rate_per_s);
+  double used = rate * (double)quo_token_life (table) / RW_SEC;
+  double ahead = AHEAD_PART * used;
+  double early = 1 + rate * EARLY_TIME / RW_SEC;
+  *least = 0;
+  if (is_without (table, QUO_WITHOUT_AHEAD))
+    return 0;
+  if (used < MIN_STEADY
+      || (user->short_at > 0 && now - user->short_at < SHORT_MEMORY))
+    {
+      ahead = fmin (used - AHEAD_MARGIN * sqrt (used),
+                    rate * SHORT_AHEAD_TIME / RW_SEC);
+      early = ceil (ahead / 2);
+    }
+  ahead = fmax (fmin (ahead, UINT16_MAX), 0);
+  *least = (uint32_t)fmax (fmin (early, floor (ahead)), 0);
+  return (uint32_t)ahead;
+}
+
 /* Returns the tokens that USER should ask for: those that its waiting requests
    lack, and those of the expected load.  */
 static uint32_t
 missing_tokens (const struct quo_table *table, const struct quo_user *user,
                 rw_time now)
 {
-  double rate
-      = fmin (quo_meter_rate (&user->demand, now), user->limit.rate_per_s);
-  uint32_t ahead = (uint32_t)fmin (rate * AHEAD_TIME / RW_SEC, UINT16_MAX);
+  uint32_t least;
+  uint32_t ahead = tokens_ahead (table, user, now, &least);
   uint32_t waiting = waiting_count (user);
   uint32_t have = held_tokens (user);
-  if (is_without (table, QUO_WITHOUT_AHEAD))
-    ahead = 0;
   for (size_t i = 0; i < QUO_POOLS; i++)
     have += user->pools[i].is_pending ? user->pools[i].wanted : 0;
-  if (have >= waiting + ahead / 2 + ahead % 2)
-    return 0;
-  return waiting + ahead - have;
+  return have >= waiting + least ? 0 : waiting + ahead - have;
 }
 
 /* Returns whether POOL of USER can be asked.  */
@@ -355,25 +390,23 @@
 static bool
 is_absent (struct quo_table *table, const struct quo_pool *pool, rw_time now)
 {
-  return pool->is_silent || pool->answer == QUO_SETTLING
-         || pool->answer == QUO_NOT_OWNER
+  bool may_not = pool->answer == QUO_SETTLING || pool->answer == QUO_NOT_OWNER;
+  return pool->is_silent || (may_not && pool->closed_until > now)
          || is_avoided (table, pool->owner, now);
 }
 
 /* Chooses the stripe of USER that is asked next, QUO_RESERVE if there is none.
-   Daemons begin with different stripes.  Those that did not answer come last.
- */
+   Daemons begin with different stripes and go on to another one when theirs is
+   empty.  Those that did not answer come last.  */
 static uint32_t
 choose_stripe (struct quo_table *table, const struct quo_view *view,
                struct quo_user *user, rw_time now)
 {
   uint32_t stripes = quo_stripes (table, &user->limit);
-  uint64_t hash
-      = rw_hash_u64 (user->limit.organisation, table->settings.daemon);
   for (uint32_t silent = 0; silent < 2; silent++)
     for (uint32_t i = 0; i < stripes; i++)
       {
-        uint32_t pool = (uint32_t)((hash + i) % stripes);
+        uint32_t pool = (user->first + i) % stripes;
         if (is_open (table, view, user, pool, now)
             && user->pools[pool].is_silent == (silent == 1))
           return pool;
@@ -388,14 +421,28 @@
 {
   uint32_t stripes = quo_stripes (table, &user->limit);
   uint32_t waiting = waiting_count (user);
-  uint32_t held = held_tokens (user);
+  uint32_t expected = held_tokens (user);
   bool is_any_absent = false;
   for (uint32_t i = 0; i < stripes; i++)
-    is_any_absent |= is_absent (table, &user->pools[i], now);
-  if (waiting > held && is_any_absent
+    {
+      const struct quo_pool *pool = &user->pools[i];
+      is_any_absent |= is_absent (table, pool, now);
+      expected += pool->is_pending && !pool->is_silent ? pool->wanted : 0;
+    }
+  if (waiting > expected && is_any_absent
       && !is_without (table, QUO_WITHOUT_RESERVE)
       && is_open (table, view, user, QUO_RESERVE, now))
-    send_ask (table, view, user, QUO_RESERVE, waiting - held, now);
+    send_ask (table, view, user, QUO_RESERVE, waiting - expected, now);
+}
+
+/* Records that no stripe of USER can be asked, unless an answer is due.  */
+static void
+note_short (struct quo_user *user, rw_time now)
+{
+  for (size_t i = 0; i < QUO_MAX_STRIPES; i++)
+    if (user->pools[i].is_pending)
+      return;
+  user->short_at = now;
 }
 
 /* Asks for the tokens that USER lacks.  */
@@ -408,7 +455,10 @@
     {
       uint32_t pool = choose_stripe (table, view, user, now);
       if (pool == QUO_RESERVE)
-        break;
+        {
+          note_short (user, now);
+          break;
+        }
       send_ask (table, view, user, pool, missing, now);
     }
   ask_reserve (table, view, user, now);
@@ -551,6 +601,9 @@
     return NULL;
   struct quo_user *user = rw_xcalloc (1, sizeof *user);
   user->limit = *limit;
+  user->first
+      = (uint32_t)(rw_hash_u64 (limit->organisation, table->settings.daemon)
+                   % QUO_MAX_STRIPES);
   bkt_init (&user->local, rw_rng_unit (&table->rng) < chance ? 1 : level, now);
   rw_map_put (&table->users, limit->organisation, user);
   return user;
@@ -574,10 +627,11 @@
             struct quo_user *user, rw_time now)
 {
   double daemons = fmax ((double)view->daemons, 1);
+  double all
+      = quo_spare_rate (table, &user->limit, LOCAL_PART, LOCAL_SLACK_PART);
   struct bkt_rate rate
-      = { .per_s = LOCAL_PART * table->settings.overshoot
-                   * user->limit.rate_per_s
-                   / (is_without (table, QUO_WITHOUT_DIVISION) ? 1 : daemons),
+      = { .per_s
+          = is_without (table, QUO_WITHOUT_DIVISION) ? all : all / daemons,
           .life = LOCAL_LIFE,
           .burst = quo_saved_time (table) };
   uint32_t stripes = quo_stripes (table, &user->limit);
@@ -741,7 +795,9 @@
   if (user == NULL)
     return;
   struct quo_pool *pool = &user->pools[ask->pool];
-  if (pool->number != answer->number || pool->asked != from)
+  if (pool->asked != from
+      || (pool->number != answer->number
+          && !is_without (table, QUO_WITHOUT_ONE_USE)))
     return;
   struct quo_peer *peer = find_peer (table, from);
   if (peer != NULL)
--- a/lib/quota/quota.h
+++ b/lib/quota/quota.h
@@ -49,6 +49,9 @@
   /* Returns for how long this daemon has owned KEY without a break, at most
      some seconds; null: not known.  */
   rw_time (*owned_for) (void *arg, uint64_t key, rw_time now);
+  /* Returns for how long no owner of any key has changed by this daemon's
+     view, at most some seconds; null: not known.  */
+  rw_time (*unchanged_for) (void *arg, rw_time now);
 };
 
 enum quo_verdict
@@ -146,6 +149,8 @@
   rw_time promised_at; /* when the caller that was refused last returns */
   rw_time used_at;
   rw_time decided_at;
+  rw_time short_at; /* when no stripe had tokens last; 0: never */
+  uint32_t first;   /* stripe that is asked first */
   uint64_t taken;
   uint64_t refused;
 };
@@ -161,6 +166,7 @@
   rw_time at;
   rw_time owned_since;
   rw_time settled_at;
+  bool is_settled;     /* it has granted since it settled */
   rw_time promised_at; /* when the caller that was refused last returns */
   rw_time asked_at;
   rw_time checked_at; /* when the view was last asked */
