--- a/lib/quota/parts.h
+++ b/lib/quota/parts.h
@@ -63,6 +63,34 @@
 void quo_tick_buckets (struct quo_table *table, const struct quo_view *view,
                        rw_time now);
 
+/* Adds ITEM to the messages that are due.  If the queue is full, it counts as
+   lost.  */
+void quo_push_item (struct quo_table *table, const struct quo_item *item);
+struct quo_peer *quo_find_peer (struct quo_table *table, uint32_t daemon);
+/* Records that DAEMON did not answer what it was asked at ASKED_AT.  */
+void quo_note_silence (struct quo_table *table, uint32_t daemon,
+                       rw_time asked_at, rw_time now);
+uint32_t quo_waiting_count (const struct quo_user *user);
+uint32_t quo_held_tokens (const struct quo_user *user);
+void quo_expire_lots (const struct quo_table *table, struct quo_user *user,
+                      rw_time now);
+/* Adds TOKENS, in the place of none or else to the lot that expires next to
+   them; the lot then expires when the earlier of both does.  */
+void quo_add_lot (struct quo_user *user, uint32_t tokens, rw_time expires);
+/* Looks up the owner of POOL of USER, if it may have changed.  */
+void quo_refresh_owner (const struct quo_view *view, struct quo_user *user,
+                        uint32_t pool, rw_time now);
+/* Applies ANSWER to the ask that POOL of USER has sent.  */
+void quo_apply_answer (struct quo_table *table, struct quo_user *user,
+                       struct quo_pool *pool, const struct quo_item *answer,
+                       rw_time now);
+/* Returns whether the owner of POOL does not answer, or may not grant.  */
+bool quo_is_absent (struct quo_table *table, const struct quo_pool *pool,
+                    rw_time now);
+/* Asks for the tokens that USER lacks.  */
+void quo_seek (struct quo_table *table, const struct quo_view *view,
+               struct quo_user *user, rw_time now);
+
 /* Takes an ask or an answer that the daemon FROM sent.  */
 void quo_take_item (struct quo_table *table, const struct quo_view *view,
                     uint32_t from, const struct quo_item *item, rw_time now);
