--- a/lib/gossip/gossip.c
+++ b/lib/gossip/gossip.c
@@ -265,14 +265,15 @@
              const struct gos_member *lowest[GOS_LOWEST_HASHES])
 {
   size_t count = 0;
+  uint64_t hashes[GOS_LOWEST_HASHES];
   for (size_t i = 0; i < gossip->count; i++)
     {
       const struct gos_member *member = &gossip->members[i];
-      uint64_t hash = member_hash (member->ip);
-      size_t at = count;
       if (member->left || now - member->last_heard >= max_age)
         continue;
-      while (at > 0 && member_hash (lowest[at - 1]->ip) > hash)
+      uint64_t hash = member_hash (member->ip);
+      size_t at = count;
+      while (at > 0 && hashes[at - 1] > hash)
         at--;
       if (at == GOS_LOWEST_HASHES)
         continue;
@@ -280,7 +281,10 @@
         count++;
       memmove (&lowest[at + 1], &lowest[at],
                (count - 1 - at) * sizeof lowest[0]);
+      memmove (&hashes[at + 1], &hashes[at],
+               (count - 1 - at) * sizeof hashes[0]);
       lowest[at] = member;
+      hashes[at] = hash;
     }
   return count;
 }
--- a/lib/quota/quota.h
+++ b/lib/quota/quota.h
@@ -231,7 +231,8 @@
                    const struct quo_settings *settings);
 /* Takes a token for a request of the organisation of LIMIT.  IS_REPEAT: the
    same request got QUO_WAIT before; it is called again after each quo_read,
-   and at quo_next_event.  A request that got QUO_WAIT gets another verdict
+   and at quo_next_event, for requests of one organisation in the order in
+   which they came.  A request that got QUO_WAIT gets another verdict
    after a bounded time.  With QUO_REFUSED, *RETRY_AFTER is set to the time
    after which a token will be there for this caller: callers that are refused
    one after the other are told to return one after the other.  */
@@ -250,7 +251,8 @@
 /* Writes the next message that is due to OUT, which has room for
    QUO_MAX_MESSAGE, and its destination to *TO.  Returns its length, 0 if none
    is due.  To be called until it returns 0 after each quo_take that returned
-   QUO_WAIT, after each quo_read, and at quo_next_event.  */
+   QUO_WAIT, after each quo_read, and at quo_next_event.  Tokens that are asked
+   for ahead also make a message due: quo_next_event then returns NOW.  */
 size_t quo_next_message (struct quo_table *table, const struct quo_view *view,
                          rw_time now, uint32_t *to, char *out);
 /* Takes a message from the daemon FROM.  Returns 0, or RW_E_PARSE if it is
