--- a/cmd/rwfront/overload.c
+++ b/cmd/rwfront/overload.c
@@ -79,12 +79,12 @@
   if (!ended && class->logged_at > 0 && now - class->logged_at < LOG_INTERVAL)
     return;
   evt_line (&request->daemon->log, EVT_NORMAL, "overload", now,
-            "%s: route=%s rank=%u share=%.2f delay_ms=%.1f "
-            "target_delay_ms=%.1f work_ms=%.1f",
+            "%s: route=%s share=%.2f delay_ms=%.1f target_delay_ms=%.1f "
+            "work_ms=%.1f rank=%u",
             ended ? "ended" : "refusing",
-            evt_value (request->route->name).text, class->rank, shed->share,
+            evt_value (request->route->name).text, shed->share,
             shed->delay / RW_MSEC, shed->target / RW_MSEC,
-            request->stats->part_latency.work.mean / RW_MSEC);
+            request->stats->part_latency.work.mean / RW_MSEC, class->rank);
   class->logged_at = ended ? 0 : now;
 }
 
