lint: find the place of many fields of one object

The place of each finding was searched through the whole object, so that a comparison of two documents of 1 MB with unknown fields that all differ took more than 60 s. After four searches in a row, the fields of an object are mapped.

--- a/cmd/rwfctl/test_check.c
+++ b/cmd/rwfctl/test_check.c
@@ -551,3 +551,21 @@
   assert_true (measure (f, &text, NULL, CTL_OK) < (rw_time)text.len);
   rw_buf_finish (&text);
 }
+
+/* Guards against time that grows with the square of the number of fields of an
+   object, all of which differ.  */
+TEST_WITH_FIXTURE (one_megabyte_of_unknown_fields_is_compared)
+{
+  struct rw_buf texts[2];
+  for (size_t i = 0; i < 2; i++)
+    {
+      rw_buf_init (&texts[i]);
+      rw_buf_printf (&texts[i], "{\"version\":%zu,\"routes\":[]", i);
+      for (size_t j = 0; texts[i].len < 1 << 20; j++)
+        rw_buf_printf (&texts[i], ",\"f%zu\":%zu", j, i);
+      rw_buf_append (&texts[i], "}", 1);
+    }
+  assert_true (measure (f, &texts[1], &texts[0], CTL_OK) < 2 * RW_SEC);
+  for (size_t i = 0; i < 2; i++)
+    rw_buf_finish (&texts[i]);
+}
--- a/lib/lint/lint.h
+++ b/lib/lint/lint.h
@@ -139,8 +139,11 @@
   {
     uint32_t parent;
     uint32_t node;
-    struct rw_str field; /* points into a path of the last call's caller */
-    uint32_t *elements;  /* heap; of the array PARENT */
+    struct rw_str field;  /* points into a path of the last call's caller */
+    size_t searches;      /* of the object PARENT */
+    struct rw_map fields; /* node numbers by the hash of the name; may be
+                             empty */
+    uint32_t *elements;   /* heap; of the array PARENT */
     size_t element_count;
     size_t element_cap;
   } last[LIN_PATH_DEPTH];
--- a/lib/lint/place.c
+++ b/lib/lint/place.c
@@ -10,6 +10,10 @@
 /* More structure than node numbers can count is left out.  */
 #define MAX_NODES (UINT32_MAX - 1)
 
+/* Searches of one object in a row before its fields are mapped: most objects
+   are small, and searched for one or two fields.  */
+#define MAX_WALKS 4
+
 /* The node 0 stands around the text; its child is the document.  */
 #define OUTSIDE 0
 
@@ -149,7 +153,10 @@
 lin_text_finish (struct lin_text *index)
 {
   for (size_t i = 0; i < LIN_PATH_DEPTH; i++)
-    free (index->last[i].elements);
+    {
+      free (index->last[i].elements);
+      rw_map_finish (&index->last[i].fields);
+    }
   free (index->nodes);
   free (index->lines);
 }
@@ -195,14 +202,23 @@
   return found != NULL ? to[found - from] : -1;
 }
 
-/* Whether the contents of a string, RAW, is NAME.  */
+/* Sets *NAME to the name of the node NUMBER, decoded into BUF if it has
+   escapes.  Returns false if it has none, or one that is not decoded.  */
 static bool
-is_name (struct rw_str raw, struct rw_str name)
+read_name (const struct lin_text *index, uint32_t number,
+           char buf[NAME_MAX_BYTES], struct rw_str *name)
 {
-  char buf[NAME_MAX_BYTES];
+  size_t key = index->nodes[number].key;
   size_t len = 0;
+  if (key == NO_KEY)
+    return false;
+  size_t end = skip_string (index->text, key);
+  struct rw_str raw = { index->text.ptr + key + 1, end - key - 1 };
+  if (raw.len > 0 && raw.ptr[raw.len - 1] == '"')
+    raw.len--;
+  *name = raw;
   if (raw.len == 0 || memchr (raw.ptr, '\\', raw.len) == NULL)
-    return rw_str_eq (raw, name);
+    return true;
   for (size_t i = 0; i < raw.len;)
     {
       int c = (unsigned char)raw.ptr[i];
@@ -210,11 +226,12 @@
         c = decode_escape (raw, &i);
       else
         i++;
-      if (c < 0 || len == sizeof buf)
+      if (c < 0 || len == NAME_MAX_BYTES)
         return false;
       buf[len++] = (char)c;
     }
-  return rw_str_eq ((struct rw_str){ buf, len }, name);
+  *name = (struct rw_str){ buf, len };
+  return true;
 }
 
 /* Returns the last field NAME of the object NODE, which is the one that counts
@@ -223,24 +240,31 @@
 find_field (const struct lin_text *index, uint32_t node, struct rw_str name)
 {
   uint32_t found = OUTSIDE;
+  char buf[NAME_MAX_BYTES];
+  struct rw_str other;
   if (!is_kind (index, node, '{'))
     return OUTSIDE;
   for (uint32_t i = index->nodes[node].first_child; i != 0;
        i = index->nodes[i].next)
-    {
-      size_t key = index->nodes[i].key;
-      if (key == NO_KEY)
-        continue;
-      size_t end = skip_string (index->text, key);
-      struct rw_str raw = { index->text.ptr + key + 1, end - key - 1 };
-      if (raw.len > 0 && raw.ptr[raw.len - 1] == '"')
-        raw.len--;
-      if (is_name (raw, name))
-        found = i;
-    }
+    if (read_name (index, i, buf, &other) && rw_str_eq (other, name))
+      found = i;
   return found;
 }
 
+/* Maps the names of the fields of the object NODE to their last nodes.  */
+static void
+map_fields (const struct lin_text *index, uint32_t node, struct rw_map *map)
+{
+  char buf[NAME_MAX_BYTES];
+  struct rw_str name;
+  if (!is_kind (index, node, '{'))
+    return;
+  for (uint32_t i = index->nodes[node].first_child; i != 0;
+       i = index->nodes[i].next)
+    if (read_name (index, i, buf, &name))
+      rw_map_put (map, rw_hash (name), (void *)(uintptr_t)i);
+}
+
 /* A step of a path.  */
 struct step
 {
@@ -297,6 +321,8 @@
   index->last[depth].parent = node;
   index->last[depth].node = OUTSIDE;
   index->last[depth].element_count = 0;
+  index->last[depth].searches = 0;
+  rw_map_finish (&index->last[depth].fields);
   if (!is_kind (index, node, '['))
     return;
   for (uint32_t i = index->nodes[node].first_child; i != 0;
@@ -314,6 +340,24 @@
     }
 }
 
+/* Returns the field NAME of the object NODE, which is entered at DEPTH, or
+   OUTSIDE.  The first searches of an object walk through it; further ones use
+   a map of its fields.  */
+static uint32_t
+search (struct lin_text *index, uint32_t node, size_t depth,
+        struct rw_str name)
+{
+  struct rw_map *fields = &index->last[depth].fields;
+  if (index->last[depth].searches < MAX_WALKS)
+    {
+      index->last[depth].searches++;
+      return find_field (index, node, name);
+    }
+  if (fields->len == 0)
+    map_fields (index, node, fields);
+  return (uint32_t)(uintptr_t)rw_map_get (fields, rw_hash (name));
+}
+
 /* Returns the node that STEP leads to from NODE, at DEPTH of the path, or
    OUTSIDE.  */
 static uint32_t
@@ -328,7 +372,7 @@
   if (index->last[depth].node == OUTSIDE
       || !rw_str_eq (index->last[depth].field, step->field))
     {
-      index->last[depth].node = find_field (index, node, step->field);
+      index->last[depth].node = search (index, node, depth, step->field);
       index->last[depth].field = step->field;
     }
   return index->last[depth].node;
--- a/lib/lint/test_place.c
+++ b/lib/lint/test_place.c
@@ -99,3 +99,34 @@
   lin_text_finish (&index);
   rw_buf_finish (&text);
 }
+
+/* Guards against a search through a whole object for each of its fields, and
+   against another result once the fields are mapped.  */
+TEST (many_fields_are_found_in_one_pass)
+{
+  enum
+  {
+    COUNT = 100000
+  };
+  struct rw_buf text;
+  struct lin_text index;
+  static char paths[COUNT][16];
+  rw_buf_init (&text);
+  rw_buf_append (&text, "{\"a0\":0", 7);
+  for (size_t i = 0; i < COUNT; i++)
+    rw_buf_printf (&text, ",\n\"\\u0061%zu\":%zu", i, i);
+  rw_buf_append (&text, "}", 1);
+  rw_time start = rw_now ();
+  lin_text_init (&index, rw_buf_str (&text));
+  for (size_t i = 0; i < COUNT; i++)
+    {
+      snprintf (paths[i], sizeof paths[i], "a%zu", i);
+      struct lin_place place = lin_text_place (
+          &index, lin_text_find (&index, rw_str_from (paths[i])));
+      assert_int_equal (place.line, i + 2);
+    }
+  assert_int_equal (lin_text_find (&index, RW_LIT ("b")), 0);
+  assert_true (rw_now () - start < RW_SEC);
+  lin_text_finish (&index);
+  rw_buf_finish (&text);
+}
--- a/tests/process/check.sh
+++ b/tests/process/check.sh
@@ -44,6 +44,16 @@
 for n in 1 2; do
 	await "daemon $n is ready" ready $n
 done
+
+# Files alone.
+expect "a file that is missing" "$(check "$DIR/none.json")" 2
+echo 'target a slots=0 # x' >"$DIR/rules"
+expect "rules with an error" "$(check "$DIR/rules")" 2
+echo 'target a # x' >"$DIR/rules"
+expect "rules" "$(check "$DIR/rules")" 0
+expect "rules on standard input" "$(check - <"$DIR/rules")" 0
+expect "JSON on standard input" "$(echo '{"version":1}' | check --json -)" 2
+grep -q '"path": "routes"' "$DIR/out" || fail "JSON: $(cat "$DIR/out")"
 DAEMONS=$NET.1:8108,$NET.2:8108
 
 write_config 2 50 secret-1 secret-2 >"$DIR/two.json"
