--- a/cmd/rwfctl/check.c
+++ b/cmd/rwfctl/check.c
@@ -232,6 +232,12 @@
   struct ctl_reports reports;
   int status;
 
+  if (options->against != NULL)
+    {
+      fprintf (stderr, "rwfctl: check: --against: expected a configuration, "
+                       "not rules\n");
+      return CTL_EXIT_USAGE;
+    }
   if (options->json)
     return ctl_check_rules_json (options->args[0], text, stdout);
   if (options->daemon_count == 0)
