gather: forecast whether a query can still be answered

Cause: a query over 90 shards of which 10 do not answer waits for its whole 1,200 ms and ends as 504, though that is known long before.

Change: gat_forecast decides from what is known of the targets of each part whether the least number of parts can be done by the deadline, or only late. Impossible: gat_decide gives up. Late: no hedges. If a target must return, the retries of its part are spread over the time left.

--- a/lib/gather/gather.c
+++ b/lib/gather/gather.c
@@ -30,6 +30,7 @@
   query->parts
       = rw_arena_zalloc (arena, plan->part_count, sizeof *query->parts);
   query->unfinished = plan->part_count;
+  query->forecast_due = RW_TIME_NEVER;
   for (size_t i = 0; i < plan->part_count; i++)
     query->parts[i].due = now;
 }
@@ -182,6 +183,8 @@
   struct gat_part *p = &query->parts[part];
   if (p->in_flight > 0)
     p->in_flight--;
+  p->failed_at = now;
+  gat_request_forecast (query, now);
   bool may_have_run = failure == GAT_FAIL_UNKNOWN || failure == GAT_FAIL_RAN;
   if (!may_have_run && p->attempts > 0)
     p->attempts--;
@@ -229,7 +232,8 @@
   bool enough = query->done >= plan->min_parts;
   if (query->done == plan->part_count)
     return GAT_ANSWER;
-  if (plan->part_count - query->lost < plan->min_parts)
+  if (plan->part_count - query->lost < plan->min_parts
+      || (!enough && query->prospect == GAT_PROSPECT_NONE))
     return GAT_GIVE_UP;
   if (query->unfinished == 0 || now >= plan->deadline)
     return enough ? GAT_ANSWER : GAT_GIVE_UP;
@@ -242,6 +246,8 @@
   rw_time next = query->plan.deadline;
   if (query->plan.soft_deadline > now && query->plan.soft_deadline < next)
     next = query->plan.soft_deadline;
+  if (query->done < query->plan.min_parts && query->forecast_due < next)
+    next = query->forecast_due;
   for (size_t i = 0; i < query->plan.part_count; i++)
     {
       const struct gat_part *p = &query->parts[i];
--- a/lib/gather/gather.h
+++ b/lib/gather/gather.h
@@ -25,6 +25,11 @@
   unsigned int arrivals;  /* sends, except those of which no byte was sent */
   unsigned int sends;     /* all sends */
   rw_time due;            /* PENDING: when to send; SENT: when to hedge */
+  rw_time failed_at;      /* last failure of a send; 0: none */
+  rw_time ready_at;       /* when it can be answered at the earliest, by the
+                             last forecast */
+  bool answering;         /* see gat_outlook; for the caller's use */
+  bool is_away;           /* no target is known to answer it, likewise */
   struct rw_str stamp;    /* DONE: the target's stamp */
   struct rw_str body;     /* DONE: the target's answer */
 };
@@ -41,6 +46,14 @@
   rw_time deadline;          /* when the query ends in any case */
 };
 
+/* When a query can be answered, as far as is known of its targets.  */
+enum gat_prospect
+{
+  GAT_PROSPECT_IN_TIME, /* by the soft deadline */
+  GAT_PROSPECT_LATE,    /* by the deadline */
+  GAT_PROSPECT_NONE     /* not by the deadline */
+};
+
 struct gat_query
 {
   struct gat_plan plan;
@@ -49,6 +62,13 @@
   size_t lost;            /* parts in state LOST */
   size_t unfinished;      /* parts in state PENDING or SENT */
   size_t sends;           /* of all parts */
+  /* Of the last forecast, see gat_forecast.  */
+  enum gat_prospect prospect;
+  size_t possible;      /* parts that can be done by the deadline */
+  bool needs_return;    /* too few parts unless a target returns */
+  bool is_probe;        /* sent to find out whether targets returned */
+  rw_time forecast_at;  /* 0: none was made */
+  rw_time forecast_due; /* RW_TIME_NEVER: none is made */
 };
 
 enum gat_send_kind
@@ -143,12 +163,56 @@
 double gat_time_until_enough (double *times, const struct gat_plan *plan);
 /* Decides at NOW whether to wait, answer or give up.  The query is answered
    early if all parts are done, and fails early if min_parts parts cannot be
-   done any more.  */
+   done any more, also by the last forecast.  */
 enum gat_decision gat_decide (const struct gat_query *query, rw_time now);
 /* Returns the time, not before NOW, by which gat_next_send and gat_decide must
    be called again.  */
 rw_time gat_next_event (const struct gat_query *query, rw_time now);
 
+/* What is known of the targets of a part that is not done.  */
+struct gat_outlook
+{
+  bool answering;         /* a send is in flight to a target that has not
+                             stalled, or of a probe, not yet due for a hedge */
+  bool has_target;        /* a usable target that did not fail lately and has
+                             not stalled */
+  bool has_proven_target; /* such a target has not failed since its last
+                             success */
+  rw_time usable_in;      /* until a target can be used that named the time;
+                             RW_TIME_NEVER: none did */
+  rw_time outage; /* how long the usable targets have failed or been silent,
+                     the shortest time; RW_TIME_NEVER: none is usable */
+};
+
+/* Starts forecasts for QUERY.  Without this call none is due.  */
+void gat_start_forecasts (struct gat_query *query, rw_time now);
+/* Whether a forecast is due: the caller then calls gat_note_outlook for each
+   part that is neither done nor lost, and gat_forecast.  */
+bool gat_forecast_due (const struct gat_query *query, rw_time now);
+/* Makes a forecast due soon, as a send failed.  */
+void gat_request_forecast (struct gat_query *query, rw_time now);
+/* Records what is known of the targets of PART at NOW.  */
+void gat_note_outlook (struct gat_query *query, size_t part,
+                       const struct gat_outlook *outlook, rw_time now);
+/* Sets the prospect of QUERY from the outlooks noted at NOW.  A service whose
+   targets have failed or been silent for some time, longer than a pause of a
+   target, is expected to return after as long again.  */
+void gat_forecast (struct gat_query *query, rw_time now);
+/* Makes QUERY, whose prospect is GAT_PROSPECT_NONE, a probe, if the route has
+   sent none lately: its parts are sent once in any case.  *NEXT_PROBE belongs
+   to the route and is 0 at first.  Returns whether it did; a forecast is then
+   due.  */
+bool gat_begin_probe (struct gat_query *query, rw_time *next_probe,
+                      rw_time now);
+/* Whether the parts of QUERY may be hedged: not those of a query that cannot
+   be complete enough in time.  */
+bool gat_may_hedge (const struct gat_query *query);
+/* Returns the time until PART, which is due for a retry, is to be sent: 0 at
+   once.  If the query needs the return of a target, the sends that are left
+   are spread over the time that is left.  */
+rw_time gat_retry_wait (const struct gat_query *query, size_t part,
+                        rw_time now);
+
 /* The times that callers of a route state they will wait.  Callers that begin
    state one of a few usual times; those that return state what is left.  */
 #define GAT_MAX_USUAL 8
--- a/lib/steer/impl.h
+++ b/lib/steer/impl.h
@@ -5,6 +5,10 @@
 
 #include "steer.h"
 
+/* A stall this long after the end of the last backoff is not the same outage:
+   targets pause again after 2.4 s at the earliest.  */
+#define STE_MAX_FAILURE_GAP RW_SEC
+
 /* Whether TARGET is within its warm-up time.  */
 bool ste_is_cold (const struct ste_target *target, rw_time now);
 /* Whether the limit that TARGET names, if any, allows a request of this daemon
--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -672,7 +672,17 @@
       break;
     case STE_ABANDONED:
       if (was_stalled)
-        ste_back_off (target, now);
+        {
+          /* Else two pauses without a success between them would count as one
+             long outage.  */
+          bool is_first = target->backoff_count == 0
+                          || now - target->backoff_until > STE_MAX_FAILURE_GAP;
+          ste_back_off (target, now);
+          if (is_first)
+            target->failing_since = send->sent_at > target->last_reply
+                                        ? send->sent_at
+                                        : target->last_reply;
+        }
       break;
     }
 }
@@ -685,6 +695,8 @@
                                      : MAX_BACKOFF_DOUBLINGS);
   if (now < target->backoff_until)
     return;
+  if (target->backoff_count == 0)
+    target->failing_since = now;
   target->backoff_count++;
   target->backoff_until = now + (span < MAX_BACKOFF ? span : MAX_BACKOFF);
 }
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -77,6 +77,7 @@
   rw_time failure_rate_at;  /* time of the last update */
   rw_time backoff_until;    /* end of the backoff; 0: none */
   unsigned int backoff_count; /* backoffs since the last success */
+  rw_time failing_since;      /* first of them, without a long gap; if any */
   double queue_len;     /* requests running or waiting, as last reported */
   rw_time queue_len_at; /* time of the last update */
   bool reports_load;    /* in its replies */
@@ -313,6 +314,17 @@
    place may be lost, and each target would otherwise be found out with a send.
  */
 bool ste_in_doubt (const struct ste_service *service, rw_time now);
+/* How the usable targets of a service fare.  */
+struct ste_outlook
+{
+  bool has_target; /* one has not stalled, and did not fail lately */
+  bool has_proven; /* such a one has not failed since its last success */
+  rw_time outage;  /* how long all of them have failed or been silent; 0 if
+                      has_target, RW_TIME_NEVER if none is usable */
+};
+struct ste_outlook ste_outlook_of (const struct ste_fleet *fleet,
+                                   const struct ste_service *service,
+                                   rw_time now);
 /* Returns whether fewer than one request per slot waits at TARGET, as far as
    is known.  */
 bool ste_has_room (const struct ste_target *target, rw_time now);
