rwfront: give up requests that too few targets can answer

Change: feasible.c makes the forecasts of requests that this daemon sends itself. 503 with Retry-After if nothing ran, 504 if a missing part is at a target that does not answer, else 502.

--- a/cmd/rwfront/answer.c
+++ b/cmd/rwfront/answer.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "frn_feasible.h"
 #include "front.h"
 
 /* Retry-After of a request that no target accepted: by then the targets have
@@ -98,7 +99,14 @@
   bool overload = outcome == FRN_REFUSED && request->query.sends == 0
                   && request->retry_after >= 0;
   char details[512];
+  char forecast[64] = "";
 
+  if (frn_is_infeasible (request))
+    {
+      sta_inc (daemon->metrics.infeasible);
+      snprintf (forecast, sizeof forecast, " possible=%zu needed=%zu",
+                request->query.possible, request->query.plan.min_parts);
+    }
   if (request->order == NULL)
     {
       struct frn_route_metrics *metrics = frn_metrics_for_route (
@@ -113,7 +121,7 @@
       "%s: id=%s route=%s key=%016llx status=%d ms=%lld aim_ms=%lld "
       "left_ms=%lld "
       "spent_ms=%lld parts=%zu/%zu "
-      "lost=%zu sends=%zu denied=%u%s error=\"%s\" at=%s version=%llu "
+      "lost=%zu sends=%zu denied=%u%s%s error=\"%s\" at=%s version=%llu "
       "age_ms=%lld",
       frn_outcome_name (outcome), evt_value (request->id).text,
       evt_value (request->route->name).text, (unsigned long long)request->key,
@@ -122,7 +130,7 @@
       (long long)request->time_left_ms,
       (long long)(request->time_spent / RW_MSEC), request->query.done,
       request->query.plan.part_count, request->query.lost,
-      request->query.sends, request->denied_sends,
+      request->query.sends, request->denied_sends, forecast,
       overload ? describe_overload (request, details, sizeof details)
                : describe_missing_part (request, details, sizeof details),
       request->last_error != NULL ? request->last_error : "",
@@ -212,11 +220,13 @@
 }
 
 /* Answers a request that failed: with the failure that the target replied, or
-   else 503 if it did not run, 504 after the deadline, or 502.  */
+   else 503 if it did not run, 504 after the deadline or if a send was not
+   answered until the request was given up, or 502.  */
 static void
 answer_failure (struct frn_request *request)
 {
-  bool timed_out = rw_now () >= request->query.plan.deadline;
+  bool timed_out = rw_now () >= request->query.plan.deadline
+                   || frn_gave_up_waiting (request);
   if (request->has_target_reply)
     {
       frn_log_outcome (request, FRN_FAILED, request->target_reply.status);
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -25,6 +25,7 @@
    overload.c   refusal of requests that targets have no room for
    quarantine.c requests that are held back, as they crash targets
    pool.c       connection pool of each target
+   feasible.c   requests that too few targets can answer
    reach.c      whether this daemon is cut off from the targets
    answer.c     answers to the caller, and the log line of each request
    span.c       log lines for the sends of a request
@@ -74,6 +75,7 @@
   FRN_MECH_PREOPEN,    /* connections opened in advance */
   FRN_MECH_QUARANTINE, /* holding back what crashes targets */
   FRN_MECH_FAIR,       /* shares of organisations under pressure */
+  FRN_MECH_INFEASIBLE, /* giving up queries that cannot be complete enough */
   FRN_MECH_COUNT
 };
 
@@ -178,6 +180,7 @@
   struct sta_series *first_sends;
   struct sta_series *retries;
   struct sta_series *hedges;
+  struct sta_series *infeasible;   /* given up before their deadline */
   struct sta_series *budget_empty; /* retries and hedges without budget */
   struct sta_series *relays;
   struct sta_series *subqueries;
@@ -228,6 +231,7 @@
   struct gat_patience patience;
   struct frn_shed_class shed_classes[FRN_MAX_SHED_CLASSES];
   size_t shed_class_count;
+  rw_time next_probe;      /* see gat_begin_probe */
   struct rw_rng split_rng; /* draws the service of a split route */
   struct frn_route_metrics metrics;
 };
@@ -712,14 +716,6 @@
 /* Answers 503 to a request that no target has run, and counts the refusal.  */
 void frn_refuse_request (struct frn_request *request, enum frn_refusal reason,
                          rw_time retry_after);
-/* Returns the time until the least number of parts of REQUEST have a usable
-   target: 0 if they have, RW_TIME_NEVER if that is not known.  */
-rw_time frn_time_until_servable (struct frn_request *request, rw_time now);
-/* Returns when the caller of a refused request is to return: when the targets
-   that asked to be left alone can be used again, or after the USUAL time if
-   that is not what the request waits for.  */
-rw_time frn_return_time (struct frn_request *request, rw_time usual,
-                         rw_time now);
 const char *frn_outcome_name (enum frn_outcome outcome);
 /* Counts the request and writes its log line and spans.  STATUS is 0 if there
    was no answer.  */
--- a/cmd/rwfront/metrics.c
+++ b/cmd/rwfront/metrics.c
@@ -112,6 +112,9 @@
                             "parts sent again after a failure", none);
   m->hedges = sta_counter (&m->set, "rwf_hedges_total",
                            "parts sent to a second target", none);
+  m->infeasible = sta_counter (
+      &m->set, "rwf_infeasible_total",
+      "requests given up early, as too few parts could be answered", none);
   m->budget_empty
       = sta_counter (&m->set, "rwf_extra_budget_empty_total",
                      "hedges and retries postponed for lack of budget", none);
--- a/cmd/rwfront/parts.c
+++ b/cmd/rwfront/parts.c
@@ -167,6 +167,15 @@
       gat_postpone (&request->query, part, now, delay);
       return;
     }
+  rw_time wait = kind == GAT_SEND_RETRY
+                     ? gat_retry_wait (&request->query, part, now)
+                     : 0;
+  if (wait > 0)
+    {
+      gat_postpone (&request->query, part, now,
+                    wait < SEND_POSTPONE_TIME ? wait : SEND_POSTPONE_TIME);
+      return;
+    }
   struct ste_target *target = frn_quarantine_pick (
       request, service, latency, tried_of (request, part), tried_n, now);
   if (target == NULL && kind == GAT_SEND_RETRY)
@@ -181,7 +190,7 @@
       return;
     }
   if (kind == GAT_SEND_HEDGE
-      && (!ste_has_room (target, now)
+      && (!gat_may_hedge (&request->query) || !ste_has_room (target, now)
           || ste_expected_time (&daemon->fleet, target, latency, now)
                  > (double)request->route->aim * MAX_HEDGE_AIM_RATIO))
     {
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "frn_feasible.h"
 #include "frn_quarantine.h"
 #include "front.h"
 
@@ -19,9 +20,6 @@
 /* Retry-After of a refusal for lack of targets.  Short, as another daemon may
    be able to serve the request at once.  */
 #define RETRY_AFTER_NO_TARGET (200 * RW_MSEC)
-/* Callers that are told when targets can be used again return within this
-   fraction of the time after it, not all at once.  */
-#define RETURN_SPREAD_DIVISOR 4
 
 static void start_local (struct frn_request *request);
 
@@ -260,6 +258,7 @@
   enum gat_send_kind kind;
 
   frn_subquery_expire (request, now);
+  frn_feasible_update (request, now);
   enum gat_decision decision = gat_decide (&request->query, now);
   while (decision == GAT_WAIT
          && gat_next_send (&request->query, now, &position, &part, &kind))
@@ -432,30 +431,6 @@
   frn_request_run (request);
 }
 
-rw_time
-frn_time_until_servable (struct frn_request *request, rw_time now)
-{
-  const struct gat_plan *plan = &request->query.plan;
-  double *times
-      = rw_arena_zalloc (&request->arena, plan->part_count, sizeof *times);
-  for (size_t i = 0; i < plan->part_count; i++)
-    times[i] = ste_time_until_usable (&request->daemon->fleet,
-                                      request->services[i], now);
-  double time = gat_time_until_enough (times, plan);
-  return time < (double)RW_TIME_NEVER ? (rw_time)time : RW_TIME_NEVER;
-}
-
-rw_time
-frn_return_time (struct frn_request *request, rw_time usual, rw_time now)
-{
-  rw_time wait = frn_time_until_servable (request, now);
-  if (wait == 0 || wait == RW_TIME_NEVER)
-    return usual;
-  return wait
-         + (rw_time)rw_rng_below (&request->daemon->fleet.rng,
-                                  (uint64_t)wait / RETURN_SPREAD_DIVISOR + 1);
-}
-
 static void
 init_query (struct frn_request *request, const struct gat_plan *plan)
 {
@@ -474,14 +449,17 @@
       frn_request_run (request);
       return;
     }
-  if (frn_time_until_servable (request, now) == 0
-      && rch_can_send (&request->daemon->reach.state, now))
+  if (frn_time_until_servable (request, now) != 0
+      || !rch_can_send (&request->daemon->reach.state, now))
+    request->last_error = "no target";
+  else if (!frn_feasible_admit (request, now))
+    request->last_error = "too few shards";
+  else
     {
       if (frn_overload_admit (request))
         frn_request_run (request);
       return;
     }
-  request->last_error = "no target";
   frn_refuse_request (request, FRN_REFUSE_NO_TARGET,
                       frn_return_time (request, RETRY_AFTER_NO_TARGET, now));
   frn_request_end (request);
