rwfctl: losses, the requests that were not answered in time or lacked parts

Cause: the logs have a line for each of them, but nobody sums them up.

Change: rwfctl losses FILE... prints them by route, window of 2 s and cause with counts, late ones, share and an example id. A request that one daemon left to another counts once, with the time of the first line and the cause of the second. The output says that shares are of what the logs show. By organisation it cannot sum yet: the lines have no such field.

Result: three tests with given lines; with the joining of forwarded requests taken out test_losses_forwarded fails.

--- a/cmd/rwfctl/ctl.h
+++ b/cmd/rwfctl/ctl.h
@@ -66,6 +66,8 @@
 
 int ctl_check (const struct ctl_options *options);
 int ctl_request (const struct ctl_options *options);
+int ctl_losses (const struct ctl_options *options);
+int ctl_print_losses (FILE *const *files, size_t file_count, FILE *out);
 int ctl_check_rules (const char *file, struct rw_str text,
                      const struct ctl_reports *known, FILE *out, FILE *err);
 int ctl_rules (const struct ctl_options *options);
--- a/cmd/rwfctl/options.c
+++ b/cmd/rwfctl/options.c
@@ -19,6 +19,9 @@
       "  members             the daemons as they see each other\n"
       "  trace ID FILE...    one request through its spans in trace files\n"
       "  request ID FILE...  one request through the logs of rwfront\n"
+      "  losses FILE...      requests in logs of rwfront that were not "
+      "answered\n"
+      "                      in time or lacked parts, by cause\n"
       "  held                requests that rwfront holds back\n"
       "  held release KEY    let a request that is held back through\n"
       "  held hold KEY       hold a request back\n";
--- a/cmd/rwfctl/test_rwfctl.c
+++ b/cmd/rwfctl/test_rwfctl.c
@@ -257,6 +257,145 @@
   fclose (file);
 }
 
+/* Prints the losses of the COUNT logs TEXTS.  */
+static int
+print_losses (const char *const *texts, size_t count, FILE *out)
+{
+  FILE *files[4] = { NULL };
+  for (size_t i = 0; i < count; i++)
+    {
+      files[i]
+          = fmemopen ((void *)(uintptr_t)texts[i], strlen (texts[i]), "r");
+      assert_non_null (files[i]);
+    }
+  int status = ctl_print_losses (files, count, out);
+  for (size_t i = 0; i < count; i++)
+    fclose (files[i]);
+  return status;
+}
+
+/* Guards against a lost request without its cause.  The lines are of the form
+   that rwfront writes.  */
+TEST_WITH_FIXTURE (test_losses_by_cause)
+{
+  static const char *const logs[] = {
+    "10.100 request: whole: id=w1 route=all status=200 ms=40 aim_ms=150 "
+    "parts=8/8 lost=0 sends=8 denied=0 error=\"\" at= version=1\n"
+    "10.200 request: whole: id=w2 route=all status=200 ms=150 "
+    "aim_ms=150 parts=8/8 lost=0 sends=8 denied=0 error=\"\" at= "
+    "version=1\n"
+    "11.900 request: partial: id=p1 route=all status=200 ms=137 "
+    "aim_ms=150 parts=7/8 lost=0 sends=9 denied=0 missing=shard0 "
+    "target=s0-1 state=waiting running=1 queued=0 sent_ms_ago=95 "
+    "error=\"\" at= version=1\n"
+    "11.950 request: partial: id=p2 route=all status=200 ms=160 "
+    "aim_ms=150 parts=7/8 lost=0 sends=9 denied=0 missing=shard0 "
+    "target=s0-1 state=waiting running=1 queued=0 sent_ms_ago=95 "
+    "error=\"\" at= version=1\n"
+    "12.000 request: refused: id=o1 route=all status=503 ms=0 aim_ms=150 "
+    "parts=0/8 lost=0 sends=0 denied=0 share=0.95 delay_ms=267 "
+    "error=\"overload\" at= version=1\n"
+    "12.100 request: refused: id=f1 route=all status=503 ms=0 aim_ms=150 "
+    "parts=0/8 lost=0 sends=0 denied=0 possible=5 needed=6 "
+    "error=\"too few shards\" at= version=1\n"
+    "12.200 request: refused: id=h1 route=one status=503 ms=0 aim_ms=80 "
+    "parts=0/1 lost=0 sends=0 error=\"held back: crashes targets\"\n"
+    "12.300 request: failed: id=l1 route=one status=502 ms=20 aim_ms=80 "
+    "parts=0/1 lost=1 sends=1 missing=one target=one-0 state=ended "
+    "error=\"connection lost\" at=one-0 version=1\n"
+    "12.400 request: failed: id=s1 route=one status=504 ms=1485 "
+    "aim_ms=80 parts=0/1 lost=0 sends=1 missing=one target=one-0 "
+    "state=waiting error=\"\" at= version=1\n"
+    "12.500 request: failed: id=n1 route=one status=504 ms=1485 "
+    "aim_ms=80 parts=0/1 lost=0 sends=1 missing=one target=one-0 "
+    "state=no-link error=\"\" at= version=1\n"
+    "12.600 request: no valid key: id=k1 path=/x status=401 version=1\n"
+    "12.700 request: refused: id=c1 status=503 error=\"no configuration "
+    "is known\"\n"
+    "12.710 request: refused: id=q1 route=one status=429 ms=0 aim_ms=80 "
+    "error=\"rate\"\n"
+    "12.720 request: gone: id=g1 route=one status=0 ms=90 aim_ms=80 "
+    "parts=0/1 error=\"\" at=\n"
+    "12.800 span: waiting: id=s1 part=0 route=one status=504\n"
+    "12.900 log: lines left out: count=17\n"
+    "12.950 request: failed: id=cut route=one stat"
+  };
+  assert_int_equal (print_losses (logs, 1, f->out.file), CTL_PROBLEM);
+  assert_prints (
+      &f->out, "all                          10      1      1  0.250  late  ");
+  assert_prints (&f->out, "all                          10      2      1  "
+                          "0.500  left out: stalled                p1\n");
+  assert_prints (&f->out, "all                          12      1      0  "
+                          "0.500  overload                         o1\n");
+  assert_prints (&f->out, "too few shards                   f1\n");
+  assert_prints (&f->out, "held back                        h1\n");
+  assert_prints (&f->out, "connection lost                  l1\n");
+  assert_prints (&f->out, "stalled                          s1\n");
+  assert_prints (&f->out, "no connection in time            n1\n");
+  assert_prints (&f->out, "quota                            q1\n");
+  assert_prints (&f->out, "caller left                      g1\n");
+  assert_prints (&f->out, "-                            12      1      0  "
+                          "0.500  no key                           k1\n");
+  assert_prints (&f->out, "no configuration                 c1\n");
+  assert_prints (&f->out, "15 requests in the logs, 14 lost, 0 forwarded ones "
+                          "counted once, 17 lines left out of the logs\n");
+  assert_prints (&f->out, "are sampled in the logs");
+}
+
+/* Guards against a forwarded request that counts twice, has the cause of the
+   wrong daemon, or takes another request with it.  */
+TEST_WITH_FIXTURE (test_losses_forwarded)
+{
+  static const char *const logs[]
+      = { "500.100 request: passed: id=r1 route=all status=200 ms=170 "
+          "aim_ms=150 parts=1/1 lost=0 sends=1 denied=0 error=\"\" "
+          "at=peer-7f137602 version=1\n"
+          "500.200 request: passed: id=r2 route=all status=200 ms=170 "
+          "aim_ms=150 parts=1/1 lost=0 sends=1 denied=0 error=\"\" "
+          "at=peer-7f137602 version=1\n"
+          "500.300 request: refused: id=r3 route=all status=503 ms=4 "
+          "aim_ms=150 parts=1/1 lost=0 sends=1 denied=0 error=\"\" "
+          "at=peer-7f137602 version=1\n"
+          "500.400 request: passed: id=r4 route=all status=200 ms=160 "
+          "aim_ms=150 parts=1/1 lost=0 sends=1 denied=0 error=\"\" "
+          "at=peer-7f137602 version=1\n",
+          "90.100 request: partial: id=r1 route=all status=200 ms=130 "
+          "aim_ms=150 parts=7/8 lost=0 sends=9 denied=0 missing=shard0 "
+          "sent=no error=\"\" at= version=1\n"
+          "90.200 request: whole: id=r2 route=all status=200 ms=130 "
+          "aim_ms=150 parts=8/8 lost=0 sends=8 denied=0 error=\"\" at= "
+          "version=1\n"
+          "90.300 request: refused: id=r3 route=all status=503 ms=0 "
+          "aim_ms=150 parts=0/8 lost=0 sends=0 denied=0 share=0.95 "
+          "error=\"overload\" at= version=1\n"
+          "90.400 request: whole: id=own route=all status=200 ms=200 "
+          "aim_ms=150 parts=8/8 lost=0 sends=8 denied=0 error=\"\" at= "
+          "version=1\n" };
+  assert_int_equal (print_losses (logs, 2, f->out.file), CTL_PROBLEM);
+  assert_prints (&f->out, "5 requests in the logs, 5 lost, 3 forwarded ones "
+                          "counted once, 0 lines");
+  assert_prints (&f->out, "all                         500      2      2  "
+                          "0.500  late                             r2\n");
+  assert_prints (&f->out, "all                         500      1      1  "
+                          "0.250  left out: no target              r1\n");
+  assert_prints (&f->out, "all                         500      1      0  "
+                          "0.250  overload                         r3\n");
+  assert_prints (&f->out, "all                          90      1      1  "
+                          "1.000  late                             own\n");
+}
+
+/* Guards against a problem that is reported when all was answered in time, and
+   against an end without output when the logs are empty.  */
+TEST_WITH_FIXTURE (test_losses_none)
+{
+  static const char *const logs[]
+      = { "10.100 request: whole: id=w1 route=all status=200 ms=40 aim_ms=150 "
+          "parts=8/8\n\n: \n10 request:\n-1 request: failed: id=x\n",
+          "\n" };
+  assert_int_equal (print_losses (logs, 2, f->out.file), CTL_OK);
+  assert_prints (&f->out, "1 requests in the logs, 0 lost");
+}
+
 /* Guards against an error message without the place, the line or the requester
    of the invalid rule.  */
 TEST_WITH_FIXTURE (test_check)
