rwfront: let probes past the overload control

Change: a probe is not refused for overload. The test reads the same bounds from the daemon's lines: held for at most 300 ms; at most five queries, one each 100 ms, that fail after the end of the outage.

--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -456,7 +456,9 @@
     request->last_error = "too few shards";
   else
     {
-      if (frn_overload_admit (request))
+      /* Targets that all failed count as queues without end, so a probe would
+         be refused for overload.  */
+      if (request->query.is_probe || frn_overload_admit (request))
         frn_request_run (request);
       return;
     }
--- a/lib/gather/feasible.c
+++ b/lib/gather/feasible.c
@@ -87,8 +87,8 @@
 gat_forecast (struct gat_query *query, rw_time now)
 {
   const struct gat_plan *plan = &query->plan;
-  size_t in_time = query->done;
-  size_t present = query->done;
+  size_t in_time = 0;
+  size_t present = 0;
   query->possible = query->done;
   for (size_t i = 0; i < plan->part_count; i++)
     {
@@ -101,11 +101,11 @@
     }
   if (query->possible < plan->min_parts)
     query->prospect = GAT_PROSPECT_NONE;
-  else if (in_time < plan->min_parts)
+  else if (query->done + in_time < plan->min_parts)
     query->prospect = GAT_PROSPECT_LATE;
   else
     query->prospect = GAT_PROSPECT_IN_TIME;
-  query->needs_return = present < plan->min_parts;
+  query->needs_return = query->done + present < plan->min_parts;
   query->forecast_at = now;
   query->forecast_due = now + FORECAST_INTERVAL;
 }
--- a/tests/process/infeasible.sh
+++ b/tests/process/infeasible.sh
@@ -46,8 +46,12 @@
 wait $LAST
 sleep 0.5
 expect "answers" "$(wc -l <"$DIR/times-second")" 40
-# Probes, one each 100 ms, end when their sends are overdue.
-slow=$(awk '$2 > 0.3' "$DIR/times-second" | wc -l)
+# Probes, one each 100 ms, end when their sends are overdue.  The times are those
+# of the daemon: curl itself waits for the processor on a busy machine.
+sed -n 's/.*request: .*id=second-.* ms=\([0-9]*\) .*/\1/p' "$DIR/vm-1.log" \
+    >"$DIR/held"
+[ "$(wc -l <"$DIR/held")" -ge 30 ] || fail "too few lines: $(cat "$DIR/held")"
+slow=$(awk '$1 > 300' "$DIR/held" | wc -l)
 expect "queries that were held longer than 300 ms" "$slow" 0
 refused=$(awk '$1 == 503' "$DIR/times-second" | wc -l)
 [ "$refused" -ge 8 ] || fail "$refused of 40 queries were refused as not run"
@@ -67,8 +71,8 @@
 [ $took -gt 1000 ] || fail "without the mechanism it took $took ms"
 
 faults none
-begun=$(date +%s%N)
 await "a query is served when the targets answer again" served
-took=$((($(date +%s%N) - begun) / 1000000))
-[ $took -lt 1500 ] || fail "the end of the outage was noticed after $took ms"
-echo "ok: the end of the outage was noticed after $took ms"
+refused=$(grep -c 'request: refused: id=ok-\|request: failed: id=ok-' "$DIR/vm-1.log")
+# One query each 100 ms: at most 500 ms.
+[ "$refused" -le 5 ] || fail "$refused queries failed after the end of the outage"
+echo "ok: $refused queries failed after the end of the outage"
