quarantine: leave second copies to a query that crashes its targets

Cause: a query over 20 shards ended one target of each within 0.11 s, and then second copies: the retry of the first lost send went out at once, as sends went alone only after two losses; and hedges of all parts left before the first target had ended.

Change: sends of an attempt with several parts go alone after the first loss, while no part is completed. Parts of a request with at least 8 parts are not hedged while none is completed (qua_may_hedge). An innocent request waits until one of its parts is completed.

Not covered: losses at a delegate are not known to the daemon that has the query until evidence arrives.

--- a/cmd/rwfront/frn_quarantine.h
+++ b/cmd/rwfront/frn_quarantine.h
@@ -30,6 +30,8 @@
 /* Returns when PART may be sent, as qua_delay does.  */
 rw_time frn_quarantine_delay (struct frn_request *request, size_t part,
                               rw_time now);
+/* Whether parts of REQUEST may be hedged; see qua_may_hedge.  */
+bool frn_quarantine_may_hedge (const struct frn_request *request);
 /* Picks a target for REQUEST as ste_pick does, without those whose software
    must not get it.  */
 struct ste_target *frn_quarantine_pick (struct frn_request *request,
--- a/cmd/rwfront/parts.c
+++ b/cmd/rwfront/parts.c
@@ -190,7 +190,8 @@
       return;
     }
   if (kind == GAT_SEND_HEDGE
-      && (!gat_may_hedge (&request->query) || !ste_has_room (target, now)
+      && (!gat_may_hedge (&request->query)
+          || !frn_quarantine_may_hedge (request) || !ste_has_room (target, now)
           || ste_expected_time (&daemon->fleet, target, latency, now)
                  > (double)request->route->aim * MAX_HEDGE_AIM_RATIO))
     {
--- a/cmd/rwfront/quarantine.c
+++ b/cmd/rwfront/quarantine.c
@@ -344,6 +344,15 @@
   return delay;
 }
 
+bool
+frn_quarantine_may_hedge (const struct frn_request *request)
+{
+  return request->mode != FRN_MODE_LOCAL
+         || request->daemon->settings.without[FRN_MECH_QUARANTINE]
+         || qua_may_hedge (request->query.plan.part_count,
+                           request->query.done);
+}
+
 struct ste_target *
 frn_quarantine_pick (struct frn_request *request, struct ste_service *service,
                      const struct ste_latency *latency,
--- a/lib/quarantine/quarantine.c
+++ b/lib/quarantine/quarantine.c
@@ -23,9 +23,14 @@
 #define SAME_TIME (50 * RW_MSEC)
 /* The next send waits so long for the outcome of one that goes alone.  */
 #define ALONE_INTERVAL (5 * RW_MSEC)
-/* Lost sends of an attempt, without a completed one, after which its sends go
-   alone.  */
-#define MAX_LOSSES 2
+/* Lost sends of an attempt with several parts, without a completed one, after
+   which its sends go alone.  With 2 the retry of the first loss ended another
+   target.  An innocent request waits only until one of its parts is
+   completed.  */
+#define MAX_LOSSES 1
+/* A request with fewer parts is hedged although none is completed: all its
+   targets may pause or be slow at the same time by chance.  */
+#define MIN_SUSPECT_PARTS 8
 /* Records among which the one is chosen that is dropped from a full table.  */
 #define DROP_CANDIDATES 16
 /* Records are dropped when they have not changed for this time, those without
@@ -417,6 +422,12 @@
   return 0;
 }
 
+bool
+qua_may_hedge (size_t parts, size_t done)
+{
+  return done > 0 || parts < MIN_SUSPECT_PARTS;
+}
+
 void
 qua_on_refused (struct qua_table *table, uint64_t key, rw_time now)
 {
--- a/lib/quarantine/quarantine.h
+++ b/lib/quarantine/quarantine.h
@@ -165,6 +165,11 @@
 rw_time qua_delay (const struct qua_table *table, uint64_t key,
                    struct qua_attempt *attempt, size_t parts, size_t done,
                    bool is_open, enum qua_verdict best, rw_time now);
+/* Returns whether a part of a request of PARTS parts, of which DONE are
+   completed, may be sent to a second target while the first one works on it.
+   If none of many parts is completed when a hedge is due, the request may be
+   about to end all of its targets.  */
+bool qua_may_hedge (size_t parts, size_t done);
 /* Counts a refusal of the request KEY.  */
 void qua_on_refused (struct qua_table *table, uint64_t key, rw_time now);
 
