gather: give up queries whose parts wait for the retry budget

Cause: parts whose sends were lost with their targets need an extra send. When the budget of the shard is used up they ask each 20 ms until the deadline.

Change: ext_time_until_free tells when a budget has an extra send at the earliest; a part that needs one counts as possible only from then on.

Result: a_budget_that_is_used_up_decides; two tests of lib/extra hold the time to be never later than the real one, and not early when nothing refills the budget.

--- a/cmd/rwfront/feasible.c
+++ b/cmd/rwfront/feasible.c
@@ -82,30 +82,45 @@
     }
 }
 
+/* What is known of the targets of PART.  */
+static struct gat_outlook
+outlook_of (const struct frn_request *request, size_t part, rw_time now)
+{
+  const struct frn_daemon *daemon = request->daemon;
+  const struct ste_service *service = request->services[part];
+  struct ste_outlook known = ste_outlook_of (&daemon->fleet, service, now);
+  struct gat_outlook outlook
+      = { .answering = request->query.parts[part].answering,
+          .has_target = known.has_target,
+          .has_proven_target = known.has_proven,
+          .usable_in = RW_TIME_NEVER,
+          .outage = known.outage };
+  if (!known.has_target)
+    {
+      double wait = ste_time_until_usable (&daemon->fleet, service, now);
+      if (wait > 0 && wait < (double)RW_TIME_NEVER)
+        outlook.usable_in = (rw_time)wait;
+    }
+  if (request->query.parts[part].in_flight == 0
+      && gat_send_is_extra (&request->query, part))
+    {
+      struct ext_limits limits = frn_budget_limits (daemon, service);
+      outlook.budget_in = ext_time_until_free (&service->budget, &limits, now);
+    }
+  return outlook;
+}
+
 static void
 forecast (struct frn_request *request, rw_time now)
 {
   struct gat_query *query = &request->query;
-  const struct ste_fleet *fleet = &request->daemon->fleet;
   note_sends (request, now);
   for (size_t i = 0; i < query->plan.part_count; i++)
     {
       const struct gat_part *p = &query->parts[i];
       if (p->state == GAT_PART_DONE || p->state == GAT_PART_LOST)
         continue;
-      struct ste_outlook known
-          = ste_outlook_of (fleet, request->services[i], now);
-      struct gat_outlook outlook = { .answering = p->answering,
-                                     .has_target = known.has_target,
-                                     .has_proven_target = known.has_proven,
-                                     .usable_in = RW_TIME_NEVER,
-                                     .outage = known.outage };
-      double usable_in
-          = known.has_target
-                ? 0
-                : ste_time_until_usable (fleet, request->services[i], now);
-      if (usable_in > 0 && usable_in < (double)RW_TIME_NEVER)
-        outlook.usable_in = (rw_time)usable_in;
+      struct gat_outlook outlook = outlook_of (request, i, now);
       gat_note_outlook (query, i, &outlook, now);
     }
   gat_forecast (query, now);
--- a/cmd/rwfront/frn_feasible.h
+++ b/cmd/rwfront/frn_feasible.h
@@ -14,6 +14,9 @@
    waits for.  */
 rw_time frn_return_time (struct frn_request *request, rw_time usual,
                          rw_time now);
+/* The limits of the retry budget of SERVICE.  */
+struct ext_limits frn_budget_limits (const struct frn_daemon *daemon,
+                                     const struct ste_service *service);
 /* Decides whether a request that is not sent yet can be served before its
    deadline, or is to be sent as a probe.  */
 bool frn_feasible_admit (struct frn_request *request, rw_time now);
--- a/cmd/rwfront/parts.c
+++ b/cmd/rwfront/parts.c
@@ -1,6 +1,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "frn_feasible.h"
 #include "frn_quarantine.h"
 #include "front.h"
 
@@ -127,9 +128,9 @@
 
 /* The limits of the retry budget of SERVICE.  Its rounding differs between
    daemons and services.  */
-static struct ext_limits
-budget_limits (const struct frn_daemon *daemon,
-               const struct ste_service *service)
+struct ext_limits
+frn_budget_limits (const struct frn_daemon *daemon,
+                   const struct ste_service *service)
 {
   uint64_t hash
       = rw_hash_u64 (daemon->fleet.settings.daemon_key, service->key);
@@ -146,7 +147,7 @@
                 struct ste_target *target, rw_time now)
 {
   struct ste_service *service = request->services[part];
-  struct ext_limits limits = budget_limits (request->daemon, service);
+  struct ext_limits limits = frn_budget_limits (request->daemon, service);
   ext_count_request (&service->budget, &limits, now);
   sta_inc (request->daemon->metrics.first_sends);
   send_part (request, part, target, GAT_SEND_FIRST, now);
@@ -159,7 +160,7 @@
   struct frn_daemon *daemon = request->daemon;
   struct ste_service *service = request->services[part];
   struct ste_latency *latency = latency_of (request, scope_of (request));
-  struct ext_limits limits = budget_limits (daemon, service);
+  struct ext_limits limits = frn_budget_limits (daemon, service);
   size_t tried_n = request->query.parts[part].sends;
   rw_time delay = frn_quarantine_delay (request, part, now);
   if (delay != 0)
--- a/lib/extra/extra.c
+++ b/lib/extra/extra.c
@@ -72,3 +72,43 @@
   budget->extra_send_sum++;
   return true;
 }
+
+/* The highest number of requests in a part of the window.  */
+static unsigned int
+highest_requests (const struct ext_budget *budget)
+{
+  unsigned int highest = 0;
+  for (size_t i = 0; i < EXT_BUCKET_COUNT; i++)
+    if (budget->requests[i] > highest)
+      highest = budget->requests[i];
+  return highest;
+}
+
+rw_time
+ext_time_until_free (const struct ext_budget *budget,
+                     const struct ext_limits *limits, rw_time now)
+{
+  struct ext_budget later = *budget;
+  rw_time span = limits->window / EXT_BUCKET_COUNT;
+  unsigned int requests = highest_requests (budget);
+  size_t newest = advance_window (&later, limits, now);
+  if (later.extra_send_sum + 1
+      <= extra_send_limit (&later, limits) + limits->rounding)
+    return 0;
+  for (int64_t i = 0; i < EXT_BUCKET_COUNT; i++)
+    {
+      rw_time at = i == 0 ? now + 1 : (now / span + i) * span;
+      if (i > 0)
+        newest = advance_window (&later, limits, at);
+      /* All requests of this part of the window count from its begin on.  */
+      if (later.requests[newest] < requests)
+        {
+          later.request_sum += requests - later.requests[newest];
+          later.requests[newest] = (uint16_t)requests;
+        }
+      if (later.extra_send_sum + 1
+          <= extra_send_limit (&later, limits) + limits->rounding)
+        return at - now;
+    }
+  return limits->window;
+}
--- a/lib/extra/extra.h
+++ b/lib/extra/extra.h
@@ -40,5 +40,10 @@
    the budget is used up.  */
 bool ext_take (struct ext_budget *budget, const struct ext_limits *limits,
                rw_time now);
+/* Returns the time until the budget has an extra send if no other is taken and
+   requests come as fast as at any time of the window: 0 if it has one now, the
+   window if it has none in it.  Nothing is counted.  */
+rw_time ext_time_until_free (const struct ext_budget *budget,
+                             const struct ext_limits *limits, rw_time now);
 
 #endif
--- a/lib/extra/test_extra.c
+++ b/lib/extra/test_extra.c
@@ -69,3 +69,49 @@
     }
   assert_in_range (sum, 399, 401);
 }
+
+/* Guards against a time until the next extra send that is later than the real
+   one, so that a query is given up that could be served.
+   Requests come steadily, and others take each extra send that there is.  */
+TEST (the_time_until_an_extra_send_is_known)
+{
+  for (unsigned int per_s = 1; per_s <= 100; per_s += 9)
+    {
+      struct ext_limits few = { 0.1, 10, 10 * RW_SEC, 100, 0.5 };
+      struct ext_budget budget;
+      rw_time told[40];
+      size_t count = 0;
+      ext_init (&budget);
+      for (rw_time now = RW_SEC; now < 40 * RW_SEC; now += 10 * RW_MSEC)
+        {
+          if (now % (RW_SEC / per_s / 10000 * 10000) == 0)
+            ext_count_request (&budget, &few, now);
+          rw_time wait = ext_time_until_free (&budget, &few, now);
+          assert_in_range (wait, 0, few.window);
+          bool is_free = ext_take (&budget, &few, now);
+          assert_int_equal (wait == 0, is_free);
+          if (now < 20 * RW_SEC)
+            continue;
+          /* What was told before is not later than now.  */
+          for (size_t i = 0; i < count && is_free; i++)
+            assert_true (told[i] <= now);
+          if (is_free)
+            count = 0;
+          else if (count < RW_ARRAY_LEN (told))
+            told[count++] = now + wait;
+        }
+    }
+}
+
+/* Guards against a time that is too early, so that a query waits in vain: the
+   allowance of one extra send is spent, and no request comes.  */
+TEST (a_budget_that_is_spent_is_free_after_the_window)
+{
+  struct ext_limits one = { 0.1, 125, 10 * RW_SEC, 100, 0 };
+  struct ext_budget budget;
+  ext_init (&budget);
+  assert_true (ext_take (&budget, &one, 20 * RW_SEC));
+  for (rw_time now = 20 * RW_SEC; now < 29 * RW_SEC; now += 130 * RW_MSEC)
+    assert_in_range (ext_time_until_free (&budget, &one, now) + now,
+                     29700 * RW_MSEC, 30250 * RW_MSEC);
+}
--- a/lib/gather/feasible.c
+++ b/lib/gather/feasible.c
@@ -54,22 +54,26 @@
             const struct gat_outlook *outlook, rw_time now)
 {
   rw_time ready = RW_TIME_NEVER;
+  rw_time sendable = now;
   if (outlook->answering || (query->is_probe && part->sends == 0))
     return now;
+  if (part->in_flight == 0)
+    sendable += outlook->budget_in;
   if (has_attempts (query, part))
     {
       if (outlook->has_target)
-        return now;
+        return sendable;
       if (outlook->usable_in < RW_TIME_NEVER - now)
         ready = now + outlook->usable_in;
     }
   else if (part->in_flight == 0)
     return RW_TIME_NEVER;
   if (outlook->outage < MIN_OUTAGE)
-    return now;
-  if (outlook->outage < RW_TIME_NEVER - now && now + outlook->outage < ready)
+    ready = now;
+  else if (outlook->outage < RW_TIME_NEVER - now
+           && now + outlook->outage < ready)
     ready = now + outlook->outage;
-  return ready;
+  return ready > sendable ? ready : sendable;
 }
 
 void
--- a/lib/gather/gather.h
+++ b/lib/gather/gather.h
@@ -178,10 +178,12 @@
                              not stalled */
   bool has_proven_target; /* such a target has not failed since its last
                              success */
-  rw_time usable_in;      /* until a target can be used that named the time;
+  rw_time budget_in; /* until the budget of extra sends allows another send, if
+                        it needs one; 0: now */
+  rw_time usable_in; /* until a target can be used that named the time;
                              RW_TIME_NEVER: none did */
-  rw_time outage; /* how long the usable targets have failed or been silent,
-                     the shortest time; RW_TIME_NEVER: none is usable */
+  rw_time outage;    /* how long the usable targets have failed or been silent,
+                        the shortest time; RW_TIME_NEVER: none is usable */
 };
 
 /* Starts forecasts for QUERY.  Without this call none is due.  */
--- a/lib/gather/test_feasible.c
+++ b/lib/gather/test_feasible.c
@@ -632,3 +632,50 @@
   assert_int_equal (gat_decide (&query, START + 300 * MS), GAT_ANSWER);
   rw_arena_finish (&arena);
 }
+
+/* Guards against a query that waits for its whole time although the budget of
+   extra sends has nothing for the parts that it needs: their sends were lost
+   with their targets.  */
+TEST_WITH_FIXTURE (a_budget_that_is_used_up_decides)
+{
+  struct rw_arena arena;
+  struct gat_outlook outlook = { .has_target = true,
+                                 .has_proven_target = true,
+                                 .usable_in = RW_TIME_NEVER };
+  (void)f;
+  rw_arena_init (&arena, 4096);
+  for (rw_time budget_in = 0; budget_in <= 700 * MS; budget_in += 50 * MS)
+    {
+      struct gat_query query;
+      struct gat_plan plan = { .part_count = 4,
+                               .min_parts = 3,
+                               .max_attempts = 2,
+                               .idempotent = true,
+                               .hedge_delay = 20 * MS,
+                               .soft_deadline = START + 100 * MS,
+                               .deadline = START + 600 * MS };
+      rw_time now = START + 10 * MS;
+      gat_init (&query, &arena, &plan, START);
+      gat_start_forecasts (&query, START);
+      for (size_t i = 0; i < 4; i++)
+        gat_on_sent (&query, i, START);
+      for (size_t i = 0; i < 2; i++)
+        gat_on_part (&query, i, RW_LIT ("s"), RW_LIT (""));
+      for (size_t i = 2; i < 4; i++)
+        gat_on_failure (&query, i, GAT_FAIL_UNKNOWN, now, 0);
+      assert_true (gat_forecast_due (&query, now));
+      outlook.budget_in = budget_in;
+      gat_note_outlook (&query, 2, &outlook, now);
+      gat_note_outlook (&query, 3, &outlook, now);
+      gat_forecast (&query, now);
+      assert_int_equal (gat_decide (&query, now),
+                        now + budget_in > plan.deadline ? GAT_GIVE_UP
+                                                        : GAT_WAIT);
+      /* A send in flight needs no budget.  */
+      gat_on_sent (&query, 2, now);
+      gat_note_outlook (&query, 2, &outlook, now);
+      gat_forecast (&query, now);
+      assert_int_equal (gat_decide (&query, now), GAT_WAIT);
+    }
+  rw_arena_finish (&arena);
+}
