--- a/cmd/rwfctl/main.c
+++ b/cmd/rwfctl/main.c
@@ -12,10 +12,15 @@
 };
 
 static const struct command commands[] = {
-  { "check", ctl_check },     { "rules", ctl_rules },
-  { "targets", ctl_targets }, { "members", ctl_members },
-  { "trace", ctl_trace },     { "request", ctl_request },
-  { "held", ctl_held },       { "organisations", ctl_organisations },
+  { "check", ctl_check },
+  { "rules", ctl_rules },
+  { "targets", ctl_targets },
+  { "members", ctl_members },
+  { "trace", ctl_trace },
+  { "request", ctl_request },
+  { "losses", ctl_losses },
+  { "held", ctl_held },
+  { "organisations", ctl_organisations },
 };
 
 int
@@ -31,7 +36,7 @@
   fprintf (
       stderr,
       "rwfctl: %s: expected check, rules, targets, members, trace, request, "
-      "held or organisations\n",
+      "losses, held or organisations\n",
       name);
   return CTL_EXIT_USAGE;
 }
--- a/cmd/rwfront/settings.c
+++ b/cmd/rwfront/settings.c
@@ -129,6 +129,8 @@
       return "fair";
     case FRN_MECH_QUOTAS:
       return "quotas";
+    case FRN_MECH_INFEASIBLE:
+      return "infeasible";
     case FRN_MECH_COUNT:
       break;
     }
