Estimate the capacity of each target

Cause: targets of one service differ in speed, and some slow down before all slots are taken. The choice used the ratio of the last few latencies, which forgets a speed within 2 s, and took no account of the load at which work slows down nor of the fourth figure of load reports.

Change: lib/capacity holds for each target a speed, a slow-down by load, a work figure and their ages; lib/steer uses them for the choice, the expected time, the stall deadline and the estimate of queues. RWF_WITHOUT=capacity switches them off. A fourth figure of 1 to 100000 counts; others are counted as invalid. The admin port answers /targets, and the log has a line when an estimate changes by over a third.

--- a/cmd/rwfront/admin.c
+++ b/cmd/rwfront/admin.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "frn_capacity.h"
 #include "frn_quarantine.h"
 #include "front.h"
 
@@ -31,7 +32,8 @@
       answer_metrics (daemon, conn);
       return;
     }
-  if (frn_quarantine_serve (daemon, conn, message))
+  if (frn_quarantine_serve (daemon, conn, message)
+      || frn_capacity_serve (daemon, conn, message))
     return;
   if (rw_str_eq_cstr (message->target, plt_ready_path))
     reply.status = frn_is_ready (daemon) ? 200 : 503;
--- a/cmd/rwfront/daemon.c
+++ b/cmd/rwfront/daemon.c
@@ -107,6 +107,8 @@
       = daemon->settings.target_drain_time > 2 * TARGET_DRAIN_MARGIN
             ? daemon->settings.target_drain_time - TARGET_DRAIN_MARGIN
             : daemon->settings.target_drain_time / 2;
+  ste_set_without_capacity (&daemon->fleet,
+                            daemon->settings.without[FRN_MECH_CAPACITY]);
   daemon->fleet.settings.entry_lifetime
       = ENTRY_EXPIRY_HEARTBEATS * daemon->settings.target_heartbeat
         + ENTRY_RETURN_TIME;
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -74,6 +74,7 @@
   FRN_MECH_PREOPEN,    /* connections opened in advance */
   FRN_MECH_QUARANTINE, /* holding back what crashes targets */
   FRN_MECH_FAIR,       /* shares of organisations under pressure */
+  FRN_MECH_CAPACITY,   /* estimates of the capacity of targets */
   FRN_MECH_COUNT
 };
 
@@ -197,6 +198,7 @@
   struct sta_series *targets_limited;
   struct sta_series *limited_sends[GAT_SEND_KIND_COUNT];
   struct sta_series *targets_ended;
+  struct sta_series *capacity[3]; /* by frn_capacity_counter */
   struct sta_series *requests_held;
   struct sta_series *trials;
   struct sta_series *config_version;
--- a/cmd/rwfront/metrics.c
+++ b/cmd/rwfront/metrics.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "frn_capacity.h"
 #include "front.h"
 
 const char *
@@ -169,6 +170,7 @@
   m->targets_ended
       = sta_counter (&m->set, "rwf_targets_ended_total",
                      "targets that ended with a request of this daemon", none);
+  frn_capacity_init_metrics (m);
   m->requests_held
       = sta_gauge (&m->set, "rwf_requests_held_back",
                    "requests that are held back, as they crash targets", none);
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "frn_quarantine.h"
+#include "frn_capacity.h"
 #include "front.h"
 
 /* Between the 6 ms that connecting within a data centre takes and the 1 s
@@ -361,9 +362,7 @@
 {
   struct frn_send *send = conn->send;
   bool to_peer = send->scope != FRN_SCOPE_PART;
-  if (reply->has_load)
-    ste_on_load_report (conn->pool->target, reply->running, reply->waiting,
-                        reply->slots, now);
+  frn_capacity_on_report (conn->pool->daemon, conn->pool->target, reply, now);
   conn->send = NULL;
   send->conn = NULL;
   /* A reply that lacks its request's id or its stamp, which is a signature, is
@@ -376,6 +375,7 @@
     end_send (send, STE_OK, now);
   else
     end_send (send, STE_FAILED, now);
+  frn_capacity_note_change (conn->pool->daemon, conn->pool->target, now);
   if (reply->misdirected && !to_peer)
     drop_target (conn->pool, now);
   if (!valid && !reply->not_run)
--- a/cmd/rwfront/settings.c
+++ b/cmd/rwfront/settings.c
@@ -127,6 +127,8 @@
       return "quarantine";
     case FRN_MECH_FAIR:
       return "fair";
+    case FRN_MECH_CAPACITY:
+      return "capacity";
     case FRN_MECH_COUNT:
       break;
     }
--- a/lib/steer/fleet.c
+++ b/lib/steer/fleet.c
@@ -44,6 +44,7 @@
   service = rw_xcalloc (1, sizeof *service);
   service->key = key;
   rw_str_copy (service->name, sizeof service->name, name);
+  service->without_capacity = fleet->settings.without_capacity;
   ext_init (&service->budget);
   service->next = fleet->first_service;
   fleet->first_service = service;
@@ -51,6 +52,18 @@
   return service;
 }
 
+void
+ste_set_without_capacity (struct ste_fleet *fleet, bool without)
+{
+  fleet->settings.without_capacity = without;
+  for (struct ste_service *s = fleet->first_service; s != NULL; s = s->next)
+    {
+      s->without_capacity = without;
+      if (without)
+        s->capacity.unevenness = 0;
+    }
+}
+
 void
 ste_clear_shards (struct ste_fleet *fleet)
 {
--- a/lib/steer/score.c
+++ b/lib/steer/score.c
@@ -336,6 +336,15 @@
                   BACKLOG_DECAY_TIME);
 }
 
+double
+ste_work_ratio (const struct ste_target *target, rw_time now)
+{
+  double latency_ratio
+      = decayed (target->latency_ratio, 1, target->latency_ratio_at, now,
+                 AVERAGE_DECAY_TIME);
+  return ste_mix_ratio (target, latency_ratio, now);
+}
+
 bool
 ste_has_room (const struct ste_target *target, rw_time now)
 {
@@ -378,6 +387,7 @@
         delay *= fmax (decayed (t->latency_ratio, 1, t->latency_ratio_at, now,
                                 AVERAGE_DECAY_TIME),
                        1);
+      delay = ste_mix_delay (t, delay, now);
       if (t->oldest_send != NULL)
         delay = fmax (delay, (double)(now - t->oldest_send->sent_at)
                                  - MAX_WORK_AGE_RATIO * service->work.mean);
@@ -431,9 +441,7 @@
                    const struct ste_target *target,
                    const struct ste_latency *latency, rw_time now)
 {
-  double latency_ratio
-      = decayed (target->latency_ratio, 1, target->latency_ratio_at, now,
-                 AVERAGE_DECAY_TIME);
+  double ratio = ste_work_ratio (target, now);
   double failure_rate
       = decayed (target->failure_rate, 0, target->failure_rate_at, now,
                  AVERAGE_DECAY_TIME);
@@ -441,8 +449,15 @@
                               QUEUE_DECAY_TIME);
   if (queue_len < target->in_flight)
     queue_len = target->in_flight;
-  double run_time = latency->mean * latency_ratio;
+  queue_len = ste_mix_queue (target, queue_len, now);
+  double run_time = latency->mean * ratio;
+  double uneven = target->service->capacity.unevenness;
   double work = target->service->work.mean;
+  if (uneven > 0)
+    {
+      run_time += uneven * (latency->work.mean * ratio - run_time);
+      work *= 1 + uneven * (ratio - 1);
+    }
   double time = run_time;
   double wait
       = queue_time (queue_len, target->slots, work > 0 ? work : run_time);
@@ -516,8 +531,9 @@
           || !ste_limit_allows (fleet, t, now)
           || !ste_warmup_allows (fleet, t, now))
         continue;
+      double random = rw_rng_unit (&fleet->rng);
       double time = ste_expected_time (fleet, t, latency, now)
-                    + rw_rng_unit (&fleet->rng) * MAX_JITTER;
+                    + random * MAX_JITTER + ste_choice_cost (t, random, now);
       if (best == NULL || time < best_time)
         {
           best = t;
@@ -533,15 +549,13 @@
 ste_on_sent (struct ste_send *send, struct ste_target *target,
              struct ste_latency *latency, rw_time now)
 {
-  double latency_ratio
-      = decayed (target->latency_ratio, 1, target->latency_ratio_at, now,
-                 AVERAGE_DECAY_TIME);
-  double run_time = latency->p90 * fmax (latency_ratio, 1);
+  double run_time = latency->p90 * fmax (ste_work_ratio (target, now), 1);
   double queue_per_slot = (double)target->in_flight / target->slots;
   memset (send, 0, sizeof *send);
   send->target = target;
   send->latency = latency;
   send->sent_at = now;
+  send->load = ste_known_load (target, now);
   send->stall_deadline
       = now + (rw_time)(run_time * (STALL_TIME_FACTOR + queue_per_slot))
         + STALL_MARGIN;
@@ -551,6 +565,7 @@
   else
     target->oldest_send = send;
   target->newest_send = send;
+  target->sent_since++;
   target->in_flight++;
 }
 
@@ -647,7 +662,10 @@
         end_stall (target, now);
       /* A send from before the end of a pause was held up by it.  */
       if (send->sent_at >= target->last_pause_end)
-        update_latency_ratio (target, send, now);
+        {
+          ste_learn_capacity (send, trusts_load (target, now), now);
+          update_latency_ratio (target, send, now);
+        }
       latency_add (send->latency, (double)(now - send->sent_at));
       update_work (send, now);
       update_failure_rate (target, 0, now);
@@ -713,4 +731,9 @@
     backlog_add (target, (double)waiting / target->slots, now);
   target->queue_len = running + waiting;
   target->queue_len_at = now;
+  target->running = running;
+  target->waiting = waiting;
+  target->sent_since = 0;
+  cap_on_load (&target->capacity, &target->service->capacity,
+               target->queue_len, now);
 }
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -7,6 +7,7 @@
 #define STE_STEER_H
 
 #include "bucket.h"
+#include "capacity.h"
 #include "cat.h"
 #include "extra.h"
 
@@ -81,10 +82,14 @@
   rw_time queue_len_at; /* time of the last update */
   bool reports_load;    /* in its replies */
   rw_time load_distrusted_until;
-  double backlog;      /* requests waiting per slot, moving average */
-  double backlog_mean; /* of the reports, each with the same weight */
-  rw_time backlog_at;  /* time of the last update */
-  void *user;          /* connection pool; set and freed by the caller */
+  double backlog;          /* requests waiting per slot, moving average */
+  double backlog_mean;     /* of the reports, each with the same weight */
+  rw_time backlog_at;      /* time of the last update */
+  unsigned int running;    /* requests, as last reported */
+  unsigned int waiting;    /* the same */
+  unsigned int sent_since; /* requests of this daemon since that report */
+  struct cap_target capacity;
+  void *user; /* connection pool; set and freed by the caller */
 };
 
 /* A send that waits for its result.  The caller owns it, and keeps it until
@@ -97,6 +102,7 @@
   struct ste_send *next;
   rw_time sent_at;
   rw_time stall_deadline; /* the target stalls if it has not replied by then */
+  double load; /* requests at the target at SENT_AT; -1: not known */
 };
 
 struct ste_service
@@ -111,10 +117,12 @@
   double warmup_limit_per_s;    /* to a cold target, all daemons; 0: none */
   rw_time handshake_time;       /* moving average; 0: not known */
   struct ste_work work;         /* of requests of all routes */
-  double peer_delay;            /* in microseconds; see ste_on_delay_report */
-  rw_time peer_delay_at;        /* 0: none was reported */
-  bool is_shard;                /* a shard of a route that gathers */
-  bool of_peers;                /* its targets are other daemons */
+  struct cap_service capacity;
+  double peer_delay;     /* in microseconds; see ste_on_delay_report */
+  rw_time peer_delay_at; /* 0: none was reported */
+  bool is_shard;         /* a shard of a route that gathers */
+  bool without_capacity; /* as in the settings */
+  bool of_peers;         /* its targets are other daemons */
 };
 
 /* The daemons of a data centre that divide limits, each weighted as in
@@ -140,6 +148,9 @@
   struct ste_dc_sharers dcs[STE_MAX_DCS];
   size_t dc_count;
   rw_time leave_time; /* how long a leaving target may still be used */
+  /* Targets are compared by their last results alone, without the estimates
+     of lib/capacity.  */
+  bool without_capacity;
   /* How long the entry of a target that has ended may stay on the list.  */
   rw_time entry_lifetime;
 };
@@ -191,6 +202,8 @@
 /* Returns the service NAME, added if it is new.  The fleet owns it, and keeps
    it until ste_finish.  */
 struct ste_service *ste_service (struct ste_fleet *fleet, struct rw_str name);
+/* Sets without_capacity of the settings.  */
+void ste_set_without_capacity (struct ste_fleet *fleet, bool without);
 /* Clears is_shard of all services, before the shards of another configuration
    are marked.  */
 void ste_clear_shards (struct ste_fleet *fleet);
@@ -384,6 +397,13 @@
 /* Ends the backoffs of all targets, without peers: it was this daemon that
    reached none of them.  */
 void ste_forget_backoffs (struct ste_fleet *fleet);
+/* Records the work figure that TARGET reported with a reply, as
+   cap_on_figure.  */
+void ste_on_work_figure (struct ste_target *target, unsigned int percent,
+                         rw_time now);
+/* Returns how much longer than usual a request of the service of TARGET takes
+   there, once it runs: 1 as usual.  */
+double ste_work_ratio (const struct ste_target *target, rw_time now);
 /* Records the load that TARGET reported with a reply.  SLOTS is 0 if not
    stated.  */
 void ste_on_load_report (struct ste_target *target, unsigned int running,
