Hedge by the estimate of a target; rwfctl estimates

Cause: the hedge delay was the same for targets known to be fast or slow, and operators could see the estimates of one daemon only, as JSON.

Change: the hedge delay of a send is multiplied by the estimated ratio of its target, within 0.5 and 2; 1 as long as the targets of a service are not known to differ. rwfctl estimates prints /targets of several daemons.

No deployment was run.

--- a/cmd/rwfctl/ctl.h
+++ b/cmd/rwfctl/ctl.h
@@ -77,6 +77,9 @@
 int ctl_print_members (const struct ctl_reports *reports, FILE *out);
 int ctl_held (const struct ctl_options *options);
 int ctl_print_held (const struct ctl_reports *reports, FILE *out);
+int ctl_estimates (const struct ctl_options *options);
+int ctl_print_estimates (const struct ctl_reports *reports,
+                         struct rw_str filter, FILE *out);
 int ctl_trace (const struct ctl_options *options);
 int ctl_print_trace (FILE *const *files, size_t file_count, const char *id,
                      FILE *out);
--- a/cmd/rwfctl/main.c
+++ b/cmd/rwfctl/main.c
@@ -15,7 +15,7 @@
   { "check", ctl_check },     { "rules", ctl_rules },
   { "targets", ctl_targets }, { "members", ctl_members },
   { "trace", ctl_trace },     { "request", ctl_request },
-  { "held", ctl_held },
+  { "held", ctl_held },       { "estimates", ctl_estimates },
 };
 
 int
@@ -30,8 +30,8 @@
       return commands[i].run (&options);
   fprintf (
       stderr,
-      "rwfctl: %s: expected check, rules, targets, members, trace, request "
-      "or held\n",
+      "rwfctl: %s: expected check, rules, targets, members, trace, request, "
+      "held or estimates\n",
       name);
   return CTL_EXIT_USAGE;
 }
--- a/cmd/rwfctl/options.c
+++ b/cmd/rwfctl/options.c
@@ -21,7 +21,10 @@
       "  request ID FILE...  one request through the logs of rwfront\n"
       "  held                requests that rwfront holds back\n"
       "  held release KEY    let a request that is held back through\n"
-      "  held hold KEY       hold a request back\n";
+      "  held hold KEY       hold a request back\n"
+      "  estimates [NAME]    capacity of the targets as rwfront estimates "
+      "it;\n"
+      "                      NAME is a target or a service\n";
 
 static const struct argp_option option_list[] = {
   { "daemons", 'd', "HOST:PORT,...", 0,
--- a/cmd/rwfctl/test_rwfctl.c
+++ b/cmd/rwfctl/test_rwfctl.c
@@ -299,6 +299,32 @@
                    "f:6: warning: no daemon knows the service parts\n");
 }
 
+/* Guards against estimates that are mixed up between targets or daemons.  */
+TEST_WITH_FIXTURE (test_estimates)
+{
+  static const char *const texts[] = {
+    "{\"vm\":\"m2\",\"targets\":[{\"target\":\"t1\",\"service\":\"s\","
+    "\"speed\":0.5,\"bearable\":2.5,\"slots\":4,\"load\":1,\"figure\":1.2,"
+    "\"confidence\":0.9,\"age_ms\":1500,\"used\":1,"
+    "\"source\":\"replies\"}]}",
+    "{\"vm\":\"m1\",\"targets\":[{\"target\":\"t2\",\"service\":\"r\","
+    "\"speed\":1,\"bearable\":2,\"slots\":2,\"load\":-1,\"figure\":0,"
+    "\"confidence\":0,\"age_ms\":-1,\"used\":0,\"source\":\"none\"},"
+    "{\"target\":\"t1\",\"service\":\"s\",\"speed\":0.6,\"bearable\":4,"
+    "\"slots\":4,\"load\":1,\"figure\":1,\"confidence\":0.8,"
+    "\"age_ms\":20,\"used\":1,\"source\":\"replies\"}]}",
+  };
+  make_reports (&f->reports, texts, RW_ARRAY_LEN (texts));
+  assert_int_equal (
+      ctl_print_estimates (&f->reports, RW_LIT (""), f->out.file), CTL_OK);
+  fflush (f->out.file);
+  const char *first = strstr (f->out.text, "t2 ");
+  const char *second = strstr (f->out.text, "m1           0.60");
+  const char *third = strstr (f->out.text, "m2           0.50");
+  assert_true (first != NULL && second > first && third > second);
+  assert_non_null (strstr (third, "1.5s  replies"));
+}
+
 /* Guards against invalid addresses that are ignored without an error.  */
 TEST (test_daemons)
 {
--- a/cmd/rwfront/parts.c
+++ b/cmd/rwfront/parts.c
@@ -122,6 +122,7 @@
   if (target->limited)
     sta_inc (request->daemon->metrics.limited_sends[kind]);
   gat_on_sent (&request->query, part, now);
+  gat_scale_hedge (&request->query, part, ste_hedge_factor (target, now), now);
   frn_send_start (request, send, kind, now);
 }
 
--- a/lib/gather/gather.c
+++ b/lib/gather/gather.c
@@ -85,6 +85,17 @@
       = may_hedge (query, p) ? now + query->plan.hedge_delay : RW_TIME_NEVER;
 }
 
+void
+gat_scale_hedge (struct gat_query *query, size_t part, double factor,
+                 rw_time now)
+{
+  struct gat_part *p = &query->parts[part];
+  rw_time delay = query->plan.hedge_delay;
+  /* A longer delay is not scaled: it means that there are no hedges.  */
+  if (factor != 1 && delay < RW_TIME_NEVER / 4 && may_hedge (query, p))
+    p->due = now + (rw_time)((double)delay * factor);
+}
+
 void
 gat_on_delegated (struct gat_query *query, size_t part, unsigned int attempts,
                   rw_time now)
--- a/lib/gather/gather.h
+++ b/lib/gather/gather.h
@@ -91,6 +91,11 @@
 /* Records that PART was sent at NOW; if it may be hedged, it is due again
    after plan.hedge_delay.  */
 void gat_on_sent (struct gat_query *query, size_t part, rw_time now);
+/* Multiplies that delay by FACTOR, above 0 and at most 2, for a send of PART
+   that began at NOW: its target is known to be slower or faster than
+   others.  */
+void gat_scale_hedge (struct gat_query *query, size_t part, double factor,
+                      rw_time now);
 /* Records that PART was left at NOW to another daemon, which may send it up to
    ATTEMPTS times; at least 1.  It counts as one send in flight.  */
 void gat_on_delegated (struct gat_query *query, size_t part,
--- a/lib/gather/test_gather.c
+++ b/lib/gather/test_gather.c
@@ -106,6 +106,24 @@
   assert_string_equal (f->query.parts[1].stamp.ptr, "s");
 }
 
+/* Guards against a hedge for each send to a target that is known to be slow,
+   and against a delay that overflows.  */
+TEST_WITH_FIXTURE (a_hedge_waits_longer_for_a_slow_target)
+{
+  struct gat_plan plan = make_plan (1, 1);
+  gat_init (&f->query, &f->arena, &plan, 0);
+  send_due_parts (f, 0, GAT_SEND_FIRST);
+  gat_scale_hedge (&f->query, 0, 2, 0);
+  assert_int_equal (send_due_parts (f, 39 * MS, GAT_SEND_HEDGE), 0);
+  assert_int_equal (send_due_parts (f, 40 * MS, GAT_SEND_HEDGE), 1);
+  /* No hedges at all: the delay must not overflow.  */
+  plan.hedge_delay = RW_TIME_NEVER / 2;
+  gat_init (&f->query, &f->arena, &plan, 0);
+  send_due_parts (f, 0, GAT_SEND_FIRST);
+  gat_scale_hedge (&f->query, 0, 2, 0);
+  assert_int_equal (send_due_parts (f, 600 * MS, GAT_SEND_HEDGE), 0);
+}
+
 /* Guards against a refusal that uses up an attempt, and against retries
    without end, when a target sheds every request.  */
 TEST_WITH_FIXTURE (refused_sends_are_retried_up_to_a_limit)
--- a/lib/steer/estimate.c
+++ b/lib/steer/estimate.c
@@ -41,6 +41,13 @@
   return ratio + share * (estimate_of (target, now).work - ratio);
 }
 
+double
+ste_hedge_factor (const struct ste_target *target, rw_time now)
+{
+  double ratio = ste_mix_ratio (target, 1, now);
+  return fmin (fmax (ratio, STE_MIN_HEDGE_FACTOR), STE_MAX_HEDGE_FACTOR);
+}
+
 double
 ste_mix_queue (const struct ste_target *target, double queue_len, rw_time now)
 {
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -404,6 +404,12 @@
 /* Returns how much longer than usual a request of the service of TARGET takes
    there, once it runs: 1 as usual.  */
 double ste_work_ratio (const struct ste_target *target, rw_time now);
+/* Returns the factor of the time after which a send to TARGET is late: 1
+   unless it is known to be faster or slower than others, and then within
+   STE_MIN_HEDGE_FACTOR and STE_MAX_HEDGE_FACTOR.  */
+#define STE_MIN_HEDGE_FACTOR 0.5
+#define STE_MAX_HEDGE_FACTOR 2.0
+double ste_hedge_factor (const struct ste_target *target, rw_time now);
 /* Records the load that TARGET reported with a reply.  SLOTS is 0 if not
    stated.  */
 void ste_on_load_report (struct ste_target *target, unsigned int running,
