Check the estimates at the admin port, the fourth figure and its fuzzing

Cause: no test read /targets from a running daemon, and the fuzz program of replies did not know the fourth figure.

--- a/cmd/rwfront/capacity.c
+++ b/cmd/rwfront/capacity.c
@@ -1,4 +1,6 @@
+#include <jansson.h>
 #include <math.h>
+#include <stdlib.h>
 
 #include "frn_capacity.h"
 
@@ -70,6 +72,18 @@
             exp (capacity->recent), capacity->work.count);
 }
 
+/* Appends TEXT, which another process chose, as a JSON string; empty if it is
+   not UTF-8.  */
+static void
+write_string (struct rw_buf *out, const char *text)
+{
+  json_t *string = json_string (text);
+  char *encoded = string != NULL ? json_dumps (string, JSON_ENCODE_ANY) : NULL;
+  rw_buf_printf (out, "%s", encoded != NULL ? encoded : "\"\"");
+  free (encoded);
+  json_decref (string);
+}
+
 static void
 write_target (const struct ste_target *target, struct rw_buf *out, rw_time now)
 {
@@ -77,14 +91,16 @@
   struct cap_estimate estimate
       = cap_estimate (&target->capacity, &service->capacity, target->slots,
                       target->in_flight, now);
+  rw_buf_printf (out, "{\"target\":");
+  write_string (out, target->id);
+  rw_buf_printf (out, ",\"service\":");
+  write_string (out, service->name);
   rw_buf_printf (
       out,
-      "{\"target\":\"%s\",\"service\":\"%s\",\"speed\":%.3f,"
+      ",\"speed\":%.3f,"
       "\"bearable\":%.1f,\"slots\":%u,\"load\":%.1f,\"figure\":%.2f,"
       "\"confidence\":%.2f,\"age_ms\":%lld,\"used\":%.2f,\"source\":\"%s\"}",
-      evt_value (rw_str_from (target->id)).text,
-      evt_value (rw_str_from (service->name)).text, 1 / estimate.base,
-      estimate.bearable, target->slots, estimate.load,
+      1 / estimate.base, estimate.bearable, target->slots, estimate.load,
       target->capacity.last_figure, estimate.confidence,
       estimate.age < 0 ? -1LL : (long long)(estimate.age / RW_MSEC),
       service->capacity.unevenness, source_of (target));
--- a/cmd/rwfront/test_settings.c
+++ b/cmd/rwfront/test_settings.c
@@ -22,10 +22,11 @@
       parse ("# comment\n\n" REQUIRED
              "RWF_SEEDS=10.0.0.1:9,10.0.0.2:9\nRWF_EXTRA_RATIO=0.2\n"
              "RWF_TARGET_DRAIN_MS=3000\nRWF_STOP_S=6\nRWF_LATER=x\n"
-             "RWF_WITHOUT=hedges, subsets\nRWF_SOURCE=10.0.0.7\n",
+             "RWF_WITHOUT=hedges, subsets,capacity\nRWF_SOURCE=10.0.0.7\n",
              &s),
       0);
   assert_true (s.without[FRN_MECH_HEDGES] && s.without[FRN_MECH_SUBSETS]);
+  assert_true (s.without[FRN_MECH_CAPACITY]);
   assert_false (s.without[FRN_MECH_RELAYS]);
   assert_int_equal (s.seed_count, 2);
   assert_int_equal (ntohl (s.source_addr.sin_addr.s_addr), 0x0a000007);
--- a/tests/fuzz/fuzz_reply.c
+++ b/tests/fuzz/fuzz_reply.c
@@ -28,6 +28,8 @@
       if (reply.has_load)
         FUZZ_CHECK (reply.running <= 1000000 && reply.waiting <= 1000000
                     && reply.slots <= 1000000);
+      FUZZ_CHECK (reply.work_figure <= 100000
+                  && !(reply.invalid_figure && reply.work_figure > 0));
       if (plt_read_era (&message, &era) == 0)
         FUZZ_CHECK (era >= 0 && era <= RW_ERA_MAX);
     }
@@ -39,5 +41,7 @@
     "HTTP/1.1 200 OK\r\nX-Redwingfork-Request-Id: a\r\n"
     "X-Redwingfork-Server-Stamp: s.a\r\nX-Redwingfork-Server-Load: 1,0,2\r\n"
     "Server-Limit: 12.5\r\nContent-Length: 2\r\n\r\nab",
+    "HTTP/1.1 200 OK\r\nX-Redwingfork-Server-Load: 1,0,2,250,9\r\n"
+    "Content-Length: 0\r\n\r\n",
     "HTTP/1.1 503 -\r\nX-Redwingfork-Not-Executed: 1\r\nRetry-After: 0.25\r\n"
     "Server-Leaving: 1\r\nStore-Era: 3\r\nContent-Length: 0\r\n\r\n")
