Use speeds and slow-downs only as far as each is known

Cause: with work figures the estimates of a service counted in full, also speeds that rested on a few results.

Change: speeds and slow-downs each count in proportion to their own evidence.

--- a/lib/capacity/capacity.c
+++ b/lib/capacity/capacity.c
@@ -385,7 +385,10 @@
         estimate.bearable = slots * ((double)i - 0.5) / (CAP_STEPS - 1);
         break;
       }
-  double alone = estimate.base * figure_now (target, service, now);
+  for (size_t i = 0; i < CAP_STEPS; i++)
+    slowdown[i] = pow (slowdown[i], service->slowdown_share);
+  double alone = pow (estimate.base, service->speed_share)
+                 * figure_now (target, service, now);
   double slowed = slowdown_at (slowdown, load / slots);
   estimate.alone = alone;
   estimate.work = alone * slowed;
@@ -440,10 +443,7 @@
 cap_set_unevenness (struct cap_service *service,
                     const struct cap_comparison *comparison, rw_time now)
 {
-  double unevenness = fmax (ramp (comparison->slowdown, SLIGHT_SLOWDOWN,
-                                  SLIGHT_SLOWDOWN + SLOWDOWN_RANGE),
-                            ramp (service->figure_deviation.value,
-                                  SLIGHT_DEVIATION, CLEAR_DEVIATION));
+  double speeds = 0;
   if (comparison->count > 1)
     {
       double n = (double)comparison->count;
@@ -454,11 +454,15 @@
       double spread = sqrt (fmax (variance - chance, 0));
       double ratio
           = fmax (comparison->highest - mean, mean - comparison->lowest);
-      unevenness
-          = fmax (unevenness, ramp (spread, SLIGHT_SPREAD, CLEAR_SPREAD));
-      unevenness = fmax (unevenness, ramp (ratio, SLIGHT_RATIO, CLEAR_RATIO));
+      speeds = fmax (ramp (spread, SLIGHT_SPREAD, CLEAR_SPREAD),
+                     ramp (ratio, SLIGHT_RATIO, CLEAR_RATIO));
     }
-  service->unevenness = unevenness;
+  service->speed_share = speeds;
+  service->slowdown_share = ramp (comparison->slowdown, SLIGHT_SLOWDOWN,
+                                  SLIGHT_SLOWDOWN + SLOWDOWN_RANGE);
+  service->unevenness = fmax (fmax (speeds, service->slowdown_share),
+                              ramp (service->figure_deviation.value,
+                                    SLIGHT_DEVIATION, CLEAR_DEVIATION));
   service->compared_at = now;
 }
 
--- a/lib/capacity/capacity.h
+++ b/lib/capacity/capacity.h
@@ -33,6 +33,9 @@
   /* How far the targets are known to differ from each other or to slow down: 0
      (not at all) to 1.  The estimates are used in this proportion.  */
   double unevenness;
+  /* The parts of it that are due to speeds and to slow-downs.  */
+  double speed_share;
+  double slowdown_share;
 };
 
 struct cap_target
