--- a/lib/capacity/capacity.c
+++ b/lib/capacity/capacity.c
@@ -95,7 +95,8 @@
 /* Targets with fewer results are not compared to others.  */
 #define MIN_COMPARED_COUNT 4.0
 /* Time constant with which a reported figure returns to the mean of the
-   target's figures.  Bursts of other users of a machine last about 50 ms.  */
+   target's figures.  In bursts of 50 ms, 30 to 100 ms gave the highest
+   goodput; 1 s gave less than not following the last figure.  */
 #define FIGURE_TIME (50 * RW_MSEC)
 /* The same for the number of requests at a target.  */
 #define LOAD_TIME (50 * RW_MSEC)
