--- a/cmd/rwfctl/main.c
+++ b/cmd/rwfctl/main.c
@@ -21,6 +21,7 @@
   { "losses", ctl_losses },
   { "held", ctl_held },
   { "organisations", ctl_organisations },
+  { "estimates", ctl_estimates },
 };
 
 int
@@ -36,7 +37,7 @@
   fprintf (
       stderr,
       "rwfctl: %s: expected check, rules, targets, members, trace, request, "
-      "losses, held or organisations\n",
+      "losses, held, organisations or estimates\n",
       name);
   return CTL_EXIT_USAGE;
 }
--- a/cmd/rwfront/admin.c
+++ b/cmd/rwfront/admin.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "config_admin.h"
+#include "frn_capacity.h"
 #include "frn_quarantine.h"
 #include "frn_quota.h"
 #include "front.h"
@@ -35,6 +36,7 @@
     }
   if (frn_quarantine_serve (daemon, conn, message)
       || frn_quota_serve (daemon, conn, message)
+      || frn_capacity_serve (daemon, conn, message)
       || frn_config_serve (daemon, conn, message))
     return;
   if (rw_str_eq_cstr (message->target, plt_ready_path))
--- a/cmd/rwfront/settings.c
+++ b/cmd/rwfront/settings.c
@@ -131,6 +131,8 @@
       return "quotas";
     case FRN_MECH_INFEASIBLE:
       return "infeasible";
+    case FRN_MECH_CAPACITY:
+      return "capacity";
     case FRN_MECH_COUNT:
       break;
     }
