--- a/lib/quota/fleet.h
+++ b/lib/quota/fleet.h
@@ -24,6 +24,8 @@
 /* Time in which the daemons learn of each other before requests begin.  */
 #define WARM_UP (8 * RW_SEC)
 #define MAX_VERDICT_TIME (100 * RW_MSEC)
+/* Second byte of an answer.  */
+#define KIND_ANSWER 2
 /* A daemon on a small VM may not run for this long.  */
 #define LATE_TIME (100 * RW_MSEC)
 /* IP and UDP headers of a message.  */
@@ -129,7 +131,8 @@
   rw_time longest_wait;
   uint64_t messages;          /* of quotas */
   uint64_t bytes;             /* with headers */
-  uint64_t sent[MAX_DAEMONS]; /* of these, by sender */
+  uint64_t answer_bytes;      /* of those that begin with an answer */
+  uint64_t sent[MAX_DAEMONS]; /* of all bytes, by sender */
   uint64_t seed;
 };
 
@@ -214,6 +217,8 @@
       fleet.messages++;
       fleet.bytes += len + HEADER_BYTES;
       fleet.sent[i] += len + HEADER_BYTES;
+      if (data[1] == KIND_ANSWER)
+        fleet.answer_bytes += len + HEADER_BYTES;
       if (!is_lost (i, event.to))
         push (fleet.now + delay (), &event, data, len);
       if (rw_rng_unit (&fleet.rng) < fleet.repeated && !is_lost (i, event.to))
