Keep the slow-downs of a target between results

Cause: each estimate computed the slow-down at eleven steps of load again, several times for each target in a choice.

Change: they are computed once for each result.

--- a/lib/capacity/capacity.c
+++ b/lib/capacity/capacity.c
@@ -186,11 +186,10 @@
   };
 }
 
-/* Stores how much longer work takes at each step of load than at low load.  A
-   step without evidence is as the one before.  */
+/* Computes again how much longer the work of TARGET takes at each step of load
+   than at low load.  A step without evidence is as the one before.  */
 static void
-slowdowns (const struct cap_target *target, const struct cap_service *service,
-           double *slowdown)
+update_slowdowns (struct cap_target *target, const struct cap_service *service)
 {
   struct cap_mean reference = { 0, 0 };
   double highest = 1;
@@ -216,20 +215,24 @@
           double sure = mean.count / (mean.count + HALF_STEP_COUNT);
           highest = fmax (highest, exp (excess * sure));
         }
-      slowdown[i] = highest;
+      target->slowdown[i] = highest;
     }
 }
 
-/* Interpolates SLOWDOWN at the FRACTION of the slots that is taken.  */
+/* How much longer the work of TARGET takes with the FRACTION of its slots
+   taken than at low load.  */
 static double
-slowdown_at (const double *slowdown, double fraction)
+slowdown_at (const struct cap_target *target, double fraction)
 {
   double place = clamp (fraction, 0, 1) * (CAP_STEPS - 1);
   size_t step = (size_t)place;
+  if (target->work_at == 0)
+    return 1;
   if (step >= CAP_STEPS - 1)
-    return slowdown[CAP_STEPS - 1];
+    return target->slowdown[CAP_STEPS - 1];
   double part = place - (double)step;
-  return slowdown[step] + part * (slowdown[step + 1] - slowdown[step]);
+  return target->slowdown[step]
+         + part * (target->slowdown[step + 1] - target->slowdown[step]);
 }
 
 void
@@ -291,7 +294,6 @@
 cap_on_result (struct cap_target *target, struct cap_service *service,
                const struct cap_sample *sample, rw_time now)
 {
-  double slowdown[CAP_STEPS];
   double taken = 0;
   double quality = 1;
   bool had_room = false;
@@ -326,10 +328,9 @@
                   * (double)sample->targets,
               1, INTERVAL_WEIGHT);
   service->result_at = now;
-  slowdowns (target, service, slowdown);
   ratio = log (ratio);
   double before = target->work.count > 0 ? target->work.value : ratio;
-  double alone = ratio - log (slowdown_at (slowdown, taken));
+  double alone = ratio - log (slowdown_at (target, taken));
   add_work (target, service, alone, quality, is_clear, now);
   mean_add (&service->level, alone, quality, LEVEL_WEIGHT);
   if (had_room)
@@ -339,6 +340,7 @@
       mean_add (&target->steps[step], at_step, 1, TARGET_STEP_WEIGHT);
       mean_add (&service->steps[step], at_step, 1, SERVICE_STEP_WEIGHT);
     }
+  update_slowdowns (target, service);
 }
 
 /* The share of its confidence that the speed of TARGET has at NOW.  */
@@ -368,7 +370,6 @@
               unsigned int added, rw_time now)
 {
   struct cap_estimate estimate = { .load = -1, .age = -1, .bearable = slots };
-  double slowdown[CAP_STEPS];
   double load = added;
   estimate.base = base_at (target, service, now);
   estimate.confidence = confidence_at (target, service, now);
@@ -383,22 +384,23 @@
                     * left_after (target->load_at, now, LOAD_TIME);
       estimate.load = load;
     }
-  slowdowns (target, service, slowdown);
-  for (size_t i = 0; i < CAP_STEPS; i++)
-    if (slowdown[i] > SLOWDOWN_RATIO)
+  for (size_t i = 0; i < CAP_STEPS && target->work_at > 0; i++)
+    if (target->slowdown[i] > SLOWDOWN_RATIO)
       {
         estimate.bearable = slots * ((double)i - 0.5) / (CAP_STEPS - 1);
         break;
       }
-  for (size_t i = 0; i < CAP_STEPS; i++)
-    slowdown[i] = pow (slowdown[i], service->slowdown_share);
-  double alone = pow (estimate.base, service->speed_share)
-                 * figure_now (target, service, now);
-  double slowed = slowdown_at (slowdown, load / slots);
-  estimate.alone = alone;
-  estimate.work = alone * slowed;
-  estimate.burden = alone * fmin (load, slots)
-                    * (slowdown_at (slowdown, (load + 1) / slots) - slowed);
+  double share = service->slowdown_share;
+  estimate.alone = pow (estimate.base, service->speed_share)
+                   * figure_now (target, service, now);
+  estimate.work = estimate.alone;
+  if (share > 0)
+    {
+      double slowed = pow (slowdown_at (target, load / slots), share);
+      double next = pow (slowdown_at (target, (load + 1) / slots), share);
+      estimate.work *= slowed;
+      estimate.burden = estimate.alone * fmin (load, slots) * (next - slowed);
+    }
   return estimate;
 }
 
@@ -413,13 +415,11 @@
              const struct cap_target *target,
              const struct cap_service *service, rw_time now)
 {
-  double slowdown[CAP_STEPS];
   double count = target->clear.count
                  * left_after (target->work_at, now, age_time (service));
-  slowdowns (target, service, slowdown);
   if (target->slots > 0)
     comparison->slowdown = fmax (comparison->slowdown,
-                                 log (slowdown[CAP_STEPS - 1])
+                                 log (slowdown_at (target, 1))
                                      - SLIGHT_SLOWDOWN_SLOTS / target->slots);
   if (count < MIN_COMPARED_COUNT)
     return;
--- a/lib/capacity/capacity.h
+++ b/lib/capacity/capacity.h
@@ -49,6 +49,8 @@
   rw_time work_at; /* last update; 0: none */
   struct cap_mean steps[CAP_STEPS]; /* logarithm of the time of work by load,
                                        less WORK */
+  double slowdown[CAP_STEPS];       /* what follows from them and those of the
+                                       service; not set before the first result */
   unsigned int slots;               /* as last reported; 0: not known */
   struct cap_mean figure;
   double last_figure;
