Announce a change of an estimate only beyond chance

Cause: equal targets were announced as changed by over a third when a few requests were long: 105 lines in 342 target-minutes at 114 daemons, which is several a second in a deployment of 270 targets.

Change: the change must also exceed three standard deviations of the estimate.

--- a/lib/capacity/capacity.c
+++ b/lib/capacity/capacity.c
@@ -101,7 +101,8 @@
 /* The same for the number of requests at a target.  */
 #define LOAD_TIME (50 * RW_MSEC)
 #define LOAD_WEIGHT 0.15
-/* An estimate is announced when it changed by this factor.  */
+/* An estimate is announced when it changed by this factor, and by more than
+   chance explains.  */
 #define ANNOUNCED_RATIO (4.0 / 3)
 
 static double
@@ -477,7 +478,12 @@
 {
   double base = base_at (target, service, now);
   double last = target->announced > 0 ? target->announced : 1;
-  if (fmax (base / last, last / base) <= ANNOUNCED_RATIO)
+  double change = fabs (log (base / last));
+  double doubt = target->work.count > 0
+                     ? DOUBT_DEVIATIONS
+                           * sqrt (target->work_variance / target->work.count)
+                     : 0;
+  if (change <= fmax (log (ANNOUNCED_RATIO), doubt))
     return false;
   target->announced = base;
   return true;
--- a/lib/capacity/capacity.h
+++ b/lib/capacity/capacity.h
@@ -133,8 +133,9 @@
 /* Sets the unevenness of SERVICE after all its targets were compared.  */
 void cap_set_unevenness (struct cap_service *service,
                          const struct cap_comparison *comparison, rw_time now);
-/* Returns whether the estimate of TARGET differs by more than a third from the
-   last one for which this function returned true, or from 1.  */
+/* Returns whether the estimate of TARGET differs by more than a third, and by
+   more than chance explains, from the last one for which this function
+   returned true, or from 1.  */
 bool cap_take_change (struct cap_target *target,
                       const struct cap_service *service, rw_time now);
 
--- a/lib/capacity/test_capacity.c
+++ b/lib/capacity/test_capacity.c
@@ -322,3 +322,24 @@
   assert_true (cap_take_change (&target, &service, now));
   assert_false (cap_take_change (&target, &service, now));
 }
+
+/* Guards against a line in the log for each run of short or long requests at a
+   target like any other.  */
+TEST (chance_is_not_announced_as_a_change)
+{
+  struct cap_target targets[3] = { 0 };
+  struct cap_service service = { 0 };
+  struct rw_rng rng;
+  rw_time now = RW_SEC;
+  int announced = 0;
+  rw_rng_init (&rng, 1);
+  for (int i = 0; i < 6000; i++)
+    {
+      struct cap_target *target = &targets[i % 3];
+      now = feed (target, &service, 1, 0.3 + rw_rng_exponential (&rng, 0.7),
+                  now);
+      announced += cap_take_change (target, &service, now);
+    }
+  printf ("announced by chance: %d of 6000\n", announced);
+  assert_true (announced <= 6);
+}
