--- a/lib/capacity/capacity.h
+++ b/lib/capacity/capacity.h
@@ -49,6 +49,8 @@
   rw_time work_at; /* last update; 0: none */
   struct cap_mean steps[CAP_STEPS]; /* logarithm of the time of work by load,
                                        less WORK */
+  double slowdown[CAP_STEPS];       /* what follows from them and those of the
+                                       service; not set before the first result */
   unsigned int slots;               /* as last reported; 0: not known */
   struct cap_mean figure;
   double last_figure;
@@ -131,8 +133,9 @@
 /* Sets the unevenness of SERVICE after all its targets were compared.  */
 void cap_set_unevenness (struct cap_service *service,
                          const struct cap_comparison *comparison, rw_time now);
-/* Returns whether the estimate of TARGET differs by more than a third from the
-   last one for which this function returned true, or from 1.  */
+/* Returns whether the estimate of TARGET differs by more than a third, and by
+   more than chance explains, from the last one for which this function
+   returned true, or from 1.  */
 bool cap_take_change (struct cap_target *target,
                       const struct cap_service *service, rw_time now);
 
