--- a/tests/soak/fault.c
+++ b/tests/soak/fault.c
@@ -47,11 +47,20 @@
   return rw_rng_below (&soak->rng, bound);
 }
 
+/* Sends a command that is a fault, and notes it.  */
+static void
+strike_site (struct sok_soak *soak, const char *path)
+{
+  sok_note_fault (soak, "%s", path + 1);
+  sok_command (soak, "POST", path, "", NULL, 0);
+}
+
 static void
 thaw (struct sok_daemon *daemon)
 {
   if (!daemon->frozen)
     return;
+  sok_note_fault (daemon->soak, "thaw/vm-%zu", daemon->index);
   sok_daemon_signal (daemon, SIGCONT);
   daemon->frozen = false;
   daemon->disturbed = rw_now ();
@@ -60,6 +69,7 @@
 static void
 kill_daemon (struct sok_daemon *daemon)
 {
+  sok_note_fault (daemon->soak, "kill/vm-%zu", daemon->index);
   daemon->disturbed = rw_now ();
   sok_daemon_signal (daemon, SIGKILL);
 }
@@ -69,6 +79,7 @@
 {
   if (!daemon->running || daemon->stopping || daemon->frozen)
     return;
+  sok_note_fault (daemon->soak, "stop/vm-%zu", daemon->index);
   daemon->stopping = true;
   daemon->stop_began = rw_now ();
   sok_daemon_signal (daemon, SIGTERM);
@@ -84,7 +95,7 @@
   else
     snprintf (path, sizeof path, "/searcher/s%d-%d/%s",
               (int)below (soak, soak->shards), (int)below (soak, 2), what);
-  sok_command (soak, "POST", path, "", NULL, 0);
+  strike_site (soak, path);
 }
 
 static void
@@ -92,8 +103,7 @@
 {
   static const char *const modes[] = { "/store/up", "/store/up", "/store/busy",
                                        "/store/silent", "/store/reset" };
-  sok_command (soak, "POST", modes[below (soak, RW_ARRAY_LEN (modes))], "",
-               NULL, 0);
+  strike_site (soak, modes[below (soak, RW_ARRAY_LEN (modes))]);
 }
 
 /* Sends WHAT to every searcher.  */
@@ -117,8 +127,7 @@
 restore_store (struct sok_soak *soak)
 {
   bool back = below (soak, 2) == 0;
-  sok_command (soak, "POST", back ? "/store/restore" : "/store/backup", "",
-               NULL, 0);
+  strike_site (soak, back ? "/store/restore" : "/store/backup");
   if (back)
     soak->restored = rw_now ();
 }
@@ -138,7 +147,7 @@
   char path[96];
   bool cut = strcmp (ways, "open") != 0;
   snprintf (path, sizeof path, "/ways/%s/%s", daemon->ip, ways);
-  sok_command (daemon->soak, "POST", path, "", NULL, 0);
+  strike_site (daemon->soak, path);
   daemon->cut_since = cut ? rw_now () : 0;
   daemon->ways_changed = rw_now ();
 }
@@ -167,6 +176,9 @@
   static const char *const leaves[] = { "drain", "stop", "start", "start" };
   struct sok_daemon *daemon = &soak->daemons[below (soak, soak->daemon_count)];
   static const char *const holds[] = { "hold/300", "hold/1500", "hold/0" };
+  static const char *const proxies[]
+      = { "pass", "silent", "one-way", "reset" };
+  enum sok_proxy_mode mode;
   static const char *const limits[]
       = { "limit/0", "limit/20", "limit/60", "limit/200" };
   size_t kinds = soak->store_faults ? FAULT_RESTORE : FAULT_STORE;
@@ -193,6 +205,7 @@
       stop_daemon (daemon);
       break;
     case FAULT_FREEZE:
+      sok_note_fault (soak, "freeze/vm-%zu", daemon->index);
       daemon->frozen = daemon->running;
       daemon->disturbed = rw_now ();
       sok_daemon_signal (daemon, SIGSTOP);
@@ -201,9 +214,13 @@
       /* A process that has not reached its main function, perhaps because it
          was frozen at once, cannot handle a signal.  */
       if (!daemon->frozen && rw_now () - daemon->disturbed > START_TIME)
-        sok_daemon_signal (daemon, SIGHUP);
+        {
+          sok_note_fault (soak, "hup/vm-%zu", daemon->index);
+          sok_daemon_signal (daemon, SIGHUP);
+        }
       break;
     case FAULT_CONFIG:
+      sok_note_fault (soak, "config/%zu", soak->version + 2);
       sok_put_config (soak);
       break;
     case FAULT_SEARCHER:
@@ -219,10 +236,12 @@
       store_fault (soak);
       break;
     case FAULT_COMPACT:
-      sok_command (soak, "POST", "/store/compact", "", NULL, 0);
+      strike_site (soak, "/store/compact");
       break;
     case FAULT_PROXY:
-      sok_proxy_set (&daemon->proxy, (enum sok_proxy_mode)below (soak, 4));
+      mode = (enum sok_proxy_mode)below (soak, 4);
+      sok_note_fault (soak, "proxy/vm-%zu/%s", daemon->index, proxies[mode]);
+      sok_proxy_set (&daemon->proxy, mode);
       break;
     case FAULT_RESTORE:
       restore_store (soak);
@@ -244,10 +263,9 @@
       searcher_fault (soak, "crash");
       break;
     case FAULT_CRASHING:
-      sok_command (soak, "POST",
-                   below (soak, 2) == 0 ? "/crash/1/safe/" SOK_CRASHING_PATH
-                                        : "/crash/1/all/" SOK_CRASHING_PATH,
-                   "", NULL, 0);
+      strike_site (soak, below (soak, 2) == 0
+                             ? "/crash/1/safe/" SOK_CRASHING_PATH
+                             : "/crash/1/all/" SOK_CRASHING_PATH);
       break;
     case FAULT_COUNT:
       break;
@@ -258,6 +276,7 @@
 heal (struct sok_soak *soak)
 {
   soak->healing = true;
+  sok_note_fault (soak, "heal");
   sok_command (soak, "POST", "/store/up", "", NULL, 0);
   for (size_t i = 0; i < soak->daemon_count; i++)
     {
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -87,6 +87,23 @@
   printf ("\n");
 }
 
+void
+sok_note_fault (struct sok_soak *soak, const char *format, ...)
+{
+  va_list args;
+  char what[96];
+  size_t space = sizeof soak->faults - soak->faults_len;
+  va_start (args, format);
+  vsnprintf (what, sizeof what, format, args);
+  va_end (args);
+  int len = snprintf (soak->faults + soak->faults_len, space, " %.3f:%s",
+                      (double)(rw_now () - soak->began) / RW_SEC, what);
+  if (len > 0 && (size_t)len < space)
+    soak->faults_len += (size_t)len;
+  else
+    soak->faults[soak->faults_len] = '\0';
+}
+
 static int
 run (struct sok_soak *soak, const struct options *o)
 {
@@ -111,13 +128,19 @@
   sok_kill_all (soak);
   printf (
       "seed %llu: %s: failures=%llu answers: 2xx=%llu 4xx=%llu 5xx=%llu "
-      "none=%llu whole=%llu\n",
+      "none=%llu whole=%llu",
       (unsigned long long)soak->seed,
       soak->failures == 0 ? "passed" : "failed",
       (unsigned long long)soak->failures, (unsigned long long)soak->answers[2],
       (unsigned long long)soak->answers[4],
       (unsigned long long)soak->answers[5],
       (unsigned long long)soak->answers[0], (unsigned long long)soak->whole);
+  /* What a failure is judged by: when the run began, on the clock of the
+     daemons' logs, and the faults with their times in the run.  */
+  if (soak->failures > 0)
+    printf (" began=%.6f faults:%s", (double)soak->began / RW_SEC,
+            soak->faults);
+  printf ("\n");
   return soak->failures == 0 ? 0 : 1;
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -13,6 +13,7 @@
 #define SOK_MAX_DAEMONS 64
 #define SOK_MAX_CLIENTS 256
 #define SOK_MAX_REFUSED 4000
+#define SOK_MAX_FAULTS_TEXT 8192
 #define SOK_CALLER_PORT 18104
 #define SOK_READY_PORT 18108
 #define SOK_PEER_PORT 18380
@@ -124,9 +125,16 @@
      and by success.  */
   uint64_t by_cut[2][2];
   uint64_t failures;
+  /* Words, each a time in the run and a fault, for the result of a run that
+     fails.  */
+  char faults[SOK_MAX_FAULTS_TEXT];
+  size_t faults_len;
   char *scratch;
 };
 
+/* Notes a fault, as a word without blanks, and its time.  */
+void sok_note_fault (struct sok_soak *soak, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
 /* Reports a broken promise.  */
 void sok_fail (struct sok_soak *soak, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
