quarantine: completions refute ends that are told late

Cause: a completion was noted only where a record of the request existed, and only the first one after the last end that counted. A daemon that had completed a request all the time took the old ends that a peer told it, which had been paused or cut off, or whose message was late, and held the request back 100 ms later. Nobody told it, or the peer, that the ends were refuted. An end that a paused daemon saw more than a second later counted twice. A told completion became later with each message between two daemons, by its delay. These orders of events were found by reading and by the random test.

Change: each daemon keeps the last 1,024 completions of any request by key and software, and reads them before it takes an end. A daemon that is told an end that it can refute answers the sender with its completion. Evidence that becomes sufficient is told every 20 ms until it takes effect (100 ms), and again with a refusal, at most each 500 ms. Ends of a target count as one if the times between send and end overlap or are less than 1 s apart. An end that may be of before the last completion, as messages take up to 200 ms, is taken once the request was not completed for 1 s. A told completion is told on as 200 ms earlier.

--- a/cmd/rwfront/quarantine.c
+++ b/cmd/rwfront/quarantine.c
@@ -44,6 +44,7 @@
   char evidence[GOS_MAX_DATAGRAM];
   uint32_t to[PUSH_FANOUT];
   rw_time now = rw_now ();
+  bool repeats = qua_repeat (table, now);
   for (size_t i = 0; i < PUSH_MESSAGES && table->has_news; i++)
     {
       size_t len = qua_write_news (table, evidence,
@@ -54,7 +55,9 @@
         frn_peers_send_evidence (daemon, to[j],
                                  (struct rw_str){ evidence, len }, now);
     }
-  if (table->has_news)
+  if (repeats)
+    uv_timer_start (timer, on_push_timer, QUA_REPEAT_INTERVAL / RW_MSEC, 0);
+  else if (table->has_news)
     uv_timer_start (timer, on_push_timer, BACKLOG_DELAY_MS, 0);
 }
 
@@ -208,6 +211,7 @@
   request->attempt.held = true;
   request->last_error = "held back: crashes targets";
   qua_on_refused (&request->daemon->quarantine.table, request->key, now);
+  push_news (request->daemon);
   if (request->order != NULL)
     frn_answer_query (request, true);
   else
@@ -399,12 +403,19 @@
   struct frn_quarantine *q = &daemon->quarantine;
   struct frn_wanted wanted = { daemon, from, now };
   struct frn_request *waiter = q->waiter;
+  struct gos_message message = { .count = 0 };
+  char answer[GOS_MAX_DATAGRAM];
   if (evidence.len == 0 || daemon->settings.without[FRN_MECH_QUARANTINE]
       || daemon->loop_lag > MAX_LAG || now - daemon->last_tick > MAX_LAG)
     return;
   if (qua_read (&q->table, evidence, on_wanted, &wanted, now) != 0)
     evt_line (&daemon->log, EVT_NORMAL, "peer", now,
               "evidence ignored: ip=%08x", from);
+  size_t len = qua_write_refutations (&q->table, answer,
+                                      gos_evidence_space (&message), now);
+  if (len > 0)
+    frn_peers_send_evidence (daemon, from, (struct rw_str){ answer, len },
+                             now);
   push_news (daemon);
   if (waiter != NULL && qua_take_trial (&q->table, waiter->key, now))
     {
--- a/lib/quarantine/codec.c
+++ b/lib/quarantine/codec.c
@@ -97,6 +97,8 @@
   XDR xdr;
   char body[QUA_MAX_ITEM];
   struct qua_record copy = *r;
+  for (size_t i = 0; i < copy.proof_count; i++)
+    copy.proofs[i].at = qua_told_time (&copy.proofs[i]);
   xdrmem_create (&xdr, body, sizeof body, XDR_ENCODE);
   if (!code_record (&xdr, &copy, now))
     return 0;
@@ -119,6 +121,7 @@
       if (len == 0)
         return false;
       r->is_news = false;
+      r->told_at = now;
       *used += len;
     }
   return true;
@@ -134,6 +137,25 @@
   return used;
 }
 
+size_t
+qua_write_refutations (struct qua_table *table, char *out, size_t size,
+                       rw_time now)
+{
+  size_t used = 0;
+  size_t position = 0;
+  struct qua_record *r;
+  if (!table->has_refutations)
+    return 0;
+  table->has_refutations = false;
+  while ((r = rw_map_next (&table->records, &position)) != NULL)
+    if (r->refutes)
+      {
+        r->refutes = false;
+        used += write_record (r, out + used, size - used, now);
+      }
+  return used;
+}
+
 size_t
 qua_write_next (struct qua_table *table, char *out, size_t size, rw_time now)
 {
--- a/lib/quarantine/quarantine.c
+++ b/lib/quarantine/quarantine.c
@@ -7,9 +7,17 @@
    targets of a data centre that is lost end within this time, and times from
    other daemons are off by the delay of messages.  */
 #define LATER_GAP (50 * RW_MSEC)
+/* A send that a peer tells, and that seems to have begun up to QUA_MAX_DELAY
+   after a completion, may have begun before it.  Its end is taken only if the
+   request is not completed any more for this time; until then peers tell it
+   again.  */
+#define DOUBT_TIME RW_SEC
 /* Evidence takes effect after this time, in which a daemon where the request
    was completed can say so.  */
 #define HEARING_TIME (100 * RW_MSEC)
+/* Least time between two refusals that are told to peers: five messages of 0.3
+   KB in this time are well below the limit of 7 KB/s.  */
+#define ASK_INTERVAL (500 * RW_MSEC)
 /* No trial is granted within this time of the last end or trial, so that its
    outcome is known everywhere.  */
 #define TRIAL_INTERVAL (5 * RW_SEC)
@@ -257,18 +265,29 @@
 note_seen (struct qua_record *r, const struct qua_end *end)
 {
   struct qua_seen new
-      = { (uint32_t)end->target, (uint32_t)(end->ended_at / RW_MSEC) };
+      = { (uint32_t)end->target, (uint32_t)(end->sent_at / RW_MSEC),
+          (uint32_t)(end->ended_at / RW_MSEC) };
   size_t count = r->seen_count < QUA_MAX_SEEN ? r->seen_count : QUA_MAX_SEEN;
   for (size_t i = 0; i < count; i++)
-    {
-      int later = (int32_t)(new.at_ms - r->seen[i].at_ms);
-      if (r->seen[i].target == new.target && abs (later) < SAME_END_MS)
-        return true;
-    }
+    if (r->seen[i].target == new.target
+        && (int32_t)(new.sent_ms - r->seen[i].at_ms) < SAME_END_MS
+        && (int32_t)(r->seen[i].sent_ms - new.at_ms) < SAME_END_MS)
+      return true;
   r->seen[r->seen_count++ % QUA_MAX_SEEN] = new;
   return false;
 }
 
+/* Returns whether END, which a peer tells, may be one of before the last
+   completion.  */
+static bool
+is_doubtful (const struct qua_record *r, const struct qua_end *end,
+             rw_time now)
+{
+  const struct qua_proof *proof = proof_of (r, end->software);
+  return proof != NULL && now - proof->at < DOUBT_TIME
+         && end->sent_at < proof->at + QUA_MAX_DELAY;
+}
+
 /* Keeps END if it matters.  Returns whether it does and is new.  */
 static bool
 add_end (struct qua_record *r, const struct qua_end *end)
@@ -283,16 +302,18 @@
   return true;
 }
 
-/* Records a completion.  Returns whether that is new.  */
+/* Records a completion, which a peer told if IS_TOLD.  Returns whether it is
+   later than those known.  */
 static bool
-add_proof (struct qua_record *r, uint32_t software, rw_time at)
+add_proof (struct qua_record *r, uint32_t software, rw_time at, bool is_told)
 {
   struct qua_proof *proof = proof_of (r, software);
   if (proof != NULL)
     {
-      if (at <= proof->at + SAME_TIME)
+      if (at <= proof->at)
         return false;
       proof->at = at;
+      proof->is_told = is_told;
       return true;
     }
   if (r->proof_count < QUA_MAX_PROOFS)
@@ -306,7 +327,7 @@
       if (at <= proof->at)
         return false;
     }
-  *proof = (struct qua_proof){ software, at };
+  *proof = (struct qua_proof){ software, is_told, at };
   return true;
 }
 
@@ -324,11 +345,41 @@
   return true;
 }
 
+/* The entry for the completions of KEY with SOFTWARE; if there is none, the
+   one that is replaced by it.  */
+static struct qua_done *
+done_of (const struct qua_table *table, uint64_t key, uint32_t software)
+{
+  size_t group
+      = rw_hash_u64 (key, software) % (QUA_MAX_DONES / QUA_DONE_GROUP);
+  const struct qua_done *first = &table->dones[group * QUA_DONE_GROUP];
+  const struct qua_done *oldest = first;
+  for (size_t i = 0; i < QUA_DONE_GROUP; i++)
+    {
+      if (first[i].key == key && first[i].software == software)
+        return (struct qua_done *)&first[i];
+      if (first[i].at < oldest->at)
+        oldest = &first[i];
+    }
+  return (struct qua_done *)oldest;
+}
+
+/* Adds to R the completion with SOFTWARE that this daemon saw last.  */
+static void
+add_done (const struct qua_table *table, struct qua_record *r,
+          uint32_t software)
+{
+  const struct qua_done *done = done_of (table, r->key, software);
+  if (done->at > 0 && done->key == r->key && done->software == software)
+    (void)add_proof (r, software, done->at, false);
+}
+
 void
 qua_on_end (struct qua_table *table, uint64_t key, const struct qua_end *end,
             rw_time now)
 {
   struct qua_record *r = record_of (table, key, now);
+  add_done (table, r, end->software);
   if (add_end (r, end))
     mark_news (table, r, now);
   (void)review (r, now);
@@ -339,10 +390,11 @@
              rw_time now)
 {
   struct qua_record *r = qua_find (table, key);
-  if (r == NULL || (r->end_count == 0 && proof_of (r, software) != NULL))
+  *done_of (table, key, software) = (struct qua_done){ key, software, now };
+  if (r == NULL)
     return;
   bool is_first = proof_of (r, software) == NULL;
-  if (add_proof (r, software, now) && (review (r, now) || is_first))
+  if (add_proof (r, software, now, false) && (review (r, now) || is_first))
     mark_news (table, r, now);
 }
 
@@ -425,6 +477,10 @@
     return;
   r->refused_at = now;
   r->refused_count++;
+  if (now - table->asked_at < ASK_INTERVAL && table->asked_at > 0)
+    return;
+  table->asked_at = now;
+  r->is_news = table->has_news = true;
 }
 
 bool
@@ -483,26 +539,73 @@
   return true;
 }
 
+rw_time
+qua_told_time (const struct qua_proof *proof)
+{
+  return proof->is_told ? proof->at - QUA_MAX_DELAY : proof->at;
+}
+
+/* Returns whether a completion that R has and COPY lacks refutes an end of
+   COPY, also as its sender will see it.  */
+static bool
+refutes (const struct qua_record *r, const struct qua_record *copy)
+{
+  for (size_t i = 0; i < copy->end_count; i++)
+    {
+      const struct qua_end *end = &copy->ends[i];
+      const struct qua_proof *own = proof_of (r, end->software);
+      const struct qua_proof *known = proof_of (copy, end->software);
+      if (own == NULL)
+        continue;
+      rw_time told = qua_told_time (own);
+      if (told > end->sent_at && (known == NULL || known->at < told))
+        return true;
+    }
+  return false;
+}
+
 void
 qua_merge (struct qua_table *table, const struct qua_record *copy, rw_time now)
 {
   struct qua_record *r = record_of (table, copy->key, now);
   bool is_news = take_later (&r->released_at, copy->released_at);
   is_news |= take_later (&r->held_at, copy->held_at);
+  for (size_t i = 0; i < copy->end_count; i++)
+    add_done (table, r, copy->ends[i].software);
   for (size_t i = 0; i < copy->proof_count; i++)
     {
       const struct qua_proof *proof = &copy->proofs[i];
       bool is_first = proof_of (r, proof->software) == NULL;
-      is_news |= add_proof (r, proof->software, proof->at)
+      is_news |= add_proof (r, proof->software, proof->at, true)
                  && (review (r, now) || is_first);
     }
   for (size_t i = 0; i < copy->end_count; i++)
-    is_news |= add_end (r, &copy->ends[i]);
+    is_news |= !is_doubtful (r, &copy->ends[i], now)
+               && add_end (r, &copy->ends[i]);
   for (size_t i = 0; i < copy->trial_count; i++)
     is_news |= add_trial (r, &copy->trials[i]);
   (void)review (r, now);
   if (is_news)
     mark_news (table, r, now);
+  if (refutes (r, copy))
+    r->refutes = table->has_refutations = true;
+}
+
+bool
+qua_repeat (struct qua_table *table, rw_time now)
+{
+  size_t position = 0;
+  bool any = false;
+  struct qua_record *r;
+  while ((r = rw_map_next (&table->records, &position)) != NULL)
+    {
+      if (r->known_at == 0 || now - r->known_at >= HEARING_TIME)
+        continue;
+      any = true;
+      if (now - r->told_at >= QUA_REPEAT_INTERVAL)
+        r->is_news = table->has_news = true;
+    }
+  return any;
 }
 
 void
--- a/lib/quarantine/quarantine.h
+++ b/lib/quarantine/quarantine.h
@@ -8,6 +8,11 @@
    Evidence counts for the software of the targets: a request that one version
    completes may still crash another.
 
+   Daemons learn of ends and of completions at different times, and some late:
+   after a pause, or when they were cut off.  So each daemon notes when it saw
+   which request completed, whether or not there is evidence against it, and
+   refutes the ends of before that it is told.
+
    A request that is held back may be sent in a trial, one send to one target:
    to software under which it has not ended a target, or once a while after the
    last end.  Trials are granted by one daemon for the whole fleet, and their
@@ -29,6 +34,8 @@
 /* Time from the third end until all daemons know it.  Sends that end a target
    later count as trials.  */
 #define QUA_LEARN_TIME (4 * RW_SEC)
+/* Time between two messages on evidence that is about to take effect.  */
+#define QUA_REPEAT_INTERVAL (20 * RW_MSEC)
 /* Of the ends of a request those are kept that matter: the first ones, one
    that shows that they go on, those of other software, and those that count as
    trials.  Others are remembered for a while, so that old news of them is not
@@ -40,9 +47,18 @@
    that are held back go last.  */
 #define QUA_MAX_RECORDS 1024
 
+/* Completions that a daemon remembers, of any request, in groups in which the
+   oldest one is replaced.  A daemon of the planned scale completes 160
+   requests a second, so those of the last seconds are there.  */
+#define QUA_MAX_DONES 1024
+#define QUA_DONE_GROUP 4
+
 /* A target's process that ended before it had answered the request.  Daemons
-   may not agree on what tells a process from an earlier one at its place, so
-   ends of a target within QUA_SAME_END_TIME count as one.  */
+   may not agree on what tells a process from an earlier one at its place, and
+   a daemon that was paused sees an end late.  So an end is known to lie
+   between the send and the time at which it was seen, and two of a target
+   count as one if less than QUA_SAME_END_TIME is between these times of the
+   one and those of the other.  */
 #define QUA_SAME_END_TIME RW_SEC
 struct qua_end
 {
@@ -57,9 +73,17 @@
 struct qua_proof
 {
   uint32_t software;
-  rw_time at; /* of the last one that is known */
+  bool is_told; /* by a peer */
+  rw_time at;   /* of the last one that is known */
 };
 
+/* A message is under way for up to this time, as a daemon that lags by more
+   reads none, and what it tells seems later by that.  So a completion that a
+   peer told is told on as this much earlier.  Otherwise, two daemons that tell
+   each other of one would make it ever later, until it refutes ends of long
+   after it.  */
+#define QUA_MAX_DELAY (200 * RW_MSEC)
+
 struct qua_trial
 {
   uint32_t id;     /* drawn at random */
@@ -70,8 +94,17 @@
 /* An end that is known.  */
 struct qua_seen
 {
-  uint32_t target; /* low half of the hash */
-  uint32_t at_ms;  /* low half of its time */
+  uint32_t target;  /* low half of the hash */
+  uint32_t sent_ms; /* low halves of its times */
+  uint32_t at_ms;
+};
+
+/* The last completion of a request that this daemon saw.  */
+struct qua_done
+{
+  uint64_t key;
+  uint32_t software;
+  rw_time at; /* 0: the entry is free */
 };
 
 struct qua_record
@@ -89,9 +122,11 @@
   rw_time held_at;     /* last order to hold it back; 0: none */
   rw_time known_at;    /* since when the evidence suffices; 0: it does not */
   rw_time changed_at;
+  rw_time told_at;        /* last time as news */
   rw_time refused_at;     /* last refusal here; 0: none */
   uint64_t refused_count; /* refusals here */
   bool is_news;           /* peers are to be told */
+  bool refutes;           /* so is the one whose message was read last */
   bool reported_held;     /* for the caller's log */
   uint32_t used_trial;    /* last trial that this daemon has sent; 0: none */
 };
@@ -102,7 +137,10 @@
   struct rw_rng rng;
   struct rw_map records; /* by key */
   bool has_news;
+  bool has_refutations;
+  rw_time asked_at; /* when a refusal was last told to peers */
   size_t next_told; /* position of the next record that is told regularly */
+  struct qua_done dones[QUA_MAX_DONES];
 };
 
 /* What may be done with a request at a target.  */
@@ -165,7 +203,8 @@
 rw_time qua_delay (const struct qua_table *table, uint64_t key,
                    struct qua_attempt *attempt, size_t parts, size_t done,
                    bool is_open, enum qua_verdict best, rw_time now);
-/* Counts a refusal of the request KEY.  */
+/* Counts a refusal of the request KEY.  Its record becomes news at times, so
+   that a peer that knows of a completion can refute it.  */
 void qua_on_refused (struct qua_table *table, uint64_t key, rw_time now);
 
 /* Grants the daemon with the address DAEMON a trial of the request KEY with
@@ -193,11 +232,21 @@
 /* Longest item in bytes.  */
 #define QUA_MAX_ITEM 320
 
+/* Makes records news again whose evidence became sufficient so lately that it
+   has no effect yet: a peer that refutes it may not have been told, or its
+   answer may be lost.  Returns whether there are any; then it is to be called
+   again after QUA_REPEAT_INTERVAL.  */
+bool qua_repeat (struct qua_table *table, rw_time now);
 /* Writes records that are news to OUT, as many as fit into SIZE bytes, those
    with enough evidence first; they then are no news any more.  Returns the
    length.  */
 size_t qua_write_news (struct qua_table *table, char *out, size_t size,
                        rw_time now);
+/* Writes the records that refute what the last message that was read has told,
+   as many as fit into SIZE bytes; they are for its sender.  Returns the
+   length.  */
+size_t qua_write_refutations (struct qua_table *table, char *out, size_t size,
+                              rw_time now);
 /* Writes the next records that count, in turn, as many as fit into SIZE bytes.
    Returns the length.  */
 size_t qua_write_next (struct qua_table *table, char *out, size_t size,
@@ -217,6 +266,8 @@
               void (*wanted) (void *arg, uint64_t key, uint32_t software),
               void *arg, rw_time now);
 
+/* For the codec: when PROOF was, as peers are told.  */
+rw_time qua_told_time (const struct qua_proof *proof);
 /* For the codec: merges COPY, as a peer told it, into the record of its key.
  */
 void qua_merge (struct qua_table *table, const struct qua_record *copy,
