rwfsite: wait for the port of a searcher that comes back

Cause: in 1 of 100 soak runs the stand-ins ended with "cannot listen for searcher one-0 again": in the 2 s in which a searcher is down, another process on the machine got its port.

Change: it tries again every 50 ms, for up to 5 s. Result: with the port taken for 3 s by hand, the stand-ins live on and the searcher is back once it is free.

--- a/tests/rwfsite/crash.c
+++ b/tests/rwfsite/crash.c
@@ -6,6 +6,10 @@
 
 /* A searcher that crashed is back after this time, as another process.  */
 #define DOWN_TIME_MS 2000
+/* Meanwhile a connection of another process may have got its port, and keep it
+   for a while.  It tries so often, at this interval, to get it back.  */
+#define LISTEN_RETRIES 100
+#define LISTEN_RETRY_MS 50
 /* Ends of searchers after which a request counts as known to crash them, and
    the time in which all daemons have to learn it.  */
 #define KNOWN_AFTER_ENDS 3
@@ -35,16 +39,23 @@
 on_down_time_over (uv_timer_t *timer)
 {
   struct site_searcher *searcher = timer->data;
-  uv_close ((uv_handle_t *)timer, on_timer_closed);
-  searcher->down = false;
-  searcher->born++;
   h1_server_finish (&searcher->server);
   if (site_searcher_listen (searcher, searcher->port) != 0)
     {
+      if (++searcher->listen_retries <= LISTEN_RETRIES)
+        {
+          h1_server_stop (&searcher->server);
+          uv_timer_start (timer, on_down_time_over, LISTEN_RETRY_MS, 0);
+          return;
+        }
       fprintf (stderr, "rwfsite: cannot listen for searcher %s again\n",
                searcher->id);
       exit (1);
     }
+  uv_close ((uv_handle_t *)timer, on_timer_closed);
+  searcher->listen_retries = 0;
+  searcher->down = false;
+  searcher->born++;
   site_searcher_publish (searcher);
 }
 
--- a/tests/rwfsite/site.h
+++ b/tests/rwfsite/site.h
@@ -73,6 +73,7 @@
   char service[64];
   char dc[32];
   uint16_t port;
+  unsigned int listen_retries;
   unsigned int born;    /* which start of the searcher this is, from 1 */
   unsigned int version; /* of its software, from 1 */
   bool down;            /* it crashed, and is not back yet */
