--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -26,7 +26,7 @@
   { "seed", 's', "N", 0, "seed of the faults (1)", 0 },
   { "seconds", 't', "N", 0, "time with faults (12)", 0 },
   { "daemons", 'd', "N", 0, "daemons (6)", 0 },
-  { "clients", 'c', "N", 0, "callers (16)", 0 },
+  { "clients", 'c', "N", 0, "callers of any daemon (16)", 0 },
   { "shards", 'n', "N", 0, "shards (8)", 0 },
   { 0 },
 };
@@ -87,6 +87,23 @@
   printf ("\n");
 }
 
+void
+sok_note_fault (struct sok_soak *soak, const char *format, ...)
+{
+  va_list args;
+  char what[96];
+  size_t space = sizeof soak->faults - soak->faults_len;
+  va_start (args, format);
+  vsnprintf (what, sizeof what, format, args);
+  va_end (args);
+  int len = snprintf (soak->faults + soak->faults_len, space, " %.3f:%s",
+                      (double)(rw_now () - soak->began) / RW_SEC, what);
+  if (len > 0 && (size_t)len < space)
+    soak->faults_len += (size_t)len;
+  else
+    soak->faults[soak->faults_len] = '\0';
+}
+
 static int
 run (struct sok_soak *soak, const struct options *o)
 {
@@ -97,7 +114,7 @@
       return 2;
     }
   soak->daemon_count = o->daemons;
-  soak->client_count = o->clients;
+  soak->client_count = o->daemons + o->clients;
   for (size_t i = 0; i < soak->daemon_count; i++)
     sok_daemon_init (soak, i);
   for (size_t i = 0; i < soak->client_count; i++)
@@ -111,13 +128,19 @@
   sok_kill_all (soak);
   printf (
       "seed %llu: %s: failures=%llu answers: 2xx=%llu 4xx=%llu 5xx=%llu "
-      "none=%llu whole=%llu\n",
+      "none=%llu whole=%llu",
       (unsigned long long)soak->seed,
       soak->failures == 0 ? "passed" : "failed",
       (unsigned long long)soak->failures, (unsigned long long)soak->answers[2],
       (unsigned long long)soak->answers[4],
       (unsigned long long)soak->answers[5],
       (unsigned long long)soak->answers[0], (unsigned long long)soak->whole);
+  /* What a failure is judged by: when the run began, on the clock of the
+     daemons' logs, and the faults with their times in the run.  */
+  if (soak->failures > 0)
+    printf (" began=%.6f faults:%s", (double)soak->began / RW_SEC,
+            soak->faults);
+  printf ("\n");
   return soak->failures == 0 ? 0 : 1;
 }
 
@@ -135,7 +158,7 @@
   if (argp_parse (&parser, argc, argv, 0, NULL, &o) != 0)
     return 2;
   if (o.daemons < 1 || o.daemons > SOK_MAX_DAEMONS || o.clients < 1
-      || o.clients > SOK_MAX_CLIENTS || o.shards < 2 || o.shards > 32)
+      || o.clients > SOK_MAX_CALLERS || o.shards < 2 || o.shards > 32)
     {
       fprintf (stderr, "rwfsoak: daemons, clients or shards out of range\n");
       return 2;
