soak: show kept logs only when they are whole

Cause: with few kept runs and several that fail at once, one run removed the copy that another was still writing (seen once in 4 runs of soak-logs.sh). Change: the copy is written beside, and moved when it is whole.

--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -16,9 +16,10 @@
 # removes the oldest that are too many.  Of a long log the first and the last
 # half of KEEP_BYTES are kept.
 keep_logs() {
-	to=$kept/$1-$(date +%Y%m%dT%H%M%S)-$$
+	name=$1-$(date +%Y%m%dT%H%M%S)-$$
+	to=$OUT/keeping-$name
 	half=$((KEEP_BYTES / 2))
-	mkdir -p "$to"
+	mkdir -p "$to" "$kept"
 	for f in "$2"/*; do
 		[ -f "$f" ] || continue
 		if [ "$(wc -c <"$f")" -gt "$KEEP_BYTES" ]; then
@@ -31,9 +32,11 @@
 			cp "$f" "$to/"
 		fi
 	done
-	echo "seed $1: logs kept in $to"
+	# Only whole copies are there for others to count and remove.
+	mv "$to" "$kept/$name"
+	echo "seed $1: logs kept in $kept/$name"
 	# shellcheck disable=SC2012
-	ls -1dt "$kept"/*/ | tail -n +$((KEEP_RUNS + 1)) |
+	ls -1dt "$kept"/*/ 2>/dev/null | tail -n +$((KEEP_RUNS + 1)) |
 	    while read -r old; do rm -rf "$old"; done
 }
 
