--- a/mk/check.sh
+++ b/mk/check.sh
@@ -31,6 +31,13 @@
 	[ $status != failed ]
 }
 
+# Runs the steps of the lines of $logs/list, $1 at once.
+run_list() {
+	export logs
+	xargs -P "$1" -L 1 sh -c "$(sed -n '/^step() {/,/^}/p' "$0")
+step \"\$@\"" step <$logs/list
+}
+
 finish() {
 	passed=$(cat $logs/*.status | grep -c '^passed$')
 	failed=$(cat $logs/*.status | grep -c '^failed$')
@@ -69,18 +76,18 @@
 	[ -f "$m" ] || continue
 	echo "spin-$(basename "$m" .sh) sh $m"
 done >>$logs/list
-[ ! -s $logs/list ] || {
-	export logs
-	xargs -P "$jobs" -L 1 sh -c "$(sed -n '/^step() {/,/^}/p' "$0")
-step \"\$@\"" step <$logs/list
-}
+run_list "$jobs"
 
 # Tests with real processes run alone, one after another.
 for s in tests/process/*.sh; do
 	[ -f "$s" ] || continue
 	step "process-$(basename "$s" .sh)" sh "$s"
 done
-step soak sh tests/soak.sh
+# Each seed is a step, so that one known fault does not cover others.
+for seed in $(sed 's/#.*//' tests/soak/seeds); do
+	echo "soak-$seed sh tests/soak.sh $seed"
+done >$logs/list
+run_list 4
 [ ! -f tests/demo.sh ] || step demo sh tests/demo.sh
 step demo-platform sh tests/demo-platform.sh
 finish
