Name the organisation in request lines, and add up losses by it

Cause: rwfctl losses could not tell organisations apart, and a refusal that is no overload showed the fields of one. Change: organisation= after route=; rwfctl losses writes ROUTE@ORGANISATION.

--- a/cmd/rwfctl/losses.c
+++ b/cmd/rwfctl/losses.c
@@ -13,7 +13,8 @@
 {
   size_t file;
   char id[VALUE_MAX];
-  char route[VALUE_MAX]; /* "-": the request reached none */
+  char route[VALUE_MAX]; /* "-": the request reached none; with "@" and the
+                            organisation, if it has one */
   long long window;      /* number of the window on the clock of its log */
   const char *cause;     /* static string; null: it was not lost */
   bool is_late;
@@ -145,6 +146,14 @@
   { "gone", "caller left" },
 };
 
+/* Appends "@NAME" to the route of ENTRY, cut to fit.  */
+static void
+add_organisation (struct entry *entry, const char *name)
+{
+  size_t len = strlen (entry->route);
+  snprintf (entry->route + len, sizeof entry->route - len, "@%s", name);
+}
+
 /* Stores in *ENTRY what LINE, after "request: ", tells.  Returns false if it
    is no line about the outcome of a request.  */
 static bool
@@ -159,6 +168,8 @@
     return false;
   if (!read_field (line, "route", entry->route))
     strcpy (entry->route, "-");
+  if (read_field (line, "organisation", value))
+    add_organisation (entry, value);
   entry->is_late = aim > 0 && read_number (line, "ms") >= aim;
   read_field (line, "at", value);
   entry->is_forwarded = strncmp (value, "peer-", 5) == 0;
--- a/cmd/rwfctl/test_rwfctl.c
+++ b/cmd/rwfctl/test_rwfctl.c
@@ -317,6 +317,21 @@
   return status;
 }
 
+/* Guards against organisations whose losses are added up as if they were
+   one.  */
+TEST_WITH_FIXTURE (test_losses_by_organisation)
+{
+  static const char *const logs[] = {
+    "10.100 request: refused: id=q1 route=all organisation=alpha status=429 "
+    "ms=3 aim_ms=150 error=\"quota used up\" at=\n"
+    "10.200 request: refused: id=q2 route=all organisation=beta status=429 "
+    "ms=3 aim_ms=150 error=\"quota used up\" at=\n",
+  };
+  print_losses (logs, 1, f->out.file);
+  assert_prints (&f->out, "all@alpha");
+  assert_prints (&f->out, "all@beta");
+}
+
 /* Guards against a lost request without its cause.  The lines are of the form
    that rwfront writes.  */
 TEST_WITH_FIXTURE (test_losses_by_cause)
--- a/cmd/rwfront/answer.c
+++ b/cmd/rwfront/answer.c
@@ -98,8 +98,9 @@
   rw_time latency = now - request->start;
   bool complete = outcome == FRN_WHOLE || outcome == FRN_PASSED;
   bool overload = outcome == FRN_REFUSED && request->query.sends == 0
-                  && request->retry_after >= 0;
+                  && request->shed != NULL;
   char details[512];
+  char organisation[ORG_MAX_NAME_BYTES + 16] = "";
   char forecast[64] = "";
 
   if (frn_is_infeasible (request))
@@ -108,6 +109,9 @@
       snprintf (forecast, sizeof forecast, " possible=%zu needed=%zu",
                 request->query.possible, request->query.plan.min_parts);
     }
+  if (request->organisation != NULL)
+    snprintf (organisation, sizeof organisation, " organisation=%s",
+              evt_value (request->organisation->name).text);
   if (request->order == NULL)
     {
       struct frn_route_metrics *metrics = frn_metrics_for_route (
@@ -119,14 +123,14 @@
       &daemon->log,
       complete && latency < request->route->aim ? EVT_SAMPLED : EVT_NORMAL,
       request->order == NULL ? "request" : "subquery", now,
-      "%s: id=%s route=%s key=%016llx status=%d ms=%lld aim_ms=%lld "
+      "%s: id=%s route=%s%s key=%016llx status=%d ms=%lld aim_ms=%lld "
       "left_ms=%lld "
       "spent_ms=%lld parts=%zu/%zu "
       "lost=%zu sends=%zu denied=%u%s%s error=\"%s\" at=%s version=%llu "
       "age_ms=%lld",
       frn_outcome_name (outcome), evt_value (request->id).text,
-      evt_value (request->route->name).text, (unsigned long long)request->key,
-      status, (long long)(latency / RW_MSEC),
+      evt_value (request->route->name).text, organisation,
+      (unsigned long long)request->key, status, (long long)(latency / RW_MSEC),
       (long long)(request->route->aim / RW_MSEC),
       (long long)request->time_left_ms,
       (long long)(request->time_spent / RW_MSEC), request->query.done,
