--- a/tests/fuzz/fuzz_quota.c
+++ b/tests/fuzz/fuzz_quota.c
@@ -27,7 +27,7 @@
 {
   struct quo_settings settings
       = { .daemon = 1, .window = 5 * RW_SEC, .overshoot = 0.25, .slack = 20 };
-  struct quo_view view = { NULL, choose_owner, find_limit, 2, 1 };
+  struct quo_view view = { NULL, choose_owner, find_limit, 2, 1, NULL, NULL };
   struct quo_table table;
   struct quo_usage usage;
   char out[QUO_MAX_MESSAGE];
