soak: play organisations with keys and quotas

Cause: no run of whole fleets covered access keys and quotas; the unit tests cover the parts alone.

Change: seeds from 6000 bring organisations, keys that come and go, and callers above their quota. rwfsite keeps a ledger of what the targets got, and the check compares it with each quota over every window.

--- a/tests/rwfsite/control.c
+++ b/tests/rwfsite/control.c
@@ -25,7 +25,8 @@
    0: none)
    POST /ways/ADDRESS/open|refused|reset (of the daemon to all searchers)
    GET /report, GET /ran/SERVICE/ID
-   GET /organisation/NAME (requests in its name; no NAME: in that of none)
+   POST /organisation/NAME/RATE/BURST (the quota that its requests are checked
+   by) GET /organisation/NAME (requests in its name; no NAME: in that of none)
    GET /keys (requests that carried a caller's key)  */
 
 static void
@@ -166,6 +167,19 @@
   return true;
 }
 
+static bool
+set_quota (struct site *site, struct rw_str path)
+{
+  struct rw_str name = rw_str_token (&path, "/");
+  int64_t rate;
+  int64_t burst;
+  if (rw_str_to_int (rw_str_token (&path, "/"), 0, 1000, &rate) != 0
+      || rw_str_to_int (rw_str_token (&path, "/"), 0, 1000, &burst) != 0)
+    return false;
+  site_set_quota (site, name, (double)rate, (double)burst);
+  return true;
+}
+
 static void
 report (struct site *site, struct h1_conn *conn)
 {
@@ -183,7 +197,8 @@
   rw_buf_printf (&out,
                  "calls=%llu ran=%llu twice=%llu late=%llu "
                  "uninvited=%llu beyond=%llu ends=%llu deadly=%llu "
-                 "late_deadly=%llu over=%llu\n",
+                 "late_deadly=%llu over=%llu over_quota=%llu keys=%llu "
+                 "unnamed=%llu\n",
                  (unsigned long long)site->calls,
                  (unsigned long long)site->ran,
                  (unsigned long long)site->twice, (unsigned long long)late,
@@ -191,7 +206,10 @@
                  (unsigned long long)site->crash.ends,
                  (unsigned long long)site->crash.runs,
                  (unsigned long long)site->crash.late_runs,
-                 (unsigned long long)site->over);
+                 (unsigned long long)site->over,
+                 (unsigned long long)site_over_quota (site),
+                 (unsigned long long)site->keys_seen,
+                 (unsigned long long)site_requests_of (site, RW_LIT ("")));
   answer (conn, 200, rw_buf_str (&out));
   rw_buf_finish (&out);
 }
@@ -240,6 +258,8 @@
     return set_crash (site, path);
   if (rw_str_eq_cstr (kind, "ways"))
     return set_ways (site, path);
+  if (rw_str_eq_cstr (kind, "organisation"))
+    return set_quota (site, path);
   if (rw_str_eq_cstr (kind, "searcher"))
     return set_searcher (site, path);
   return false;
@@ -254,7 +274,8 @@
     report (site, conn);
   else if (rw_str_eq_cstr (message->target, "/keys"))
     answer_count (conn, site->keys_seen);
-  else if (rw_str_starts (name, RW_LIT ("/organisation/")))
+  else if (message->method == HTTP_GET
+           && rw_str_starts (name, RW_LIT ("/organisation/")))
     {
       (void)rw_str_token (&name, "/");
       answer_count (conn, site_requests_of (site, rw_str_token (&name, "/")));
--- a/tests/rwfsite/main.c
+++ b/tests/rwfsite/main.c
@@ -154,6 +154,7 @@
   site.limits = (struct h1_limits){ 65536, 1 << 20, 60 * RW_SEC, 60 * RW_SEC };
   rw_map_init (&site.runs);
   rw_map_init (&site.organisations);
+  rw_map_init (&site.ids);
   if (site_store_init (&site, (uint16_t)options.store_port) != 0
       || site_control_init (&site, (uint16_t)options.control_port) != 0)
     {
--- a/tests/rwfsite/site.h
+++ b/tests/rwfsite/site.h
@@ -125,7 +125,12 @@
 /* Requests that searchers were sent in the name of an organisation.  */
 struct site_organisation
 {
-  uint64_t requests;
+  uint64_t requests; /* parts count one by one */
+  double rate_per_s; /* of its quota; 0: none */
+  double burst;
+  rw_time arrived[SITE_MAX_ARRIVALS]; /* of requests, a ring */
+  uint64_t arrived_count;
+  uint64_t over_quota; /* arrivals beyond what the quota allows */
 };
 
 /* A copy of the store that can be restored.  */
@@ -163,6 +168,7 @@
   struct site_crash crash;
   struct rw_map organisations; /* struct site_organisation by name */
   uint64_t keys_seen;          /* requests that carried a caller's key */
+  struct rw_map ids; /* of requests of organisations: each counts once */
   rw_time drain_time;
 };
 
@@ -196,6 +202,11 @@
 void site_count_caller (struct site *site, const struct h1_message *message);
 /* Returns how many requests named the organisation NAME; empty: none.  */
 uint64_t site_requests_of (struct site *site, struct rw_str name);
+/* Sets the quota that the requests of the organisation NAME are checked by. */
+void site_set_quota (struct site *site, struct rw_str name, double rate_per_s,
+                     double burst);
+/* Returns how many requests went beyond a quota.  */
+uint64_t site_over_quota (const struct site *site);
 uint16_t site_server_port (const struct h1_server *server);
 int site_listen (struct site *site, struct h1_server *server, uint16_t port,
                  const struct h1_server_ops *ops, void *arg);
--- a/tests/soak/check.c
+++ b/tests/soak/check.c
@@ -120,6 +120,8 @@
   if (reply->status == 503 && !client->crashing
       && rw_str_eq_cstr (h1_header_value (reply, "Retry-After"), HELD_BACK))
     sok_fail (soak, "an innocent request is held back: id=%s", client->id);
+  if (soak->organisations)
+    sok_check_key (client, reply->status);
   if (reply->status == 200 && gather)
     check_gather (client, reply);
   else if (reply->status == 200)
@@ -158,9 +160,13 @@
                    "\"targetLatencyMs\":300,\"priority\":2,\"maxAttempts\":2,"
                    "\"service\":\"one\"}",
                    kinds[i], kinds[i], kinds[i]);
-  rw_buf_printf (&text, "],\"services\":[]}");
+  rw_buf_printf (&text, "],\"services\":[]");
+  if (soak->organisations)
+    sok_write_organisations (soak, &text);
+  rw_buf_printf (&text, "}");
   rw_buf_append (&text, "", 1);
   sok_command (soak, "PUT", "/item/op/config", text.ptr, NULL, 0);
+  sok_note_old_key (soak);
   rw_buf_finish (&text);
 }
 
@@ -201,7 +207,7 @@
 void
 sok_check_end (struct sok_soak *soak)
 {
-  char text[256] = "";
+  char text[512] = "";
   unsigned long long calls, ran, twice = 1, late = 0, over = 0;
   unsigned long long beyond = 0;
   long crashing = soak->crashes ? sok_crashing_runs (soak) : -1;
@@ -215,6 +221,8 @@
                  &calls, &ran, &twice, &late, &beyond, &over)
              != 6)
     sok_fail (soak, "no report from the stand-ins");
+  if (soak->organisations)
+    sok_check_ledger (soak, text);
   if (twice > 0)
     sok_fail (soak, "%llu unsafe requests ran twice", twice);
   if (over > 0)
--- a/tests/soak/client.c
+++ b/tests/soak/client.c
@@ -86,13 +86,16 @@
   snprintf (client->id, sizeof client->id, "%llx-%llx",
             (unsigned long long)soak->seed,
             (unsigned long long)++soak->next_id);
-  int len
-      = snprintf (text, sizeof text,
-                  "GET /%s/%s HTTP/1.1\r\nHost: site.example\r\n"
-                  "X-Redwingfork-Request-Id: %s\r\n"
-                  "X-Redwingfork-Deadline-Ms: %d\r\n\r\n",
-                  client->route, client->crashing ? SOK_CRASHING_PATH : "x",
-                  client->id, TIME_LEFT_MS);
+  if (soak->organisations)
+    sok_pick_key (client);
+  int len = snprintf (
+      text, sizeof text,
+      "GET /%s/%s HTTP/1.1\r\nHost: site.example\r\n"
+      "X-Redwingfork-Request-Id: %s\r\n"
+      "X-Redwingfork-Deadline-Ms: %d\r\n%s%s%s\r\n",
+      client->route, client->crashing ? SOK_CRASHING_PATH : "x", client->id,
+      TIME_LEFT_MS, soak->organisations ? "Authorization: Bearer " : "",
+      client->key, soak->organisations ? "\r\n" : "");
   client->waiting = true;
   client->sent = rw_now ();
   h1_client_send (&client->link, (struct rw_str){ text, (size_t)len }, false);
@@ -115,7 +118,9 @@
   client->waiting = false;
   client->soak->answers[reply->status / 100 % 6]++;
   sok_check_answer (client, reply);
-  sok_count_by_cut (client, reply->status == 200);
+  /* What the quota or a revoked key refuses says nothing about the daemon.  */
+  if (reply->status != 429 && reply->status != 401)
+    sok_count_by_cut (client, reply->status == 200);
   return H1_REPLY_ACCEPTED;
 }
 
--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -105,7 +105,8 @@
            "RWF_SEEDS=%s.1:1,%s.2:1,%s.3:1\nRWF_MAX_FILES=1024\n"
            "RWF_CORES=%s\nRWF_TARGET_DRAIN_MS=3000\nRWF_STOP_S=6\n"
            "RWF_EXTRA_RATIO=0.2\nRWF_EXTRA_SLACK=100\n"
-           "RWF_EXTRA_WINDOW_S=10\n",
+           "RWF_EXTRA_WINDOW_S=10\n"
+           "RWF_QUOTA_OVERSHOOT=0.25\nRWF_QUOTA_SLACK=20\n",
            daemon->index, daemon->index % 2 == 0 ? 'a' : 'b', daemon->ip,
            SOK_CALLER_PORT, daemon->ip, SOK_READY_PORT, daemon->ip,
            SOK_PEER_PORT, daemon->ip, SOK_STORE_PORT, soak->net, soak->net,
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -113,6 +113,8 @@
       fprintf (stderr, "rwfsoak: cannot start the stand-ins\n");
       return 2;
     }
+  if (soak->organisations)
+    sok_start_organisations (soak);
   soak->daemon_count = o->daemons;
   soak->client_count = o->daemons + o->clients;
   for (size_t i = 0; i < soak->daemon_count; i++)
@@ -177,6 +179,7 @@
   soak.drills = o.seed >= SOK_FIRST_DRILL_SEED;
   soak.cuts = o.seed >= SOK_FIRST_CUT_SEED;
   soak.crashes = o.seed >= SOK_FIRST_CRASH_SEED;
+  soak.organisations = o.seed >= SOK_FIRST_ORGANISATION_SEED;
   soak.crashing_runs = -1;
   soak.limits = o.seed >= SOK_FIRST_LIMIT_SEED;
   soak.scratch = rw_xmalloc (H1_READ_BUF_SIZE);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -1,7 +1,8 @@
 /* A randomized soak: real daemons as separate processes on loopback, stand-ins
    of the store and the searchers, faults from outside, and checks of what
    callers and searchers see.  fleet.c: processes.  proxy.c: the way to the
-   store.  client.c: callers.  check.c: answers.  fault.c: what goes wrong.  */
+   store.  client.c: callers.  check.c: answers.
+   organisation.c: keys and a quota.  fault.c: what goes wrong.  */
 
 #ifndef SOK_SOAK_H
 #define SOK_SOAK_H
@@ -34,7 +35,9 @@
 /* And from here on searchers that crash, by themselves or under a request that
    some callers send.  */
 #define SOK_FIRST_CRASH_SEED 5000
-/* That request, below the prefix of its route.  */
+/* And from here on organisations with keys, one of them with a quota.  */
+#define SOK_FIRST_ORGANISATION_SEED 6000
+/* The request that crashes searchers, below the prefix of its route.  */
 #define SOK_CRASHING_PATH "crashing"
 
 struct sok_soak;
@@ -87,7 +90,9 @@
   rw_time sent;
   char id[32];
   const char *route;
-  bool crashing; /* it sends the request that crashes searchers */
+  char key[16];      /* of its organisation; empty: there are none */
+  bool uses_old_key; /* that is revoked at times */
+  bool crashing;     /* it sends the request that crashes searchers */
 };
 
 struct sok_soak
@@ -118,9 +123,11 @@
   bool limits;  /* searchers name limits */
   bool cuts;    /* daemons are cut off from the searchers */
   bool crashes; /* a request crashes searchers */
-  long crashing_runs; /* of it when all daemons should hold it back; -1: not
-                         that far yet */
-  rw_time restored;   /* the store, and not written again yet; 0: it is */
+  bool organisations;   /* callers have keys */
+  rw_time old_key_gone; /* since when that key is revoked; 0: it is valid */
+  long crashing_runs;   /* of it when all daemons should hold it back; -1: not
+                           that far yet */
+  rw_time restored;     /* the store, and not written again yet; 0: it is */
   uint64_t next_id;
   char refused[SOK_MAX_REFUSED][32]; /* unsafe requests answered 503 */
   size_t refused_count;
@@ -172,6 +179,20 @@
 void sok_count_by_cut (struct sok_client *client, bool success);
 void sok_put_config (struct sok_soak *soak);
 
+/* Appends the organisations to the configuration OUT.  */
+void sok_write_organisations (const struct sok_soak *soak, struct rw_buf *out);
+/* Notes whether the configuration that was put last has the old key.  */
+void sok_note_old_key (struct sok_soak *soak);
+/* Puts a configuration with organisations, which the backup of the store has
+   too, and tells the stand-ins of the quota.  */
+void sok_start_organisations (struct sok_soak *soak);
+/* Chooses the key of the client's next request.  */
+void sok_pick_key (struct sok_client *client);
+/* Whether STATUS is right for that key.  */
+void sok_check_key (struct sok_client *client, int status);
+/* What the searchers were told of the organisations, by their REPORT.  */
+void sok_check_ledger (struct sok_soak *soak, const char *report);
+
 void sok_fault_init (struct sok_soak *soak);
 
 #endif
