quota: owners grant after 1.5 s without a change of owner

Cause: with 0.7 of the messages lost, restarted daemons agree on the owners after more than 0.8 s.

Change: STABLE_TIME is 1.5 s in the place of 0.8 s; the test runs 16 seeds in the place of 3.

--- a/lib/quota/parts.h
+++ b/lib/quota/parts.h
@@ -25,8 +25,9 @@
    comes or goes differ for about this time.  */
 #define SETTLE_TIME (1900 * RW_MSEC)
 /* It grants sooner if by its view no owner has changed for this time: then the
-   views agree.  After a start of all that is so within about a second.  */
-#define STABLE_TIME (800 * RW_MSEC)
+   views agree.  With 0.7 of the messages lost, 1 s exceeded the rule with 2 of
+   16 seeds (by up to 0.12), 1.2 s with none.  */
+#define STABLE_TIME (1500 * RW_MSEC)
 
 static inline bool
 is_without (const struct quo_table *table, unsigned int mechanism)
--- a/lib/quota/test_faults.c
+++ b/lib/quota/test_faults.c
@@ -45,7 +45,7 @@
    learn of each other late.  */
 TEST (a_restart_of_all_with_losses_stays_within_the_rule)
 {
-  for (uint64_t seed = 1; seed <= 3; seed++)
+  for (uint64_t seed = 1; seed <= 16; seed++)
     {
       run ("restart of all, 0.7 lost", lossy_restart, 30, seed, 0);
       assert_true (fleet.worst <= 1);
