--- a/tests/process/front.sh
+++ b/tests/process/front.sh
@@ -65,7 +65,7 @@
 relayed() { request relay-1 /all/x 3 >/dev/null; lines relay-1 |
     grep -q 'vm-3.log: .*passed: .*status=200 .*at=peer-'; }
 await "a query is relayed" relayed
-over() { control GET /report | sed 's/.*over=//'; }
+over() { control GET /report | sed 's/.*over=//; s/ .*//'; }
 before=$(over)
 for s in s0-0 s0-1 s1-0 s1-1 s2-0 s2-1; do control POST /searcher/$s/hang; done
 expect "a relayed query without answer" "$(request relay-2 /all/x 3)" 504
--- a/tests/process/subquery.sh
+++ b/tests/process/subquery.sh
@@ -9,7 +9,7 @@
 BIN=build/${VARIANT:-asan}/bin
 . tests/site.sh
 
-over() { control GET /report | sed 's/.*over=//'; }
+over() { control GET /report | sed 's/.*over=//; s/ .*//'; }
 
 # The targets of shards 0 to 5 are in dc-b, those of 6 and 7 in dc-a.  Daemon 1
 # is in dc-a, daemons 2 and 3 are in dc-b.
