review: use free ports for the daemons of the cases

The scripts gave the daemons fixed ports on loopback addresses of their own, which another process that listens on all addresses may have. The stand-in now chooses free ones and tells the script.

--- a/review/common.sh
+++ b/review/common.sh
@@ -37,7 +37,13 @@
 trap clean_up EXIT
 trap 'exit 2' INT TERM
 
-# Starts the case's stand-in; its id is in STANDIN, its store's port in STORE.
+# Prints the port that the stand-in names NAME.
+port() {
+	sed -n "s/^$1=\([0-9]*\)\$/\1/p" "$DIR/standin.out"
+}
+
+# Starts the case's stand-in; its id is in STANDIN.  It says which ports are to
+# be used: its store's, and those of the daemons.
 start_standin() {
 	: >"$DIR/standin.out"
 	review/build/case-"$(basename "$CASE")" "$NET" "${TROUBLE:-1}" \
@@ -45,7 +51,10 @@
 	STANDIN=$!
 	PIDS="$PIDS $STANDIN"
 	for _ in $(seq 50); do
-		STORE=$(sed -n 's/^store=\([0-9]*\)$/\1/p' "$DIR/standin.out")
+		STORE=$(port store)
+		CALLERS=$(port callers)
+		READY=$(port ready)
+		PEERS=$(port peers)
 		[ -z "$STORE" ] || return 0
 		sleep 0.1
 	done
@@ -59,9 +68,9 @@
 	cat >"$DIR/front-$1.settings" <<EOF
 RWF_NAME=front-zone-a-$1
 RWF_DC=zone-a
-RWF_CALLERS=$NET.$1:8104
-RWF_READY=$NET.$1:8108
-RWF_PEERS=$NET.$1:7380
+RWF_CALLERS=$NET.$1:$CALLERS
+RWF_READY=$NET.$1:$READY
+RWF_PEERS=$NET.$1:$PEERS
 RWF_FIRST_START=true
 RWF_SEEDS=$seeds
 RWF_STORE=127.0.0.1:$STORE
--- a/review/standin/client.c
+++ b/review/standin/client.c
@@ -6,13 +6,21 @@
 
 #include "rvw.h"
 
-#define CALLER_PORT 8104
-#define READY_PORT 8108
 #define READY_TRIES 200
 #define READY_INTERVAL_US 100000
 /* An answer is awaited this much longer than the time budget.  */
 #define ANSWER_SLACK_MS 1500
 
+static unsigned int caller_port;
+static unsigned int ready_port;
+
+void
+rvw_set_ports (unsigned int callers, unsigned int ready)
+{
+  caller_port = callers;
+  ready_port = ready;
+}
+
 static void
 set_timeout (const struct rvw_conn *conn, unsigned int ms)
 {
@@ -51,7 +59,7 @@
                       "Content-Length: 5\r\n\r\nlens\n",
                       path, id, time_left_ms, headers);
   if (client->conn == NULL)
-    client->conn = rvw_connect (client->ip, CALLER_PORT);
+    client->conn = rvw_connect (client->ip, caller_port);
   if (client->conn == NULL)
     return result;
   set_timeout (client->conn, time_left_ms + ANSWER_SLACK_MS);
@@ -76,7 +84,7 @@
 {
   static const char text[] = "GET /ready HTTP/1.1\r\nHost: ready\r\n\r\n";
   struct rvw_message message;
-  struct rvw_conn *conn = rvw_connect (ip, READY_PORT);
+  struct rvw_conn *conn = rvw_connect (ip, ready_port);
   bool ready = false;
   if (conn == NULL)
     return false;
--- a/review/standin/http.c
+++ b/review/standin/http.c
@@ -12,6 +12,9 @@
 
 #define LISTEN_BACKLOG 512
 #define MAX_HEADERS_BYTES 1024
+#define MIN_PORT 10000
+#define PORT_COUNT 20000
+#define PORT_TRIES 100
 
 struct listener
 {
@@ -122,6 +125,39 @@
   return ntohs (addr.sin_port);
 }
 
+/* Binds a TCP and a UDP socket to PORT of all addresses, and frees it
+   again.  Returns the port, 0 if it is in use.  */
+static unsigned int
+try_port (unsigned int port)
+{
+  struct sockaddr_in addr = { .sin_family = AF_INET };
+  socklen_t len = sizeof addr;
+  int tcp = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int udp = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+  unsigned int found = 0;
+  addr.sin_port = htons ((uint16_t)port);
+  if (tcp >= 0 && udp >= 0
+      && bind (tcp, (struct sockaddr *)&addr, sizeof addr) == 0
+      && getsockname (tcp, (struct sockaddr *)&addr, &len) == 0
+      && bind (udp, (struct sockaddr *)&addr, sizeof addr) == 0)
+    found = ntohs (addr.sin_port);
+  close (tcp);
+  close (udp);
+  return found;
+}
+
+unsigned int
+rvw_free_port (void)
+{
+  unsigned int port = 0;
+  /* Below the ports that outgoing connections use.  */
+  for (int i = 0; i < PORT_TRIES && port == 0; i++)
+    port = try_port (MIN_PORT + (unsigned int)(rvw_random () * PORT_COUNT));
+  if (port == 0)
+    rvw_finish (RVW_NOT_RUN);
+  return port;
+}
+
 struct rvw_conn *
 rvw_connect (const char *ip, unsigned int port)
 {
--- a/review/standin/load.c
+++ b/review/standin/load.c
@@ -68,7 +68,11 @@
 void
 rvw_await_daemons (unsigned int count)
 {
-  printf ("store=%u\n", rvw_store_start ());
+  unsigned int callers = rvw_free_port ();
+  unsigned int ready = rvw_free_port ();
+  rvw_set_ports (callers, ready);
+  printf ("callers=%u\nready=%u\npeers=%u\nstore=%u\n", callers, ready,
+          rvw_free_port (), rvw_store_start ());
   fflush (stdout);
   for (unsigned int i = 1; i <= count; i++)
     rvw_await_one (i);
--- a/review/standin/run.c
+++ b/review/standin/run.c
@@ -35,8 +35,10 @@
 double
 rvw_random (void)
 {
-  static unsigned int seed = 1;
+  static unsigned int seed;
   pthread_mutex_lock (&random_lock);
+  if (seed == 0)
+    seed = (unsigned int)getpid ();
   double value = (double)rand_r (&seed) / ((double)RAND_MAX + 1);
   pthread_mutex_unlock (&random_lock);
   return value;
--- a/review/standin/rvw.h
+++ b/review/standin/rvw.h
@@ -59,6 +59,8 @@
 /* Listens on a free port of 127.0.0.1 and returns it.  HANDLER is called in a
    thread of its own for each connection, which is closed when it returns.  */
 unsigned int rvw_listen (rvw_handler *handler, void *arg);
+/* Returns a port that is free, for TCP and UDP, at all addresses.  */
+unsigned int rvw_free_port (void);
 /* Returns a connection to IP:PORT, or a null pointer.  */
 struct rvw_conn *rvw_connect (const char *ip, unsigned int port);
 void rvw_conn_ref (struct rvw_conn *conn);
@@ -131,6 +133,9 @@
 struct rvw_result rvw_post (struct rvw_client *client, const char *id,
                             const char *path, const char *headers,
                             unsigned int time_left_ms);
+/* Sets the ports at which daemons listen for callers and say whether they are
+   ready.  */
+void rvw_set_ports (unsigned int callers, unsigned int ready);
 /* Waits until the daemon at IP is ready.  Returns false after 20 s.  */
 bool rvw_await_ready (const char *ip);
 
@@ -168,8 +173,8 @@
 /* Reads the arguments NET TROUBLE RECORD of a case and opens the record.
    Returns whether the disruption is wanted.  */
 bool rvw_begin (int argc, char **argv);
-/* Starts the store, prints its port and waits until COUNT daemons are ready.
- */
+/* Starts the store, prints its port and those that the daemons are to use, and
+   waits until COUNT daemons are ready.  */
 void rvw_await_daemons (unsigned int count);
 /* Waits until DAEMON is ready.  */
 void rvw_await_one (unsigned int daemon);
