rwfront: answer every request before a planned stop ends

Cause: the stop only waited, for stop_time less 0.7 s, and then closed all connections. The 8 requests lay in the queue of a connection pool ("gone: ... state=no-link" in the daemon's log), where nothing but their own deadline ends the wait. The same held for all that a daemon holds: requests at a target, relayed ones in both directions, parts of a peer's query, requests that wait for a trial, a quota or a configuration, and bodies that are still arriving.

lib/stop now has the stages of a stop, and cmd/rwfront/stop.c answers what is left 0.7 s before the stop time ends: through frn_answer_query, so that "not run" is decided where it is decided at a deadline. A peer that forwarded a request which was not begun is told so and sends it elsewhere.

--- a/cmd/rwfront/answer.c
+++ b/cmd/rwfront/answer.c
@@ -165,7 +165,11 @@
   frn_quota_give_back (request);
   frn_log_outcome (request, FRN_REFUSED, status);
   sta_inc (request->daemon->metrics.refusal[reason]);
-  frn_answer_refusal (request->conn, status, retry_after);
+  /* A peer can send it elsewhere.  */
+  if (reason == FRN_REFUSE_STOPPING && request->relayed)
+    frn_refuse_peer (request->daemon, request->conn);
+  else
+    frn_answer_refusal (request->conn, status, retry_after);
 }
 
 void
@@ -243,7 +247,7 @@
   if (!may_have_run (request))
     {
       frn_refuse_request (
-          request, FRN_REFUSE_BUSY,
+          request, request->stopped ? FRN_REFUSE_STOPPING : FRN_REFUSE_BUSY,
           frn_return_time (request, RETRY_AFTER_BUSY, rw_now ()));
       return;
     }
--- a/cmd/rwfront/callers.c
+++ b/cmd/rwfront/callers.c
@@ -141,6 +141,26 @@
     }
 }
 
+static void
+remove_parked (struct frn_daemon *daemon, const struct h1_conn *conn)
+{
+  for (size_t i = 0; i < daemon->parked_count; i++)
+    if (daemon->parked[i].conn == conn)
+      {
+        daemon->parked[i] = daemon->parked[--daemon->parked_count];
+        return;
+      }
+}
+
+void
+frn_parked_refuse (struct frn_daemon *daemon, struct h1_conn *conn)
+{
+  struct h1_message message;
+  remove_parked (daemon, conn);
+  h1_conn_message (conn, &message);
+  refuse_unconfigured (daemon, conn, &message);
+}
+
 static void
 on_request (void *arg, struct h1_conn *conn, const struct h1_message *message)
 {
@@ -156,17 +176,6 @@
     refuse_unconfigured (daemon, conn, message);
 }
 
-static void
-remove_parked (struct frn_daemon *daemon, const struct h1_conn *conn)
-{
-  for (size_t i = 0; i < daemon->parked_count; i++)
-    if (daemon->parked[i].conn == conn)
-      {
-        daemon->parked[i] = daemon->parked[--daemon->parked_count];
-        return;
-      }
-}
-
 void
 frn_on_caller_gone (void *arg, struct h1_conn *conn)
 {
--- a/cmd/rwfront/daemon.c
+++ b/cmd/rwfront/daemon.c
@@ -6,6 +6,7 @@
 
 #include "frn_quarantine.h"
 #include "frn_quota.h"
+#include "frn_stop.h"
 #include "front.h"
 
 #define TICK_MS 100
@@ -17,16 +18,11 @@
 #define RESERVED_FILES 600
 /* Nothing is sent to a draining target in this last part of its drain time. */
 #define TARGET_DRAIN_MARGIN (1 * RW_SEC)
-/* After SIGTERM the readiness check fails.  Two failed checks a second apart
-   take the daemon out of rotation; until then it serves new connections.  */
-#define ROTATION_OUT_TIME (2500 * RW_MSEC)
-/* The exit begins at the latest this long before the stop time ends.  */
-#define EXIT_MARGIN (700 * RW_MSEC)
 
 bool
 frn_is_ready (const struct frn_daemon *daemon)
 {
-  return !daemon->stopping && daemon->config != NULL
+  return !daemon->stop.begun && daemon->config != NULL
          && daemon->view.replica.items.len > 1;
 }
 
@@ -38,49 +34,11 @@
                                     : RESERVED_FILES / 2;
 }
 
-/* Ends the event loop; main then calls frn_daemon_finish.  */
-static void
-stop_loop (struct frn_daemon *daemon)
-{
-  evt_line (&daemon->log, EVT_STATE, "daemon", rw_now (),
-            "stopped: requests=%zu ms=%lld", daemon->request_count,
-            (long long)((rw_now () - daemon->stop_started) / RW_MSEC));
-  evt_flush (&daemon->log, rw_now ());
-  uv_stop (daemon->loop);
-}
-
-/* Called at each tick of a planned stop.  Exits once no request of a caller or
-   a peer is running or on its way, or at the latest EXIT_MARGIN before the
-   stop time ends.  */
-static void
-continue_stop (struct frn_daemon *daemon, rw_time now)
-{
-  rw_time elapsed = now - daemon->stop_started;
-  if (elapsed < ROTATION_OUT_TIME)
-    return;
-  h1_server_stop_listening (&daemon->caller_server);
-  h1_server_close_idle (&daemon->caller_server);
-  if ((daemon->caller_server.conn_count == 0
-       && daemon->peers.server.busy_count == 0)
-      || elapsed > daemon->settings.stop_time - EXIT_MARGIN)
-    stop_loop (daemon);
-}
-
 static void
 on_sigterm (uv_signal_t *handle, int signum)
 {
-  struct frn_daemon *daemon = handle->data;
   (void)signum;
-  if (daemon->stopping)
-    return;
-  daemon->stopping = true;
-  daemon->stop_started = rw_now ();
-  h1_server_drain (&daemon->caller_server);
-  frn_peers_leave (daemon);
-  evt_line (&daemon->log, EVT_STATE, "daemon", daemon->stop_started,
-            "stopping: connections=%zu running=%zu",
-            daemon->caller_server.conn_count,
-            daemon->caller_server.busy_count);
+  frn_stop_begin (handle->data);
 }
 
 /* Intervals without a renewal after which the store drops a target's entry,
@@ -180,8 +138,7 @@
   if (++ticks % SETTINGS_CHECK_TICKS == 0
       && file_mtime_ns (daemon->settings_path) != daemon->settings_mtime)
     reload_settings (daemon, "file");
-  if (daemon->stopping)
-    continue_stop (daemon, now);
+  frn_stop_tick (daemon, now);
 }
 
 static int
--- a/cmd/rwfront/forward.h
+++ b/cmd/rwfront/forward.h
@@ -67,7 +67,9 @@
 /* Whether this daemon takes requests of peers now whose configuration has
    VERSION.  */
 bool frn_serves_peers (const struct frn_daemon *daemon, uint64_t version);
-/* Answers a peer's request that this daemon does not begin.  */
+/* The answer to a peer's request that this daemon does not begin; static.  */
+struct h1_reply frn_peer_refusal (const struct frn_daemon *daemon);
+/* Gives that answer.  */
 void frn_refuse_peer (const struct frn_daemon *daemon, struct h1_conn *conn);
 
 /* Subqueries: see lib/subquery.  */
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -29,6 +29,7 @@
    feasible.c   requests that too few targets can answer
    reach.c      whether this daemon is cut off from the targets
    answer.c     answers to the caller, and the log line of each request
+   stop.c       planned stop
    span.c       log lines for the sends of a request
    metrics.c    definitions of the metrics
    admin.c, config_admin.c   readiness, metrics, configuration over HTTP  */
@@ -53,6 +54,7 @@
 #include "shed.h"
 #include "stat.h"
 #include "steer.h"
+#include "stop.h"
 #include "subquery.h"
 
 /* Fleet-wide limits (retry budgets, connections to targets, requests to cold
@@ -167,6 +169,7 @@
   FRN_REFUSE_HELD,      /* it crashes targets */
   FRN_REFUSE_STALE,     /* keys may have been revoked meanwhile */
   FRN_REFUSE_QUOTA,     /* its organisation is beyond its limit */
+  FRN_REFUSE_STOPPING,  /* the stop of this daemon leaves no time for it */
   FRN_REFUSAL_COUNT
 };
 
@@ -405,8 +408,7 @@
   size_t request_count;         /* requests that are not freed yet */
   struct frn_parked parked[FRN_MAX_PARKED];
   size_t parked_count;
-  bool stopping; /* SIGTERM was received */
-  rw_time stop_started;
+  struct stp_stop stop;   /* begun by SIGTERM */
   int64_t settings_mtime; /* ns; 0: could not be read */
 };
 
@@ -556,6 +558,7 @@
      or a failure if no later attempt succeeds.  */
   struct h1_reply target_reply;
   bool has_target_reply;
+  bool stopped;              /* it ends early, as this daemon stops */
   bool ended;                /* answered, or the caller disconnected */
   bool closing;              /* TIMER is being closed, then this is freed */
   unsigned int denied_sends; /* extra sends postponed for lack of budget */
@@ -593,6 +596,8 @@
 /* Sends the parts that are due, then answers, fails or waits for the next
    event.  */
 void frn_request_run (struct frn_request *request);
+/* Answers the request with what is known of it, as this daemon exits.  */
+void frn_request_stop (struct frn_request *request);
 /* Frees the request if it has ended and no send is queued or in flight.  */
 void frn_request_release (struct frn_request *request);
 /* Returns the statistics of ROUTE, created at the first request.  */
@@ -641,6 +646,8 @@
 /* Serves the requests that wait for a configuration once there is one, and
    refuses those that have waited too long.  */
 void frn_parked_serve (struct frn_daemon *daemon, rw_time now);
+/* Refuses the request of CONN, which waits for a configuration.  */
+void frn_parked_refuse (struct frn_daemon *daemon, struct h1_conn *conn);
 /* The target of SEND replied with MESSAGE; REPLY has its decoded headers.  The
    request may be freed by the call.  */
 void frn_on_send_reply (struct frn_send *send,
--- a/cmd/rwfront/metrics.c
+++ b/cmd/rwfront/metrics.c
@@ -24,6 +24,8 @@
       return "keys-not-confirmed";
     case FRN_REFUSE_QUOTA:
       return "quota";
+    case FRN_REFUSE_STOPPING:
+      return "stopping";
     case FRN_REFUSAL_COUNT:
       break;
     }
--- a/cmd/rwfront/peers.c
+++ b/cmd/rwfront/peers.c
@@ -54,7 +54,7 @@
   struct frn_peers *peers = &daemon->peers;
   char data[GOS_MAX_DATAGRAM];
   struct sockaddr_in addr = daemon->settings.peer_addr;
-  message->leaving = daemon->stopping;
+  message->leaving = daemon->stop.begun;
   message->cut_off = daemon->reach.state.cut_off;
   message->revision = daemon->view.replica.revision;
   message->staleness_ms = gos_staleness_ms (now - peers->current_at);
--- a/cmd/rwfront/relay.c
+++ b/cmd/rwfront/relay.c
@@ -173,19 +173,26 @@
 bool
 frn_serves_peers (const struct frn_daemon *daemon, uint64_t version)
 {
-  return daemon->config != NULL && !daemon->stopping
+  return daemon->config != NULL && !daemon->stop.begun
          && !daemon->reach.state.cut_off && daemon->loop_lag <= MAX_LOOP_LAG
          && version == daemon->config->version;
 }
 
-void
-frn_refuse_peer (const struct frn_daemon *daemon, struct h1_conn *conn)
+struct h1_reply
+frn_peer_refusal (const struct frn_daemon *daemon)
 {
   struct h1_reply refusal
       = { .status = 503, .headers = RW_LIT (RELAY_REFUSED_HEADER ": 1\r\n") };
   if (daemon->reach.state.cut_off)
     refusal.headers
         = RW_LIT (RELAY_REFUSED_HEADER ": " REFUSED_CUT_OFF "\r\n");
+  return refusal;
+}
+
+void
+frn_refuse_peer (const struct frn_daemon *daemon, struct h1_conn *conn)
+{
+  struct h1_reply refusal = frn_peer_refusal (daemon);
   h1_conn_reply (conn, &refusal);
 }
 
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -193,6 +193,18 @@
   frn_request_release (request);
 }
 
+void
+frn_request_stop (struct frn_request *request)
+{
+  struct gat_query *query = &request->query;
+  bool is_enough = query->done > 0 && query->done >= query->plan.min_parts;
+  query->plan.deadline = rw_now ();
+  request->stopped = true;
+  request->last_error = "daemon is stopping";
+  frn_answer_query (request, is_enough);
+  frn_request_end (request);
+}
+
 /* Tells the peer that relayed the request that this daemon still works on it,
    when its aim is over and again each further aim: else the peer would take a
    slow query for a daemon that does not answer.  */
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -197,6 +197,15 @@
 /* Closes the connections on which no request is pending or arriving, but not
    those that are so new that the first one is on its way.  */
 void h1_server_close_idle (struct h1_server *server);
+/* Calls FN with ARG for each connection whose request is pending.  FN may
+   answer it.  */
+void h1_server_each_pending (struct h1_server *server,
+                             void (*fn) (void *arg, struct h1_conn *conn),
+                             void *arg);
+/* Answers with REPLY the requests of which only a part has arrived, and ends
+   their connections.  Returns their number.  */
+size_t h1_server_refuse_arriving (struct h1_server *server,
+                                  const struct h1_reply *reply);
 /* Closes the listener and all connections; pending requests are reported by
    on_disconnect.  */
 void h1_server_stop (struct h1_server *server);
--- a/lib/h1/server.c
+++ b/lib/h1/server.c
@@ -490,6 +490,38 @@
     }
 }
 
+void
+h1_server_each_pending (struct h1_server *server,
+                        void (*fn) (void *arg, struct h1_conn *conn),
+                        void *arg)
+{
+  struct h1_conn *next;
+  for (struct h1_conn *conn = server->conns; conn != NULL; conn = next)
+    {
+      next = conn->next;
+      if (conn->state == CONN_PENDING)
+        fn (arg, conn);
+    }
+}
+
+size_t
+h1_server_refuse_arriving (struct h1_server *server,
+                           const struct h1_reply *reply)
+{
+  size_t count = 0;
+  struct h1_conn *next;
+  for (struct h1_conn *conn = server->conns; conn != NULL; conn = next)
+    {
+      next = conn->next;
+      if (conn->state != CONN_READING || !conn->reader.started)
+        continue;
+      write_reply (conn, reply, true);
+      conn_linger (conn);
+      count++;
+    }
+  return count;
+}
+
 void
 h1_server_stop (struct h1_server *server)
 {
--- a/tests/rwfsite/main.c
+++ b/tests/rwfsite/main.c
@@ -15,7 +15,8 @@
   unsigned int first_port; /* of the searchers */
   unsigned int shards;
   unsigned int replicas;
-  unsigned int singles; /* searchers of the service without shards */
+  unsigned int singles;    /* searchers of the service without shards */
+  unsigned int timeout_ms; /* of the routes of that service */
 };
 
 static const struct argp_option option_list[] = {
@@ -25,6 +26,7 @@
   { "shards", 's', "N", 0, "shards of the service \"shard\" (4)", 0 },
   { "replicas", 'r', "N", 0, "searchers of each shard (2)", 0 },
   { "singles", 'o', "N", 0, "searchers of the service \"one\" (2)", 0 },
+  { "timeout", 't', "MS", 0, "timeout of the routes to \"one\" (2000)", 0 },
   { 0 },
 };
 
@@ -53,6 +55,9 @@
     case 'o':
       o->singles = value;
       return 0;
+    case 't':
+      o->timeout_ms = value;
+      return 0;
     default:
       return ARGP_ERR_UNKNOWN;
     }
@@ -102,10 +107,10 @@
   for (size_t i = 0; i < RW_ARRAY_LEN (kinds); i++)
     rw_buf_printf (&text,
                    ",{\"name\":\"%s\",\"hostname\":\"site.example\","
-                   "\"prefix\":\"/%s/\",\"type\":\"%s\",\"timeoutMs\":2000,"
+                   "\"prefix\":\"/%s/\",\"type\":\"%s\",\"timeoutMs\":%u,"
                    "\"targetLatencyMs\":300,\"priority\":2,\"maxAttempts\":2,"
                    "\"service\":\"one\"}",
-                   kinds[i], kinds[i], kinds[i]);
+                   kinds[i], kinds[i], kinds[i], o->timeout_ms);
   rw_buf_printf (
       &text, "],\"services\":[{\"name\":\"one\",\"healthPath\":\"/health\","
              "\"maxConnections\":200}],\"limits\":{\"maxHeaderBytes\":"
@@ -144,7 +149,8 @@
 main (int argc, char **argv)
 {
   static struct site site;
-  struct options options = { .shards = 4, .replicas = 2, .singles = 2 };
+  struct options options
+      = { .shards = 4, .replicas = 2, .singles = 2, .timeout_ms = 2000 };
   if (argp_parse (&parser, argc, argv, 0, NULL, &options) != 0)
     return 2;
   signal (SIGPIPE, SIG_IGN);
--- a/tests/site.sh
+++ b/tests/site.sh
@@ -15,7 +15,8 @@
 	CONTROL=$(sed -n 's/.*control=\([0-9]*\).*/\1/p' "$DIR/site.out")
 }
 
-# Writes the settings of daemon N with the processor share CORES, in DC or dc-a.
+# Writes the settings of daemon N with the processor share CORES, in DC or dc-a,
+# and the lines of MORE_SETTINGS.
 settings() {
 	cat >"$DIR/vm-$1.settings" <<EOF
 RWF_NAME=vm-$1
@@ -28,6 +29,7 @@
 RWF_SEEDS=$NET.1:1,$NET.2:1
 RWF_CORES=$2
 RWF_EXTRA_SLACK=1000
+${MORE_SETTINGS:-}
 EOF
 }
 
