event: replace control characters in values of log lines

An id of a target with a line feed, which any program may write into the store, began a line of its own in the daemons' logs. Cause: evt_value replaced spaces and quotes alone.

values_do_not_forge_fields failed before with the new case.

--- a/lib/event/event.c
+++ b/lib/event/event.c
@@ -90,8 +90,10 @@
   struct evt_value value;
   size_t len = text.len < EVT_MAX_VALUE_LEN ? text.len : EVT_MAX_VALUE_LEN;
   for (size_t i = 0; i < len; i++)
-    value.text[i]
-        = text.ptr[i] == ' ' || text.ptr[i] == '"' ? '?' : text.ptr[i];
+    {
+      unsigned char c = (unsigned char)text.ptr[i];
+      value.text[i] = c <= ' ' || c == '"' || c == 0x7f ? '?' : text.ptr[i];
+    }
   value.text[len] = '\0';
   return value;
 }
--- a/lib/event/event.h
+++ b/lib/event/event.h
@@ -47,8 +47,9 @@
   char text[EVT_MAX_VALUE_LEN + 1];
 };
 
-/* Returns TEXT in a form that reads as one value: spaces and quotes, with
-   which a caller or a peer could add fields of its own, become '?'.  */
+/* Returns TEXT in a form that reads as one value: spaces, quotes and control
+   characters, with which a caller, a peer or an entry of the store could add
+   fields or lines of its own, become '?'.  */
 struct evt_value evt_value (struct rw_str text);
 /* Queues a line of PART and writes as much as FD accepts.  The text is cut at
    511 bytes; control characters in it are replaced by '?'.  */
--- a/lib/event/test_event.c
+++ b/lib/event/test_event.c
@@ -81,6 +81,7 @@
   char text[300];
   assert_string_equal (evt_value (RW_LIT ("a status=\"200\"")).text,
                        "a?status=?200?");
+  assert_string_equal (evt_value (RW_LIT ("a\nb\r\tc\x7f")).text, "a?b??c?");
   assert_string_equal (evt_value ((struct rw_str){ NULL, 0 }).text, "");
   memset (text, 'x', sizeof text);
   assert_int_equal (
