--- a/lib/cat/cat.h
+++ b/lib/cat/cat.h
@@ -91,6 +91,9 @@
 };
 
 /* An entry of the platform's list of targets.  */
+/* The longest id of a target in bytes.  */
+#define CAT_MAX_TARGET_ID 127
+
 struct cat_target
 {
   struct rw_str id;
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -36,7 +36,7 @@
   struct ste_service *service;
   struct ste_target *next; /* next target of the service */
   uint64_t key;            /* hash of the id */
-  char id[128];
+  char id[CAT_MAX_TARGET_ID + 1];
   char host[STE_HOST_MAX + 1];
   uint16_t port;
   uint64_t dc;           /* hash of the data centre's name */
