--- a/cmd/rwfront/forward.h
+++ b/cmd/rwfront/forward.h
@@ -67,9 +67,10 @@
 /* Whether this daemon takes requests of peers now whose configuration has
    VERSION.  */
 bool frn_serves_peers (const struct frn_daemon *daemon, uint64_t version);
-/* The answer to a peer's request that this daemon does not begin; static.  */
+/* Returns the answer to a peer's request that this daemon does not begin; its
+   strings are static.  */
 struct h1_reply frn_peer_refusal (const struct frn_daemon *daemon);
-/* Gives that answer.  */
+/* Answers a peer's request in that way.  */
 void frn_refuse_peer (const struct frn_daemon *daemon, struct h1_conn *conn);
 
 /* Subqueries: see lib/subquery.  */
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -121,6 +121,7 @@
   return NULL;
 }
 
+/* Fails all of these, as not sent.  */
 static void
 fail_late (struct frn_pool *pool, rw_time now)
 {
