rwfront: name the stop as the error of refused sends alone

The line of a request that was answered said "daemon is stopping" if a hedge of it was left out during a stop.

--- a/cmd/rwfront/parts.c
+++ b/cmd/rwfront/parts.c
@@ -207,10 +207,14 @@
     }
   if (!frn_can_answer (request, target, target->in_flight, now))
     {
-      request->stopped = true;
-      request->last_error = "daemon is stopping";
+      bool is_hedge = kind == GAT_SEND_HEDGE;
+      if (!is_hedge)
+        {
+          request->stopped = true;
+          request->last_error = "daemon is stopping";
+        }
       gat_postpone (&request->query, part, now,
-                    kind == GAT_SEND_HEDGE ? HEDGE_POSTPONE_TIME : -1);
+                    is_hedge ? HEDGE_POSTPONE_TIME : -1);
       return;
     }
   if (kind == GAT_SEND_HEDGE
