--- a/tests/process/stop-held.sh
+++ b/tests/process/stop-held.sh
@@ -15,7 +15,7 @@
 MORE_SETTINGS=RWF_STOP_S=4
 
 # Sends request ID with a body to daemon N in the background, and writes curl's
-# exit status, the answer's status and its Retry-After.
+# exit status and the answer's status.
 post() {
 	curl -s -m 20 -o /dev/null -H 'Host: site.example' -H 'Expect:' \
 	    -H "X-Redwingfork-Request-Id: $1" \
