h1: refuse replies without a valid status line

What callers saw: a target in trouble answered with the status 000, and the caller got "HTTP/1.1 000" as its answer.

Cause: http_parser takes one to any number of digits up to 999 as a status, versions other than 1.x, further blanks, control bytes in the reason and empty lines before the line. Debian builds it without its strict checks, and these would not cover the status either. Nothing after it looked at the number.

An empty reason, bytes beyond ASCII in it, a missing space after the status and rare statuses stay answers. The connection is closed as after any other reply that cannot be parsed; the request may have run, so its caller gets 502 and it is sent again only if it may be repeated.

--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -72,9 +72,34 @@
   H1_PARSE_BODY_TOO_LARGE
 };
 
+/* What the next byte of a message belongs to.  */
+enum h1_grammar_state
+{
+  H1_GRAMMAR_REQUEST_LINE,
+  H1_GRAMMAR_STATUS_LINE, /* up to the status code */
+  H1_GRAMMAR_STATUS_END,
+  H1_GRAMMAR_REASON,
+  H1_GRAMMAR_BODY /* any bytes */
+};
+
+/* A check of the bytes that frame a message against RFC 9112.  http_parser, as
+   it is built for distributions, lets through much that is no message.  */
+struct h1_grammar
+{
+  enum h1_grammar_state state;
+  bool failed;
+  size_t position; /* within the start line */
+};
+
+void h1_grammar_init (struct h1_grammar *grammar, bool is_reply);
+/* Checks DATA.  Returns the number of bytes that were checked, and sets failed
+   if the last of them makes DATA no message.  */
+size_t h1_grammar_check (struct h1_grammar *grammar, const char *data,
+                         size_t len);
 /* A parser that collects one message.  */
 struct h1_reader
 {
+  struct h1_grammar grammar;
   http_parser parser;
   struct rw_buf head; /* target, and names and values of headers */
   struct rw_buf body;
--- a/lib/h1/message.c
+++ b/lib/h1/message.c
@@ -133,12 +133,21 @@
   return append_head (reader, at, len);
 }
 
+static struct rw_str
+slice_str (const struct h1_reader *reader, struct h1_slice slice)
+{
+  if (slice.len == 0)
+    return (struct rw_str){ NULL, 0 };
+  return (struct rw_str){ reader->head.ptr + slice.offset, slice.len };
+}
+
 static int
 on_headers_complete (http_parser *parser)
 {
   struct h1_reader *reader = get_reader (parser);
+  bool is_reply = parser->type == HTTP_RESPONSE;
   reader->head_complete = true;
-  if (parser->type == HTTP_RESPONSE)
+  if (is_reply)
     return reader->skip_body ? 1 : 0;
   if (parser->content_length != ULLONG_MAX
       && parser->content_length > reader->max_body_bytes)
@@ -200,6 +209,7 @@
   memset (reader, 0, sizeof *reader);
   http_parser_init (&reader->parser, type);
   reader->parser.data = reader;
+  h1_grammar_init (&reader->grammar, type == HTTP_RESPONSE);
   rw_buf_init (&reader->head);
   rw_buf_init (&reader->body);
   reader->max_head_bytes = DEFAULT_MAX_HEAD_BYTES;
@@ -240,6 +250,7 @@
 h1_reader_reset (struct h1_reader *reader)
 {
   http_parser_init (&reader->parser, reader->parser.type);
+  h1_grammar_init (&reader->grammar, reader->parser.type == HTTP_RESPONSE);
   release_budget (reader);
   clear_buf (&reader->head);
   clear_buf (&reader->body);
@@ -254,8 +265,9 @@
   reader->error = H1_PARSE_OK;
 }
 
-size_t
-h1_reader_feed (struct h1_reader *reader, const char *data, size_t len)
+/* Parses DATA, which is checked.  */
+static size_t
+parse (struct h1_reader *reader, const char *data, size_t len)
 {
   size_t consumed
       = http_parser_execute (&reader->parser, &parser_settings, data, len);
@@ -273,12 +285,23 @@
   return consumed;
 }
 
-static struct rw_str
-slice_str (const struct h1_reader *reader, struct h1_slice slice)
+size_t
+h1_reader_feed (struct h1_reader *reader, const char *data, size_t len)
 {
-  if (slice.len == 0)
-    return (struct rw_str){ NULL, 0 };
-  return (struct rw_str){ reader->head.ptr + slice.offset, slice.len };
+  size_t consumed = 0;
+  if (len == 0)
+    return parse (reader, data, len);
+  while (consumed < len && !reader->complete && reader->error == H1_PARSE_OK)
+    {
+      size_t checked = h1_grammar_check (&reader->grammar, data + consumed,
+                                         len - consumed);
+      /* No byte is left if the parser sees no end where the grammar does.  */
+      if (reader->grammar.failed || checked == 0)
+        reader->error = H1_PARSE_SYNTAX;
+      else
+        consumed += parse (reader, data + consumed, checked);
+    }
+  return consumed;
 }
 
 void
@@ -290,9 +313,10 @@
   message->target = slice_str (reader, reader->target);
   message->header_count = reader->header_count;
   for (size_t i = 0; i < reader->header_count; i++)
-    message->headers[i]
-        = (struct h1_header){ slice_str (reader, reader->names[i]),
-                              slice_str (reader, reader->values[i]) };
+    message->headers[i] = (struct h1_header){
+      slice_str (reader, reader->names[i]),
+      rw_str_trim (slice_str (reader, reader->values[i]))
+    };
   message->body = rw_buf_str (&reader->body);
 }
 
--- /dev/null
+++ b/lib/h1/test_grammar.c
@@ -0,0 +1,128 @@
+/* Bytes that are no message in the grammar of RFC 9112, and rare messages that
+   are sound.  Guards against a reply in trouble that is taken for an answer,
+   and against a check that refuses an answer.  */
+
+#include "h1.h"
+#include "unit.h"
+
+#define OK "HTTP/1.1 200 OK\r\n"
+#define LEN "Content-Length: 3\r\n\r\nabc"
+
+struct sample
+{
+  const char *text;
+  const char *body; /* null: it is no message */
+};
+
+/* Reads the LEN bytes at TEXT, STEP at a time, and then the end of the stream.
+   Returns whether READER has a whole message.  */
+static bool
+read_all (struct h1_reader *reader, const char *text, size_t len, size_t step)
+{
+  size_t at = 0;
+  while (at < len && !reader->complete && reader->error == H1_PARSE_OK)
+    at += h1_reader_feed (reader, text + at,
+                          len - at < step ? len - at : step);
+  if (!reader->complete && reader->error == H1_PARSE_OK)
+    h1_reader_feed (reader, NULL, 0);
+  return reader->complete && reader->error == H1_PARSE_OK;
+}
+
+static void
+check_bytes (enum http_parser_type type, const char *text, size_t len,
+             const char *body)
+{
+  static const size_t steps[] = { SIZE_MAX, 1, 2, 7 };
+  for (size_t i = 0; i < RW_ARRAY_LEN (steps); i++)
+    {
+      struct h1_reader reader;
+      struct h1_message message;
+      h1_reader_init (&reader, type);
+      bool is_message = read_all (&reader, text, len, steps[i]);
+      if (is_message != (body != NULL))
+        print_message ("%s: %.*s\n", body != NULL ? "refused" : "taken",
+                       (int)len, text);
+      assert_int_equal (is_message, body != NULL);
+      if (is_message)
+        {
+          h1_reader_message (&reader, &message);
+          assert_true (rw_str_eq_cstr (message.body, body));
+        }
+      h1_reader_finish (&reader);
+    }
+}
+
+static void
+check (const struct sample *samples, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    check_bytes (HTTP_RESPONSE, samples[i].text, strlen (samples[i].text),
+                 samples[i].body);
+}
+
+#define CHECK(SAMPLES) check (SAMPLES, RW_ARRAY_LEN (SAMPLES))
+
+TEST (a_status_has_three_digits_and_is_known)
+{
+  static const struct sample samples[] = {
+    { "HTTP/1.1 000 OK\r\n" LEN, NULL },  { "HTTP/1.1 099 OK\r\n" LEN, NULL },
+    { "HTTP/1.1 600 OK\r\n" LEN, NULL },  { "HTTP/1.1 999 OK\r\n" LEN, NULL },
+    { "HTTP/1.1 2 OK\r\n" LEN, NULL },    { "HTTP/1.1 20 OK\r\n" LEN, NULL },
+    { "HTTP/1.1 0200 OK\r\n" LEN, NULL }, { "HTTP/1.1 2000 OK\r\n" LEN, NULL },
+    { "HTTP/1.1 -20 OK\r\n" LEN, NULL },  { "HTTP/1.1 2x0 OK\r\n" LEN, NULL },
+    { "HTTP/1.1 200OK\r\n" LEN, NULL },   { "HTTP/1.1 OK\r\n" LEN, NULL },
+    { "HTTP/1.1\r\n" LEN, NULL },         { "HTTP/1.1 200 OK\r\n" LEN, "abc" },
+    { "HTTP/1.1 299 OK\r\n" LEN, "abc" }, { "HTTP/1.1 418 OK\r\n" LEN, "abc" },
+    { "HTTP/1.1 599 OK\r\n" LEN, "abc" },
+  };
+  CHECK (samples);
+}
+
+TEST (a_status_line_has_one_form)
+{
+  static const struct sample samples[] = {
+    { "HTTP/2.0 200 OK\r\n" LEN, NULL },
+    { "HTTP/0.9 200 OK\r\n" LEN, NULL },
+    { "HTTP/1 200 OK\r\n" LEN, NULL },
+    { "HTTP/1.10 200 OK\r\n" LEN, NULL },
+    { "http/1.1 200 OK\r\n" LEN, NULL },
+    { "ICY 200 OK\r\n" LEN, NULL },
+    { "HTTP/1.1  200 OK\r\n" LEN, NULL },
+    { "HTTP/1.1\t200 OK\r\n" LEN, NULL },
+    { "HTTP/1.1 200\tOK\r\n" LEN, NULL },
+    { " HTTP/1.1 200 OK\r\n" LEN, NULL },
+    { "\r\nHTTP/1.1 200 OK\r\n" LEN, NULL },
+    { "\nHTTP/1.1 200 OK\r\n" LEN, NULL },
+    { "", NULL },
+    { "\r\n\r\n", NULL },
+    { "HTTP/1.0 200 OK\r\n" LEN, "abc" },
+    { "HTTP/1.1 200 \r\n" LEN, "abc" },
+    { "HTTP/1.1 200 a reason: \"\t\xc3\xa4\"\r\n" LEN, "abc" },
+    /* A recipient may ignore that the space is missing, and a CR.  */
+    { "HTTP/1.1 200\r\n" LEN, "abc" },
+    { "HTTP/1.1 200 O\001K\r\n" LEN, NULL },
+    { "HTTP/1.1 200 \x7f\r\n" LEN, NULL },
+    { "HTTP/1.1 200 OK\nContent-Length: 3\n\nabc", "abc" },
+  };
+  CHECK (samples);
+}
+
+TEST (a_length_is_one_number)
+{
+  static const struct sample samples[] = {
+    { OK "Content-Length: +3\r\n\r\nabc", NULL },
+    { OK "Content-Length: -3\r\n\r\nabc", NULL },
+    { OK "Content-Length: 0x3\r\n\r\nabc", NULL },
+    { OK "Content-Length: 3;\r\n\r\nabc", NULL },
+    { OK "Content-Length: 3 4\r\n\r\nabc", NULL },
+    { OK "Content-Length:\r\n\r\nabc", NULL },
+    { OK "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc", NULL },
+    { OK "Content-Length: 18446744073709551619\r\n\r\nabc", NULL },
+    { OK "Content-Length: 18446744073709551615\r\n\r\nabc", NULL },
+    { OK "Content-Length: 4\r\n\r\nabc", NULL },
+    { OK "Content-Length: 03\r\n\r\nabc", "abc" },
+    { OK "Content-Length:3  \r\n\r\nabc", "abc" },
+    { OK "\r\nabc", "abc" },
+  };
+  CHECK (samples);
+}
--- /dev/null
+++ b/tests/process/broken-answers.sh
@@ -0,0 +1,117 @@
+#!/bin/sh
+# rwfront on real sockets: a target in trouble sends bytes that are no answer in
+# HTTP/1.1.  Guards against callers that get them as an answer, against a request
+# that runs twice or is called "not run" after one, against parts of a query that
+# are made of them, and against sound but rare answers that are taken for broken.
+set -u
+
+cd "$(dirname "$0")/../.." || exit 1
+BIN=build/${VARIANT:-asan}/bin
+. tests/site.sh
+
+FIELDS='X-Redwingfork-Request-Id: %%I\r\nX-Redwingfork-Server-Stamp: b.%%I\r\n'
+
+# Lets the stand-in answer with the bytes that printf makes of FORMAT.
+answer() { printf "$1" >"$DIR/broken/answer"; }
+
+# Writes the entry of the broken target under ID in SERVICE: ID SERVICE.
+publish() {
+	curl -s -m 5 -X PUT "http://127.0.0.1:$CONTROL/item/servers/$1" --data \
+	    "{\"service\":\"$2\",\"address\":\"127.0.0.1:$PORT\",\"zone\":\"dc-a\",
+	    \"version\":\"v1\",\"capacity\":2,\"state\":\"ready\",
+	    \"warmupLeftMs\":0,\"sequence\":1,\"born\":1}"
+}
+
+# Number of times the broken target was sent request ID.
+sent() { grep -c "^request $1\$" "$DIR/broken.out"; }
+
+# The target's answer FORMAT is none: WHAT FORMAT.  The request may have run, so
+# it gets 502, which promises nothing, and is not sent again.
+broken() {
+	n=$((n + 1))
+	answer "$OK"
+	await "the target is used" served
+	: >"$DIR/body"
+	answer "$2"
+	expect "$1" "$(request "broken-$n" /unsafe/x 1)" 502
+	expect "sends of it" "$(sent "broken-$n")" 1
+	grep -q '^X-Redwingfork-Server-Stamp' "$DIR/head" &&
+	    fail "$1: fields of the broken answer reached the caller"
+	[ -s "$DIR/body" ] && fail "$1: a body reached the caller"
+}
+
+# The target's answer FORMAT is sound and reaches the caller: WHAT FORMAT STATUS
+# BODY.
+sound() {
+	n=$((n + 1))
+	answer "$OK"
+	await "the target is used" served
+	: >"$DIR/body"
+	answer "$2"
+	expect "$1" "$(request "sound-$n" /unsafe/x 1)" "$3"
+	expect "its body" "$(cat "$DIR/body")" "$4"
+}
+
+n=0
+mkdir "$DIR/broken"
+$BIN/rwfbroken "$DIR/broken" >"$DIR/broken.out" &
+PIDS="$PIDS $!"
+await "the broken target starts" grep -q '^port=' "$DIR/broken.out"
+PORT=$(sed -n 's/^port=//p' "$DIR/broken.out")
+start_site --shards 3 --singles 1
+control POST /searcher/one-0/stop
+publish broken-0 one
+start_front 1 1
+VM1=$PID
+await "the daemon is ready" ready 1
+OK="HTTP/1.1 200 OK\r\n${FIELDS}Content-Length: 2\r\n\r\nok"
+answer "$OK"
+served() { [ "$(request "ok-$(date +%N)" /unsafe/x 1)" = 200 ]; }
+await "a request is served" served
+
+LEN="${FIELDS}Content-Length: 2\r\n\r\nok"
+broken "status 000" "HTTP/1.1 000 OK\r\n$LEN"
+broken "status 099" "HTTP/1.1 099 OK\r\n$LEN"
+broken "status 600" "HTTP/1.1 600 OK\r\n$LEN"
+broken "a status of two digits" "HTTP/1.1 20 OK\r\n$LEN"
+broken "a status of four digits" "HTTP/1.1 0200 OK\r\n$LEN"
+
+sound "an empty reason" "HTTP/1.1 200 \r\n$LEN" 200 ok
+sound "bytes beyond ASCII" \
+    "HTTP/1.1 200 \303\244\r\nY: \303\244\r\n$LEN" 200 ok
+sound "a rare success" "HTTP/1.1 299 Rare\r\n$LEN" 299 ok
+sound "a rare refusal" "HTTP/1.1 451 Law\r\n$LEN" 451 ok
+
+# Another target serves what may be repeated.
+answer "HTTP/1.1 000 OK\r\n$LEN"
+control POST /searcher/one-0/start
+good=0
+for i in $(seq 20); do
+	status=$(request "again-$i" /safe/x 1)
+	[ "$status" = 200 ] && good=$((good + 1))
+done
+expect "requests that may be repeated" "$good" 20
+
+# One shard of three has the broken target alone: its part is left out.
+for s in s0-0 s0-1; do control POST /searcher/$s/stop; done
+publish broken-1 shard0
+PARTS='AAAAAAAAAAAAAAAABBBBBBBBBBBBBBBB'
+merged() {
+	n=$((n + 1))
+	answer "$1"
+	request "query-$n" /all/x 1 >/dev/null
+}
+reached() {
+	merged "HTTP/1.1 200 OK\r\n${FIELDS}Content-Length: 32\r\n\r\n$PARTS"
+	grep -q A "$DIR/body"
+}
+await "its sound part is merged" reached
+for head in "HTTP/1.1 000 OK\r\n"; do
+	merged "$head${FIELDS}Content-Length: 32\r\n\r\n$PARTS"
+	[ "$(sent "query-$n")" -ge 1 ] || fail "query-$n did not reach the target"
+	grep -q 'AAAAAAAA' "$DIR/body" && fail "records of a broken part: query-$n"
+	grep -q 'X-Redwingfork-Part-Stamps:.*b\.query' "$DIR/head" &&
+	    fail "the stamp of a broken part: query-$n"
+done
+kill -0 "$VM1" || fail "the daemon has ended"
+echo "ok: broken parts are left out"
