h1: refuse names of fields that are no tokens

What callers saw: a target in trouble sent a head with a blank in the name of a field, and callers got the line passed on. "Content-Length : 1" cut a body of two bytes to one and was passed on beside the daemon's own Content-Length.

Cause: the parser is built without its strict checks and takes a blank as a byte of a name. It takes a line that begins with a blank as the continuation of the one before it, so that "X: y", " Content-Length: 3" is one field and no length.

Change: grammar.c checks names against RFC 9110, section 5.6.2, in replies and in requests, where RFC 9112, section 5.1, demands the refusal. Continued lines are refused as well, as section 5.2 lets a gateway do (502): senders must not fold lines.

Seen failing before: broken-answers.sh, a blank in, before and after a name: "'200' instead of '502'" and "fields of the broken answer reached the caller", a query whose stamps had that of such a part; test_grammar: "taken: X Y: z", for replies and requests.

--- a/lib/h1/grammar.c
+++ b/lib/h1/grammar.c
@@ -22,6 +22,14 @@
   return c >= '0' && c <= '9';
 }
 
+/* tchar of RFC 9110, section 5.6.2.  */
+static bool
+is_token (unsigned char c)
+{
+  return is_digit (c) || (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z')
+         || (c != '\0' && strchr ("!#$%&'*+-.^_`|~", c) != NULL);
+}
+
 static bool
 go_to (struct h1_grammar *grammar, enum h1_grammar_state state)
 {
@@ -50,14 +58,14 @@
 take_request_line (struct h1_grammar *grammar, unsigned char c)
 {
   if (c == '\n' && grammar->position > 0)
-    return go_to (grammar, H1_GRAMMAR_BODY);
+    return go_to (grammar, H1_GRAMMAR_FIELD);
   /* Empty lines before a request are ignored.  */
   if (c != '\r' && c != '\n')
     grammar->position = 1;
   return true;
 }
 
-/* Takes C of a start line.  */
+/* Takes C of a start line or of a field.  */
 static bool
 take_head (struct h1_grammar *grammar, unsigned char c)
 {
@@ -71,10 +79,20 @@
       /* Recipients may ignore that the space is missing.  */
       return (c == ' ' && go_to (grammar, H1_GRAMMAR_REASON))
              || (c == '\r' && go_to (grammar, H1_GRAMMAR_REASON))
-             || (c == '\n' && go_to (grammar, H1_GRAMMAR_BODY));
+             || (c == '\n' && go_to (grammar, H1_GRAMMAR_FIELD));
     case H1_GRAMMAR_REASON:
       return is_text (c) || c == '\r'
-             || (c == '\n' && go_to (grammar, H1_GRAMMAR_BODY));
+             || (c == '\n' && go_to (grammar, H1_GRAMMAR_FIELD));
+    case H1_GRAMMAR_VALUE:
+      return c != '\n' || go_to (grammar, H1_GRAMMAR_FIELD);
+    case H1_GRAMMAR_FIELD:
+      return (is_token (c) && go_to (grammar, H1_GRAMMAR_NAME))
+             || (c == '\r' && go_to (grammar, H1_GRAMMAR_FIELDS_LF))
+             || (c == '\n' && go_to (grammar, H1_GRAMMAR_FIELDS_END));
+    case H1_GRAMMAR_NAME:
+      return is_token (c) || (c == ':' && go_to (grammar, H1_GRAMMAR_VALUE));
+    case H1_GRAMMAR_FIELDS_LF:
+      return go_to (grammar, H1_GRAMMAR_FIELDS_END);
     default:
       return false;
     }
@@ -87,6 +105,8 @@
   while (at < len && !grammar->failed)
     {
       unsigned char c = (unsigned char)data[at];
+      if (grammar->state == H1_GRAMMAR_FIELDS_END)
+        break;
       if (grammar->state == H1_GRAMMAR_BODY)
         return len;
       grammar->failed = !take_head (grammar, c);
@@ -94,3 +114,9 @@
     }
   return at;
 }
+
+void
+h1_grammar_begin_body (struct h1_grammar *grammar)
+{
+  grammar->state = H1_GRAMMAR_BODY;
+}
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -79,6 +79,11 @@
   H1_GRAMMAR_STATUS_LINE, /* up to the status code */
   H1_GRAMMAR_STATUS_END,
   H1_GRAMMAR_REASON,
+  H1_GRAMMAR_FIELD, /* the first byte of a line */
+  H1_GRAMMAR_NAME,
+  H1_GRAMMAR_VALUE,
+  H1_GRAMMAR_FIELDS_LF,
+  H1_GRAMMAR_FIELDS_END,
   H1_GRAMMAR_BODY /* any bytes */
 };
 
@@ -92,10 +97,14 @@
 };
 
 void h1_grammar_init (struct h1_grammar *grammar, bool is_reply);
-/* Checks DATA.  Returns the number of bytes that were checked, and sets failed
-   if the last of them makes DATA no message.  */
+/* Checks DATA, up to the end of the head.  Returns the number
+   of bytes that were checked, and sets failed if the last of them makes DATA
+   no message.  */
 size_t h1_grammar_check (struct h1_grammar *grammar, const char *data,
                          size_t len);
+/* Goes on after the end of the head.  */
+void h1_grammar_begin_body (struct h1_grammar *grammar);
+
 /* A parser that collects one message.  */
 struct h1_reader
 {
--- a/lib/h1/message.c
+++ b/lib/h1/message.c
@@ -147,6 +147,7 @@
   struct h1_reader *reader = get_reader (parser);
   bool is_reply = parser->type == HTTP_RESPONSE;
   reader->head_complete = true;
+  h1_grammar_begin_body (&reader->grammar);
   if (is_reply)
     return reader->skip_body ? 1 : 0;
   if (parser->content_length != ULLONG_MAX
--- a/lib/h1/test_grammar.c
+++ b/lib/h1/test_grammar.c
@@ -7,6 +7,7 @@
 
 #define OK "HTTP/1.1 200 OK\r\n"
 #define LEN "Content-Length: 3\r\n\r\nabc"
+#define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
 
 struct sample
 {
@@ -62,6 +63,24 @@
 
 #define CHECK(SAMPLES) check (SAMPLES, RW_ARRAY_LEN (SAMPLES))
 
+/* Checks replies that are TEXT with each byte in the place of the "?": sound
+   are those for which IS_SOUND returns true.  */
+static void
+check_each_byte (const char *text, bool (*is_sound) (unsigned char))
+{
+  char copy[256];
+  size_t len = strlen (text);
+  char *place;
+  memcpy (copy, text, len + 1);
+  place = strchr (copy, '?');
+  for (int c = 0; c < 256; c++)
+    {
+      *place = (char)c;
+      check_bytes (HTTP_RESPONSE, copy, len,
+                   is_sound ((unsigned char)c) ? "abc" : NULL);
+    }
+}
+
 TEST (a_status_has_three_digits_and_is_known)
 {
   static const struct sample samples[] = {
@@ -107,6 +126,46 @@
   CHECK (samples);
 }
 
+static bool
+is_token (unsigned char c)
+{
+  return (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z')
+         || (c >= 'a' && c <= 'z')
+         || (c != 0 && strchr ("!#$%&'*+-.^_`|~", c) != NULL);
+}
+
+static bool
+is_token_or_colon (unsigned char c)
+{
+  return is_token (c) || c == ':';
+}
+
+TEST (a_name_of_a_field_is_a_token)
+{
+  static const struct sample samples[] = {
+    { OK "X Y: z\r\n" LEN, NULL },
+    { OK "X : z\r\n" LEN, NULL },
+    { OK "X\t: z\r\n" LEN, NULL },
+    { OK " X: z\r\n" LEN, NULL },
+    { OK ": z\r\n" LEN, NULL },
+    { OK "X\r\n" LEN, NULL },
+    { OK "Content-Length : 3\r\n\r\nabc", NULL },
+    { OK " Content-Length: 3\r\n\r\nabc", NULL },
+    { OK "Content Length: 3\r\n" LEN, NULL },
+    { OK "Transfer-Encoding : chunked\r\n" LEN, NULL },
+    /* A line that begins with a blank continues the one before it.  A gateway
+       may refuse this, and senders must not do it.  */
+    { OK "X: y\r\n Content-Length: 3\r\n\r\nabc", NULL },
+    { OK "X: y\r\n\tz\r\n" LEN, NULL },
+    { OK "X: y\r\n \r\n" LEN, NULL },
+    { OK "!#$%&'*+-.^_`|~9aZ:z\r\n" LEN, "abc" },
+  };
+  CHECK (samples);
+  check_each_byte (OK "A: b\r\nX?Y: z\r\n" LEN, is_token_or_colon);
+  check_each_byte (OK "X?Y: z\r\n" LEN, is_token_or_colon);
+  check_each_byte (OK "X?: z\r\n" LEN, is_token_or_colon);
+}
+
 TEST (a_length_is_one_number)
 {
   static const struct sample samples[] = {
@@ -126,3 +185,23 @@
   };
   CHECK (samples);
 }
+
+/* A request that is refused by the targets' servers, or that they read
+   otherwise than this tier, must not be forwarded.  */
+TEST (requests_have_the_same_fields_and_chunks)
+{
+#define POST "POST /a HTTP/1.1\r\nHost: h\r\n"
+  static const struct sample samples[] = {
+    { POST "X Y: z\r\n" LEN, NULL },
+    { POST "Content-Length : 3\r\n\r\nabc", NULL },
+    { POST " X: z\r\n" LEN, NULL },
+    { POST "X: y\r\n z\r\n" LEN, NULL },
+    { POST LEN, "abc" },
+    { "\r\n" POST LEN, "abc" },
+    { POST CHUNKED "3;a=b\r\nabc\r\n0\r\nT: x\r\n\r\n", "abc" },
+    { "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", "" },
+  };
+  for (size_t i = 0; i < RW_ARRAY_LEN (samples); i++)
+    check_bytes (HTTP_REQUEST, samples[i].text, strlen (samples[i].text),
+                 samples[i].body);
+}
--- a/tests/process/broken-answers.sh
+++ b/tests/process/broken-answers.sh
@@ -75,6 +75,16 @@
 broken "status 600" "HTTP/1.1 600 OK\r\n$LEN"
 broken "a status of two digits" "HTTP/1.1 20 OK\r\n$LEN"
 broken "a status of four digits" "HTTP/1.1 0200 OK\r\n$LEN"
+broken "a blank in the name of a field" \
+    "HTTP/1.1 200 OK\r\nX Y: z\r\n$LEN"
+broken "a blank after the name of a field" \
+    "HTTP/1.1 200 OK\r\n${FIELDS}Content-Length : 1\r\n\r\nok"
+broken "a blank before the name of a field" \
+    "HTTP/1.1 200 OK\r\n Y: z\r\n$LEN"
+broken "a control byte in the name of a field" \
+    "HTTP/1.1 200 OK\r\nX\001Y: z\r\n$LEN"
+broken "a tab before the name of a field" \
+    "HTTP/1.1 200 OK\r\nX: y\r\n\tY: z\r\n$LEN"
 
 sound "an empty reason" "HTTP/1.1 200 \r\n$LEN" 200 ok
 sound "bytes beyond ASCII" \
@@ -106,7 +116,7 @@
 	grep -q A "$DIR/body"
 }
 await "its sound part is merged" reached
-for head in "HTTP/1.1 000 OK\r\n"; do
+for head in "HTTP/1.1 000 OK\r\n" "HTTP/1.1 200 OK\r\nX Y: z\r\n"; do
 	merged "$head${FIELDS}Content-Length: 32\r\n\r\n$PARTS"
 	[ "$(sent "query-$n")" -ge 1 ] || fail "query-$n did not reach the target"
 	grep -q 'AAAAAAAA' "$DIR/body" && fail "records of a broken part: query-$n"
