h1: refuse control bytes and stray line ends in heads

Cause: http_parser does not look at the first byte of a value, takes any byte in the place of the line feed after the carriage return that ends a status line or a head, and a lone line feed as the end of a line anywhere: a stray byte 0 or 1 was passed on to callers, one byte after a carriage return vanished, and a stray line feed began the body early.

Change: grammar.c checks values and line ends (RFC 9110, section 5.5; RFC 9112, section 2.2). A sender may end all lines of a message with a line feed alone, as section 2.2 allows, but not some of them.

--- a/lib/h1/grammar.c
+++ b/lib/h1/grammar.c
@@ -37,6 +37,23 @@
   return true;
 }
 
+/* Goes to NEXT after a line feed, to AFTER_CR after a carriage return. Returns
+   false for any other byte.  A sender may end its lines with a line feed
+   alone, but then all of them: a line feed among other line ends is a stray
+   byte.  */
+static bool
+end_line (struct h1_grammar *grammar, unsigned char c,
+          enum h1_grammar_state after_cr, enum h1_grammar_state next)
+{
+  enum h1_line_end end = c == '\r' ? H1_LINE_END_CRLF : H1_LINE_END_LF;
+  if (c != '\r' && c != '\n')
+    return false;
+  if (grammar->line_end == H1_LINE_END_UNKNOWN)
+    grammar->line_end = end;
+  return grammar->line_end == end
+         && go_to (grammar, c == '\r' ? after_cr : next);
+}
+
 /* Takes C up to the status code: the version, of which the minor number is
    free, and three digits, of which the first is a class of RFC 9110.  */
 static bool
@@ -78,21 +95,21 @@
     case H1_GRAMMAR_STATUS_END:
       /* Recipients may ignore that the space is missing.  */
       return (c == ' ' && go_to (grammar, H1_GRAMMAR_REASON))
-             || (c == '\r' && go_to (grammar, H1_GRAMMAR_REASON))
-             || (c == '\n' && go_to (grammar, H1_GRAMMAR_FIELD));
+             || end_line (grammar, c, H1_GRAMMAR_LINE_LF, H1_GRAMMAR_FIELD);
     case H1_GRAMMAR_REASON:
-      return is_text (c) || c == '\r'
-             || (c == '\n' && go_to (grammar, H1_GRAMMAR_FIELD));
     case H1_GRAMMAR_VALUE:
-      return c != '\n' || go_to (grammar, H1_GRAMMAR_FIELD);
+      return is_text (c)
+             || end_line (grammar, c, H1_GRAMMAR_LINE_LF, H1_GRAMMAR_FIELD);
+    case H1_GRAMMAR_LINE_LF:
+      return c == '\n' && go_to (grammar, H1_GRAMMAR_FIELD);
     case H1_GRAMMAR_FIELD:
       return (is_token (c) && go_to (grammar, H1_GRAMMAR_NAME))
-             || (c == '\r' && go_to (grammar, H1_GRAMMAR_FIELDS_LF))
-             || (c == '\n' && go_to (grammar, H1_GRAMMAR_FIELDS_END));
+             || end_line (grammar, c, H1_GRAMMAR_FIELDS_LF,
+                          H1_GRAMMAR_FIELDS_END);
     case H1_GRAMMAR_NAME:
       return is_token (c) || (c == ':' && go_to (grammar, H1_GRAMMAR_VALUE));
     case H1_GRAMMAR_FIELDS_LF:
-      return go_to (grammar, H1_GRAMMAR_FIELDS_END);
+      return c == '\n' && go_to (grammar, H1_GRAMMAR_FIELDS_END);
     default:
       return false;
     }
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -79,7 +79,8 @@
   H1_GRAMMAR_STATUS_LINE, /* up to the status code */
   H1_GRAMMAR_STATUS_END,
   H1_GRAMMAR_REASON,
-  H1_GRAMMAR_FIELD, /* the first byte of a line */
+  H1_GRAMMAR_LINE_LF, /* of a status line or a field */
+  H1_GRAMMAR_FIELD,   /* the first byte of a line */
   H1_GRAMMAR_NAME,
   H1_GRAMMAR_VALUE,
   H1_GRAMMAR_FIELDS_LF,
@@ -87,13 +88,21 @@
   H1_GRAMMAR_BODY /* any bytes */
 };
 
+enum h1_line_end
+{
+  H1_LINE_END_UNKNOWN,
+  H1_LINE_END_CRLF,
+  H1_LINE_END_LF
+};
+
 /* A check of the bytes that frame a message against RFC 9112.  http_parser, as
    it is built for distributions, lets through much that is no message.  */
 struct h1_grammar
 {
   enum h1_grammar_state state;
   bool failed;
-  size_t position; /* within the start line */
+  enum h1_line_end line_end; /* of the lines so far */
+  size_t position;           /* within the start line */
 };
 
 void h1_grammar_init (struct h1_grammar *grammar, bool is_reply);
--- a/lib/h1/test_grammar.c
+++ b/lib/h1/test_grammar.c
@@ -97,6 +97,12 @@
   CHECK (samples);
 }
 
+static bool
+is_text (unsigned char c)
+{
+  return c == '\t' || (c >= 0x20 && c != 0x7f);
+}
+
 TEST (a_status_line_has_one_form)
 {
   static const struct sample samples[] = {
@@ -119,11 +125,15 @@
     { "HTTP/1.1 200 a reason: \"\t\xc3\xa4\"\r\n" LEN, "abc" },
     /* A recipient may ignore that the space is missing, and a CR.  */
     { "HTTP/1.1 200\r\n" LEN, "abc" },
-    { "HTTP/1.1 200 O\001K\r\n" LEN, NULL },
-    { "HTTP/1.1 200 \x7f\r\n" LEN, NULL },
     { "HTTP/1.1 200 OK\nContent-Length: 3\n\nabc", "abc" },
+    /* One kind of line end in a message.  */
+    { "HTTP/1.1 200 OK\n" LEN, NULL },
+    { OK "\nX: y\r\n" LEN, NULL },
+    { OK "X: y\n" LEN, NULL },
   };
   CHECK (samples);
+  check_each_byte ("HTTP/1.1 200 ?K\r\n" LEN, is_text);
+  check_each_byte ("HTTP/1.1 200 O?\r\n" LEN, is_text);
 }
 
 static bool
@@ -161,11 +171,36 @@
     { OK "!#$%&'*+-.^_`|~9aZ:z\r\n" LEN, "abc" },
   };
   CHECK (samples);
-  check_each_byte (OK "A: b\r\nX?Y: z\r\n" LEN, is_token_or_colon);
+  check_each_byte (OK "?: z\r\n" LEN, is_token);
+  check_each_byte (OK "A: b\r\n?Y: z\r\n" LEN, is_token);
   check_each_byte (OK "X?Y: z\r\n" LEN, is_token_or_colon);
   check_each_byte (OK "X?: z\r\n" LEN, is_token_or_colon);
 }
 
+TEST (a_value_of_a_field_has_no_control_bytes)
+{
+  check_each_byte (OK "X:?\r\n" LEN, is_text);
+  check_each_byte (OK "X:?z\r\n" LEN, is_text);
+  check_each_byte (OK "X: y?z\r\n" LEN, is_text);
+  check_each_byte (OK "X: y ?\r\n" LEN, is_text);
+  check_each_byte (OK "Connection:?\r\n" LEN, is_text);
+}
+
+TEST (a_carriage_return_is_followed_by_a_line_feed)
+{
+  static const struct sample samples[] = {
+    { "HTTP/1.1 200 OK\rX" LEN, NULL },
+    { "HTTP/1.1 200 O\rK\r\n" LEN, NULL },
+    { "HTTP/1.1 200 OK\r\r\n" LEN, NULL },
+    { OK "X: y\r\r\n" LEN, NULL },
+    { OK "X: y\rZ: z\r\n" LEN, NULL },
+    { OK "Content-Length: 3\r\n\rXabc", NULL },
+    { OK "Content-Length: 3\r\n\r\r\nabc", NULL },
+    { OK "X\r: y\r\n" LEN, NULL },
+  };
+  CHECK (samples);
+}
+
 TEST (a_length_is_one_number)
 {
   static const struct sample samples[] = {
@@ -196,6 +231,8 @@
     { POST "Content-Length : 3\r\n\r\nabc", NULL },
     { POST " X: z\r\n" LEN, NULL },
     { POST "X: y\r\n z\r\n" LEN, NULL },
+    { POST "X:\001\r\n" LEN, NULL },
+    { POST "Content-Length: 3\r\n\rXabc", NULL },
     { POST LEN, "abc" },
     { "\r\n" POST LEN, "abc" },
     { POST CHUNKED "3;a=b\r\nabc\r\n0\r\nT: x\r\n\r\n", "abc" },
--- a/tests/process/broken-answers.sh
+++ b/tests/process/broken-answers.sh
@@ -85,6 +85,7 @@
     "HTTP/1.1 200 OK\r\nX\001Y: z\r\n$LEN"
 broken "a tab before the name of a field" \
     "HTTP/1.1 200 OK\r\nX: y\r\n\tY: z\r\n$LEN"
+broken "a control byte in a value" "HTTP/1.1 200 OK\r\nY:\001z\r\n$LEN"
 
 sound "an empty reason" "HTTP/1.1 200 \r\n$LEN" 200 ok
 sound "bytes beyond ASCII" \
