h1: refuse transfer codings that would have to be undone

Cause: a reply with "Transfer-Encoding: gzip, chunked" lost its chunks and its Transfer-Encoding field, and callers got the compressed bytes as the body. With "gzip" alone, "chunked, chunked" or "chunked;q=1" they got the raw bytes up to the end of the connection, chunk sizes included. No request asks for such a coding.

Change: the only transfer coding of a message is one "chunked" (RFC 9112, sections 6.1 and 7), which HTTP/1.0 does not have; anything else is no message. The same holds for requests, whose bodies went to targets in the same way.

Seen failing before: broken-answers.sh, "a transfer coding that is not undone: '200' instead of '502'"; test_grammar: "taken: Transfer-Encoding: gzip".

--- a/lib/h1/message.c
+++ b/lib/h1/message.c
@@ -141,13 +141,37 @@
   return (struct rw_str){ reader->head.ptr + slice.offset, slice.len };
 }
 
+/* Returns whether the body can be read: it has no transfer coding, or only the
+   chunked one, which the parser says in IS_CHUNKED.  Others were not asked for
+   and would have to be undone.  */
+static bool
+is_coding_known (const struct h1_reader *reader, bool is_chunked)
+{
+  size_t count = 0;
+  for (size_t i = 0; i < reader->header_count; i++)
+    if (h1_name_eq (slice_str (reader, reader->names[i]), "Transfer-Encoding"))
+      {
+        struct rw_str value
+            = rw_str_trim (slice_str (reader, reader->values[i]));
+        if (++count > 1 || !h1_name_eq (value, "chunked"))
+          return false;
+      }
+  return count == 0 || (is_chunked && reader->parser.http_minor > 0);
+}
+
 static int
 on_headers_complete (http_parser *parser)
 {
   struct h1_reader *reader = get_reader (parser);
   bool is_reply = parser->type == HTTP_RESPONSE;
+  bool is_chunked = (parser->flags & F_CHUNKED) != 0;
   reader->head_complete = true;
   h1_grammar_begin_body (&reader->grammar);
+  if (!is_coding_known (reader, is_chunked))
+    {
+      fail (reader, H1_PARSE_SYNTAX);
+      return -1;
+    }
   if (is_reply)
     return reader->skip_body ? 1 : 0;
   if (parser->content_length != ULLONG_MAX
--- a/lib/h1/test_grammar.c
+++ b/lib/h1/test_grammar.c
@@ -201,6 +201,32 @@
   CHECK (samples);
 }
 
+TEST (a_transfer_coding_is_chunked_alone)
+{
+#define CHUNKS "\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+  static const struct sample samples[] = {
+    { OK "Transfer-Encoding: gzip\r\n\r\nabc", NULL },
+    { OK "Transfer-Encoding: identity\r\n\r\nabc", NULL },
+    { OK "Transfer-Encoding: xchunked\r\n\r\nabc", NULL },
+    { OK "Transfer-Encoding:\r\n\r\nabc", NULL },
+    { OK "Transfer-Encoding: gzip, chunked" CHUNKS, NULL },
+    { OK "Transfer-Encoding: chunked, gzip" CHUNKS, NULL },
+    { OK "Transfer-Encoding: chunked, chunked" CHUNKS, NULL },
+    { OK "Transfer-Encoding: x chunked" CHUNKS, NULL },
+    { OK "Transfer-Encoding: chunked;q=1" CHUNKS, NULL },
+    { OK "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked" CHUNKS,
+      NULL },
+    { OK "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked" CHUNKS,
+      NULL },
+    { OK "Content-Length: 3\r\nTransfer-Encoding: chunked" CHUNKS, NULL },
+    { OK "Transfer-Encoding: chunked\r\nContent-Length: 3" CHUNKS, NULL },
+    { "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked" CHUNKS, NULL },
+    { OK "Transfer-Encoding: chunked" CHUNKS, "abc" },
+    { OK "Transfer-Encoding:CHUNKED " CHUNKS, "abc" },
+  };
+  CHECK (samples);
+}
+
 TEST (a_length_is_one_number)
 {
   static const struct sample samples[] = {
@@ -233,6 +259,7 @@
     { POST "X: y\r\n z\r\n" LEN, NULL },
     { POST "X:\001\r\n" LEN, NULL },
     { POST "Content-Length: 3\r\n\rXabc", NULL },
+    { POST "Transfer-Encoding: gzip, chunked" CHUNKS, NULL },
     { POST LEN, "abc" },
     { "\r\n" POST LEN, "abc" },
     { POST CHUNKED "3;a=b\r\nabc\r\n0\r\nT: x\r\n\r\n", "abc" },
--- a/tests/process/broken-answers.sh
+++ b/tests/process/broken-answers.sh
@@ -86,6 +86,8 @@
 broken "a tab before the name of a field" \
     "HTTP/1.1 200 OK\r\nX: y\r\n\tY: z\r\n$LEN"
 broken "a control byte in a value" "HTTP/1.1 200 OK\r\nY:\001z\r\n$LEN"
+broken "a transfer coding that is not undone" \
+    "HTTP/1.1 200 OK\r\n${FIELDS}Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
 
 sound "an empty reason" "HTTP/1.1 200 \r\n$LEN" 200 ok
 sound "bytes beyond ASCII" \
