h1: refuse malformed chunks

Cause: the parser skips the two bytes after the data of a chunk and the one after a carriage return whatever they are, and takes any bytes behind a size. A body of another length than its chunks say reached callers cut off or with a chunk line in it: "2", "okay0" was the body "ok" and a last chunk. One byte of content could come with 80 KB of extension, so the limit of a body bounded nothing.

Change: grammar.c checks sizes, extensions, line ends and trailers of chunked bodies (RFC 9112, section 7.1). Extensions and leading zeros of one message may have 64 KiB together.

Seen failing before: broken-answers.sh, "a chunk with a wrong size: '200' instead of '502'"; test_grammar: "taken: 3, abcXY0". Chunks with an extension and a trailer stay answers.

--- a/lib/h1/grammar.c
+++ b/lib/h1/grammar.c
@@ -2,6 +2,12 @@
 
 #include "h1.h"
 
+/* Bytes of chunk extensions and leading zeros of sizes that are accepted in
+   one message: they carry no content, so a limit of bodies does not hold
+   them.  */
+#define MAX_CHUNK_PADDING 65536
+#define MAX_SIZE_DIGITS 16 /* of 64 bits */
+
 void
 h1_grammar_init (struct h1_grammar *grammar, bool is_reply)
 {
@@ -9,6 +15,12 @@
   grammar->state = is_reply ? H1_GRAMMAR_STATUS_LINE : H1_GRAMMAR_REQUEST_LINE;
 }
 
+static bool
+is_blank (unsigned char c)
+{
+  return c == ' ' || c == '\t';
+}
+
 /* HTAB, SP, VCHAR and obs-text.  */
 static bool
 is_text (unsigned char c)
@@ -30,6 +42,19 @@
          || (c != '\0' && strchr ("!#$%&'*+-.^_`|~", c) != NULL);
 }
 
+/* Returns the value of a hexadecimal digit, or -1.  */
+static int
+hex_value (unsigned char c)
+{
+  if (is_digit (c))
+    return c - '0';
+  if (c >= 'A' && c <= 'F')
+    return c - 'A' + 10;
+  if (c >= 'a' && c <= 'f')
+    return c - 'a' + 10;
+  return -1;
+}
+
 static bool
 go_to (struct h1_grammar *grammar, enum h1_grammar_state state)
 {
@@ -115,6 +140,116 @@
     }
 }
 
+/* Counts a byte that carries no content.  */
+static bool
+count_padding (struct h1_grammar *grammar)
+{
+  return ++grammar->padding <= MAX_CHUNK_PADDING;
+}
+
+/* Takes C as a digit of a chunk's size.  */
+static bool
+take_size_digit (struct h1_grammar *grammar, unsigned char c)
+{
+  int value = hex_value (c);
+  if (value < 0)
+    return false;
+  if (value == 0 && grammar->chunk_left == 0)
+    return count_padding (grammar);
+  grammar->chunk_left = grammar->chunk_left * 16 + (uint64_t)value;
+  return ++grammar->size_digits <= MAX_SIZE_DIGITS;
+}
+
+/* Takes C after the size of a chunk or an extension.  */
+static bool
+take_size_end (struct h1_grammar *grammar, unsigned char c)
+{
+  return (is_blank (c) && go_to (grammar, H1_GRAMMAR_SIZE_BLANK))
+         || (c == ';' && go_to (grammar, H1_GRAMMAR_EXTENSION))
+         || (c == '\r' && go_to (grammar, H1_GRAMMAR_SIZE_LF));
+}
+
+/* Takes C of a chunk extension: a name, "=" and a token or a quoted string,
+   with blanks around each.  */
+static bool
+take_extension (struct h1_grammar *grammar, unsigned char c)
+{
+  switch (grammar->state)
+    {
+    case H1_GRAMMAR_SIZE_BLANK:
+      return is_blank (c)
+             || (c == ';' && go_to (grammar, H1_GRAMMAR_EXTENSION));
+    case H1_GRAMMAR_EXTENSION:
+      return is_blank (c)
+             || (is_token (c) && go_to (grammar, H1_GRAMMAR_EXTENSION_NAME));
+    case H1_GRAMMAR_EXTENSION_NAME:
+      return is_token (c)
+             || (is_blank (c) && go_to (grammar, H1_GRAMMAR_EXTENSION_BLANK))
+             || (c == '=' && go_to (grammar, H1_GRAMMAR_EXTENSION_EQUALS))
+             || take_size_end (grammar, c);
+    case H1_GRAMMAR_EXTENSION_BLANK:
+      return is_blank (c)
+             || (c == '=' && go_to (grammar, H1_GRAMMAR_EXTENSION_EQUALS))
+             || (c == ';' && go_to (grammar, H1_GRAMMAR_EXTENSION));
+    case H1_GRAMMAR_EXTENSION_EQUALS:
+      return is_blank (c) || (c == '"' && go_to (grammar, H1_GRAMMAR_QUOTED))
+             || (is_token (c) && go_to (grammar, H1_GRAMMAR_EXTENSION_VALUE));
+    case H1_GRAMMAR_EXTENSION_VALUE:
+      return is_token (c) || take_size_end (grammar, c);
+    case H1_GRAMMAR_QUOTED:
+      if (c == '\\')
+        return go_to (grammar, H1_GRAMMAR_QUOTED_PAIR);
+      if (c == '"')
+        return go_to (grammar, H1_GRAMMAR_QUOTED_END);
+      return is_text (c);
+    case H1_GRAMMAR_QUOTED_PAIR:
+      return is_text (c) && go_to (grammar, H1_GRAMMAR_QUOTED);
+    case H1_GRAMMAR_QUOTED_END:
+      return take_size_end (grammar, c);
+    default:
+      return false;
+    }
+}
+
+/* Takes C of the lines of a chunk.  */
+static bool
+take_chunk (struct h1_grammar *grammar, unsigned char c)
+{
+  switch (grammar->state)
+    {
+    case H1_GRAMMAR_SIZE:
+      grammar->chunk_left = 0;
+      grammar->size_digits = 0;
+      return take_size_digit (grammar, c)
+             && go_to (grammar, H1_GRAMMAR_SIZE_DIGITS);
+    case H1_GRAMMAR_SIZE_DIGITS:
+      return hex_value (c) >= 0 ? take_size_digit (grammar, c)
+                                : take_size_end (grammar, c);
+    case H1_GRAMMAR_SIZE_LF:
+      return c == '\n'
+             && go_to (grammar, grammar->chunk_left > 0 ? H1_GRAMMAR_DATA
+                                                        : H1_GRAMMAR_FIELD);
+    case H1_GRAMMAR_DATA_CR:
+      return c == '\r' && go_to (grammar, H1_GRAMMAR_DATA_LF);
+    case H1_GRAMMAR_DATA_LF:
+      return c == '\n' && go_to (grammar, H1_GRAMMAR_SIZE);
+    default:
+      return take_extension (grammar, c) && count_padding (grammar);
+    }
+}
+
+/* Skips the data of a chunk within LEN bytes.  Returns their number.  */
+static size_t
+skip_data (struct h1_grammar *grammar, size_t len)
+{
+  if (len > grammar->chunk_left)
+    len = (size_t)grammar->chunk_left;
+  grammar->chunk_left -= len;
+  if (grammar->chunk_left == 0)
+    grammar->state = H1_GRAMMAR_DATA_CR;
+  return len;
+}
+
 size_t
 h1_grammar_check (struct h1_grammar *grammar, const char *data, size_t len)
 {
@@ -126,14 +261,21 @@
         break;
       if (grammar->state == H1_GRAMMAR_BODY)
         return len;
-      grammar->failed = !take_head (grammar, c);
+      if (grammar->state == H1_GRAMMAR_DATA)
+        {
+          at += skip_data (grammar, len - at);
+          continue;
+        }
+      grammar->failed = grammar->state < H1_GRAMMAR_SIZE
+                            ? !take_head (grammar, c)
+                            : !take_chunk (grammar, c);
       at++;
     }
   return at;
 }
 
 void
-h1_grammar_begin_body (struct h1_grammar *grammar)
+h1_grammar_begin_body (struct h1_grammar *grammar, bool is_chunked)
 {
-  grammar->state = H1_GRAMMAR_BODY;
+  grammar->state = is_chunked ? H1_GRAMMAR_SIZE : H1_GRAMMAR_BODY;
 }
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -84,8 +84,24 @@
   H1_GRAMMAR_NAME,
   H1_GRAMMAR_VALUE,
   H1_GRAMMAR_FIELDS_LF,
-  H1_GRAMMAR_FIELDS_END,
-  H1_GRAMMAR_BODY /* any bytes */
+  H1_GRAMMAR_FIELDS_END, /* of a head or of trailers */
+  H1_GRAMMAR_BODY,       /* any bytes */
+  /* A chunked body.  */
+  H1_GRAMMAR_SIZE,
+  H1_GRAMMAR_SIZE_DIGITS,
+  H1_GRAMMAR_SIZE_BLANK,
+  H1_GRAMMAR_SIZE_LF,
+  H1_GRAMMAR_EXTENSION,
+  H1_GRAMMAR_EXTENSION_NAME,
+  H1_GRAMMAR_EXTENSION_BLANK,
+  H1_GRAMMAR_EXTENSION_EQUALS,
+  H1_GRAMMAR_EXTENSION_VALUE,
+  H1_GRAMMAR_QUOTED,
+  H1_GRAMMAR_QUOTED_PAIR,
+  H1_GRAMMAR_QUOTED_END,
+  H1_GRAMMAR_DATA,
+  H1_GRAMMAR_DATA_CR,
+  H1_GRAMMAR_DATA_LF
 };
 
 enum h1_line_end
@@ -103,16 +119,19 @@
   bool failed;
   enum h1_line_end line_end; /* of the lines so far */
   size_t position;           /* within the start line */
+  uint64_t chunk_left;       /* bytes of the chunk's data */
+  unsigned int size_digits;
+  size_t padding; /* bytes of chunk lines that carry no content */
 };
 
 void h1_grammar_init (struct h1_grammar *grammar, bool is_reply);
-/* Checks DATA, up to the end of the head.  Returns the number
+/* Checks DATA, up to the end of the head or of the chunks.  Returns the number
    of bytes that were checked, and sets failed if the last of them makes DATA
    no message.  */
 size_t h1_grammar_check (struct h1_grammar *grammar, const char *data,
                          size_t len);
 /* Goes on after the end of the head.  */
-void h1_grammar_begin_body (struct h1_grammar *grammar);
+void h1_grammar_begin_body (struct h1_grammar *grammar, bool is_chunked);
 
 /* A parser that collects one message.  */
 struct h1_reader
--- a/lib/h1/message.c
+++ b/lib/h1/message.c
@@ -166,7 +166,7 @@
   bool is_reply = parser->type == HTTP_RESPONSE;
   bool is_chunked = (parser->flags & F_CHUNKED) != 0;
   reader->head_complete = true;
-  h1_grammar_begin_body (&reader->grammar);
+  h1_grammar_begin_body (&reader->grammar, is_chunked);
   if (!is_coding_known (reader, is_chunked))
     {
       fail (reader, H1_PARSE_SYNTAX);
--- a/lib/h1/test_grammar.c
+++ b/lib/h1/test_grammar.c
@@ -247,6 +247,55 @@
   CHECK (samples);
 }
 
+TEST (chunks_have_one_form)
+{
+  static const struct sample samples[] = {
+    /* The line after the data of a chunk.  */
+    { OK CHUNKED "3\r\nabcXY0\r\n\r\n", NULL },
+    { OK CHUNKED "3\r\nabcde\r\n0\r\n\r\n", NULL },
+    { OK CHUNKED "3\r\nabc\n0\r\n\r\n", NULL },
+    { OK CHUNKED "3\r\nabc\r0\r\n\r\n", NULL },
+    { OK CHUNKED "5\r\nabc\r\n0\r\n\r\n", NULL },
+    /* The size.  */
+    { OK CHUNKED "\r\nabc\r\n0\r\n\r\n", NULL },
+    { OK CHUNKED "+3\r\nabc\r\n0\r\n\r\n", NULL },
+    { OK CHUNKED "0x3\r\nabc\r\n0\r\n\r\n", NULL },
+    { OK CHUNKED " 3\r\nabc\r\n0\r\n\r\n", NULL },
+    { OK CHUNKED "3 \r\nabc\r\n0\r\n\r\n", NULL },
+    { OK CHUNKED "3 z\r\nabc\r\n0\r\n\r\n", NULL },
+    { OK CHUNKED "3\rXabc\r\n0\r\n\r\n", NULL },
+    { OK CHUNKED "3\nabc\r\n0\r\n\r\n", NULL },
+    { OK CHUNKED "10000000000000003\r\nabc\r\n0\r\n\r\n", NULL },
+    { OK CHUNKED "ffffffffffffffff\r\nabc\r\n0\r\n\r\n", NULL },
+    { OK CHUNKED "3\r\nabc\r\n\r\n\r\n", NULL },
+    { OK CHUNKED "3\r\nabc\r\n", NULL },
+    { OK CHUNKED "3\r\nabc\r\n0\r\n", NULL },
+    { OK CHUNKED "003\r\nabc\r\n00\r\n\r\n", "abc" },
+    { OK CHUNKED "A\r\n0123456789\r\n1\r\nx\r\n0\r\n\r\n", "0123456789x" },
+    { OK CHUNKED "0\r\n\r\n", "" },
+    /* Extensions.  */
+    { OK CHUNKED "3;\r\nabc\r\n0\r\n\r\n", NULL },
+    { OK CHUNKED "3;a b\r\nabc\r\n0\r\n\r\n", NULL },
+    { OK CHUNKED "3;a=\r\nabc\r\n0\r\n\r\n", NULL },
+    { OK CHUNKED "3;a=b\nabc\r\n0\r\n\r\n", NULL },
+    { OK CHUNKED "3;a=\"b\r\nabc\r\n0\r\n\r\n", NULL },
+    { OK CHUNKED "3;a=\"b\"c\r\nabc\r\n0\r\n\r\n", NULL },
+    { OK CHUNKED "3;a=b;\r\nabc\r\n0\r\n\r\n", NULL },
+    { OK CHUNKED "3;a\001=b\r\nabc\r\n0\r\n\r\n", NULL },
+    { OK CHUNKED "3;a=\"\001\"\r\nabc\r\n0\r\n\r\n", NULL },
+    { OK CHUNKED "3;a\r\nabc\r\n0;z\r\n\r\n", "abc" },
+    { OK CHUNKED "3 ; a = b\t;c=\"d;\\\" \xc3\xa4\" ;e\r\nabc\r\n0\r\n\r\n",
+      "abc" },
+    /* Trailers.  */
+    { OK CHUNKED "3\r\nabc\r\n0\r\nT x: y\r\n\r\n", NULL },
+    { OK CHUNKED "3\r\nabc\r\n0\r\nT\r\n\r\n", NULL },
+    { OK CHUNKED "3\r\nabc\r\n0\r\nT:\001\r\n\r\n", NULL },
+    { OK CHUNKED "3\r\nabc\r\n0\r\n\rX", NULL },
+    { OK CHUNKED "3\r\nabc\r\n0\r\nT: y\r\nU:\r\n\r\n", "abc" },
+  };
+  CHECK (samples);
+}
+
 /* A request that is refused by the targets' servers, or that they read
    otherwise than this tier, must not be forwarded.  */
 TEST (requests_have_the_same_fields_and_chunks)
@@ -260,6 +309,8 @@
     { POST "X:\001\r\n" LEN, NULL },
     { POST "Content-Length: 3\r\n\rXabc", NULL },
     { POST "Transfer-Encoding: gzip, chunked" CHUNKS, NULL },
+    { POST CHUNKED "3\r\nabcXY0\r\n\r\n", NULL },
+    { POST CHUNKED "3 z\r\nabc\r\n0\r\n\r\n", NULL },
     { POST LEN, "abc" },
     { "\r\n" POST LEN, "abc" },
     { POST CHUNKED "3;a=b\r\nabc\r\n0\r\nT: x\r\n\r\n", "abc" },
--- a/tests/process/broken-answers.sh
+++ b/tests/process/broken-answers.sh
@@ -88,12 +88,16 @@
 broken "a control byte in a value" "HTTP/1.1 200 OK\r\nY:\001z\r\n$LEN"
 broken "a transfer coding that is not undone" \
     "HTTP/1.1 200 OK\r\n${FIELDS}Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+broken "a chunk with a wrong size" \
+    "HTTP/1.1 200 OK\r\n${FIELDS}Transfer-Encoding: chunked\r\n\r\n2\r\nokay0\r\n\r\n"
 
 sound "an empty reason" "HTTP/1.1 200 \r\n$LEN" 200 ok
 sound "bytes beyond ASCII" \
     "HTTP/1.1 200 \303\244\r\nY: \303\244\r\n$LEN" 200 ok
 sound "a rare success" "HTTP/1.1 299 Rare\r\n$LEN" 299 ok
 sound "a rare refusal" "HTTP/1.1 451 Law\r\n$LEN" 451 ok
+sound "chunks with an extension and a trailer" \
+    "HTTP/1.1 200 OK\r\n${FIELDS}Transfer-Encoding: Chunked\r\n\r\n1;a=\"b c\"\r\no\r\n1\r\nk\r\n0\r\nT: x\r\n\r\n" 200 ok
 
 # Another target serves what may be repeated.
 answer "HTTP/1.1 000 OK\r\n$LEN"
