h1: end 1xx, 204 and 304 replies with their heads

What callers saw: a target answered 304 with the Content-Length of what it did not send, as RFC 9110, section 8.6, allows, and the caller got no answer until the deadline. After an interim reply with a length, the first bytes of the final reply counted as its body and the caller got 502.

Cause: the reader told the parser only of replies to HEAD that no body follows. The parser goes by the length whatever the status is. A 204 with a length was given a body.

Change: replies with these statuses end with their heads (RFC 9112, section 6.3, rule 1). What follows a 204 nevertheless belongs to no request and ends the connection, as before.

Seen failing before: broken-answers.sh, "an answer without content that names a length: '503' instead of '304'" and "an interim answer that names a length: '502' instead of '200'"; test_grammar, a_reply_without_content_ends_with_its_head.

--- a/lib/h1/message.c
+++ b/lib/h1/message.c
@@ -159,6 +159,14 @@
   return count == 0 || (is_chunked && reader->parser.http_minor > 0);
 }
 
+/* Returns whether a reply ends with its head, whatever the head says.  */
+static bool
+has_no_content (const struct h1_reader *reader)
+{
+  unsigned int status = reader->parser.status_code;
+  return reader->skip_body || status < 200 || status == 204 || status == 304;
+}
+
 static int
 on_headers_complete (http_parser *parser)
 {
@@ -173,7 +181,7 @@
       return -1;
     }
   if (is_reply)
-    return reader->skip_body ? 1 : 0;
+    return has_no_content (reader) ? 1 : 0;
   if (parser->content_length != ULLONG_MAX
       && parser->content_length > reader->max_body_bytes)
     {
--- a/lib/h1/test_grammar.c
+++ b/lib/h1/test_grammar.c
@@ -296,6 +296,21 @@
   CHECK (samples);
 }
 
+TEST (a_reply_without_content_ends_with_its_head)
+{
+  static const struct sample samples[] = {
+    { "HTTP/1.1 204 No Content\r\n" LEN, "" },
+    { "HTTP/1.1 304 Not Modified\r\n" LEN, "" },
+    { "HTTP/1.1 304 Not Modified\r\nContent-Length: 500\r\n\r\n", "" },
+    { "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n", "" },
+    { "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n", "" },
+    { "HTTP/1.1 103 Early Hints\r\nContent-Length: 500\r\n\r\n", "" },
+    { "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n", "" },
+    { "HTTP/1.1 205 Reset Content\r\nContent-Length: 0\r\n\r\n", "" },
+  };
+  CHECK (samples);
+}
+
 /* A request that is refused by the targets' servers, or that they read
    otherwise than this tier, must not be forwarded.  */
 TEST (requests_have_the_same_fields_and_chunks)
--- a/tests/process/broken-answers.sh
+++ b/tests/process/broken-answers.sh
@@ -98,6 +98,10 @@
 sound "a rare refusal" "HTTP/1.1 451 Law\r\n$LEN" 451 ok
 sound "chunks with an extension and a trailer" \
     "HTTP/1.1 200 OK\r\n${FIELDS}Transfer-Encoding: Chunked\r\n\r\n1;a=\"b c\"\r\no\r\n1\r\nk\r\n0\r\nT: x\r\n\r\n" 200 ok
+sound "an answer without content that names a length" \
+    "HTTP/1.1 304 Not Modified\r\n${FIELDS}Content-Length: 500\r\n\r\n" 304 ""
+sound "an interim answer that names a length" \
+    "HTTP/1.1 103 Early Hints\r\nContent-Length: 4\r\n\r\nHTTP/1.1 200 OK\r\n$LEN" 200 ok
 
 # Another target serves what may be repeated.
 answer "HTTP/1.1 000 OK\r\n$LEN"
