h1: refuse to switch protocols

Cause: 101 was taken for an interim reply, and the client waited until the deadline for another one on a connection that had left HTTP/1.1, as far as the target says. No request of ours asks for it: Upgrade is not forwarded.

Change: a 101 is no reply (RFC 9110, section 15.2.2), so it fails at once.

Seen failing before: broken-answers.sh, "protocols switched unasked: '504' instead of '502'"; test_grammar, nobody_asked_to_switch_protocols.

--- a/lib/h1/message.c
+++ b/lib/h1/message.c
@@ -5,6 +5,8 @@
 
 #include "h1.h"
 
+#define STATUS_SWITCHING_PROTOCOLS 101
+
 bool
 h1_name_eq (struct rw_str a, const char *b)
 {
@@ -175,7 +177,8 @@
   bool is_chunked = (parser->flags & F_CHUNKED) != 0;
   reader->head_complete = true;
   h1_grammar_begin_body (&reader->grammar, is_chunked);
-  if (!is_coding_known (reader, is_chunked))
+  if (!is_coding_known (reader, is_chunked)
+      || (is_reply && parser->status_code == STATUS_SWITCHING_PROTOCOLS))
     {
       fail (reader, H1_PARSE_SYNTAX);
       return -1;
--- a/lib/h1/test_grammar.c
+++ b/lib/h1/test_grammar.c
@@ -311,6 +311,17 @@
   CHECK (samples);
 }
 
+TEST (nobody_asked_to_switch_protocols)
+{
+  static const struct sample samples[] = {
+    { "HTTP/1.1 101 Switching\r\n\r\n", NULL },
+    { "HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+      NULL },
+    { OK "Upgrade: x\r\nConnection: upgrade\r\n" LEN, "abc" },
+  };
+  CHECK (samples);
+}
+
 /* A request that is refused by the targets' servers, or that they read
    otherwise than this tier, must not be forwarded.  */
 TEST (requests_have_the_same_fields_and_chunks)
--- a/tests/process/broken-answers.sh
+++ b/tests/process/broken-answers.sh
@@ -75,6 +75,8 @@
 broken "status 600" "HTTP/1.1 600 OK\r\n$LEN"
 broken "a status of two digits" "HTTP/1.1 20 OK\r\n$LEN"
 broken "a status of four digits" "HTTP/1.1 0200 OK\r\n$LEN"
+broken "protocols switched unasked" \
+    "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n$LEN"
 broken "a blank in the name of a field" \
     "HTTP/1.1 200 OK\r\nX Y: z\r\n$LEN"
 broken "a blank after the name of a field" \
