--- a/lib/h1/test_grammar.c
+++ b/lib/h1/test_grammar.c
@@ -322,6 +322,21 @@
   CHECK (samples);
 }
 
+/* Guards against an id or a stamp that does not match because of blanks.  */
+TEST (blanks_around_a_value_are_no_part_of_it)
+{
+  static const char text[] = OK "A:b\r\nC: \t d e\t \r\nF: \r\n" LEN;
+  struct h1_reader reader;
+  struct h1_message message;
+  h1_reader_init (&reader, HTTP_RESPONSE);
+  assert_true (read_all (&reader, text, strlen (text), SIZE_MAX));
+  h1_reader_message (&reader, &message);
+  assert_true (rw_str_eq_cstr (h1_header_value (&message, "A"), "b"));
+  assert_true (rw_str_eq_cstr (h1_header_value (&message, "C"), "d e"));
+  assert_true (rw_str_eq_cstr (h1_header_value (&message, "F"), ""));
+  h1_reader_finish (&reader);
+}
+
 /* A request that is refused by the targets' servers, or that they read
    otherwise than this tier, must not be forwarded.  */
 TEST (requests_have_the_same_fields_and_chunks)
--- a/tests/process/broken-answers.sh
+++ b/tests/process/broken-answers.sh
@@ -98,6 +98,8 @@
     "HTTP/1.1 200 \303\244\r\nY: \303\244\r\n$LEN" 200 ok
 sound "a rare success" "HTTP/1.1 299 Rare\r\n$LEN" 299 ok
 sound "a rare refusal" "HTTP/1.1 451 Law\r\n$LEN" 451 ok
+sound "blanks around values" \
+    "HTTP/1.1 200 OK\r\nX-Redwingfork-Request-Id:%%I \t\r\nX-Redwingfork-Server-Stamp: b.%%I\r\nContent-Length:2\r\n\r\nok" 200 ok
 sound "chunks with an extension and a trailer" \
     "HTTP/1.1 200 OK\r\n${FIELDS}Transfer-Encoding: Chunked\r\n\r\n1;a=\"b c\"\r\no\r\n1\r\nk\r\n0\r\nT: x\r\n\r\n" 200 ok
 sound "an answer without content that names a length" \
