rwfront: refuse answers with a content coding

What callers saw: a target's answer with Content-Encoding was passed on, and in a query the encoded bytes were merged as records.

Cause: nothing read the field. PROTOCOL.md says that such a body is not the searcher's; requests ask for none.

Change: such an answer is no answer, like one without a stamp: its request may have run, "encoded answer" is the error of the line. A refusal that says "not run" still counts as one.

Seen failing before: broken-answers.sh, "a body that is encoded: '200' instead of '502'" and "records of a broken part".

--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -399,7 +399,8 @@
   /* A reply that lacks its request's id or its stamp, which is a signature, is
      not trusted: it may come from something else at the target's address.
      Replies of peers are not signed.  */
-  bool valid = to_peer || (reply->request_id.len > 0 && reply->stamp.len > 0);
+  bool is_signed = reply->request_id.len > 0 && reply->stamp.len > 0;
+  bool valid = to_peer || (is_signed && !reply->is_encoded);
   if (reply->not_run || (to_peer && message->status == 503))
     end_send (send, STE_SHED, now);
   else if (valid && (to_peer || message->status < 500))
@@ -412,7 +413,8 @@
   if (!valid && !reply->not_run)
     {
       conn->h1.reusable = false;
-      frn_on_send_failed (send, GAT_FAIL_UNKNOWN, "unsigned answer");
+      frn_on_send_failed (send, GAT_FAIL_UNKNOWN,
+                          is_signed ? "encoded answer" : "unsigned answer");
     }
   else
     frn_on_send_reply (send, message, reply);
--- a/tests/process/broken-answers.sh
+++ b/tests/process/broken-answers.sh
@@ -92,6 +92,8 @@
     "HTTP/1.1 200 OK\r\n${FIELDS}Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
 broken "a chunk with a wrong size" \
     "HTTP/1.1 200 OK\r\n${FIELDS}Transfer-Encoding: chunked\r\n\r\n2\r\nokay0\r\n\r\n"
+broken "a body that is encoded" \
+    "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n$LEN"
 
 sound "an empty reason" "HTTP/1.1 200 \r\n$LEN" 200 ok
 sound "bytes beyond ASCII" \
@@ -131,7 +133,8 @@
 	grep -q A "$DIR/body"
 }
 await "its sound part is merged" reached
-for head in "HTTP/1.1 000 OK\r\n" "HTTP/1.1 200 OK\r\nX Y: z\r\n"; do
+for head in "HTTP/1.1 000 OK\r\n" "HTTP/1.1 200 OK\r\nX Y: z\r\n" \
+    "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n"; do
 	merged "$head${FIELDS}Content-Length: 32\r\n\r\n$PARTS"
 	[ "$(sent "query-$n")" -ge 1 ] || fail "query-$n did not reach the target"
 	grep -q 'AAAAAAAA' "$DIR/body" && fail "records of a broken part: query-$n"
