rwfront: pass on no refusal that the target does not make

What callers saw: a target in trouble answered 408, 429 or 503 without saying that it had not run the request, and callers got that status, which promises that the request has not run and never will. One that may run once could be sent again after it ran.

Cause: PROTOCOL.md says that only X-Redwingfork-Not-Executed states it, while callers go by the status. The status was passed on like any other.

Seen failing before: broken-answers.sh, "status 408 that does not say that the request did not run: '408' instead of '502'". The script now also waits until the daemon uses the other target; it began before once, and no request was served.

--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -421,11 +421,11 @@
       handle_failure (request, send->u.part, GAT_FAIL_NOT_RUN);
       return;
     }
-  if (!success && (is_gather || message->status >= 500))
+  if (!success && (is_gather || message->status >= 500 || reply->is_unfounded))
     {
       sta_inc (metrics->send_outcome[FRN_SEND_BROKEN]);
       frn_set_last_error (request, send, "target failed");
-      if (!is_gather && !request->ended)
+      if (!is_gather && !request->ended && !reply->is_unfounded)
         keep_target_reply (request, message);
       handle_failure (request, send->u.part, GAT_FAIL_RAN);
       return;
--- a/tests/process/broken-answers.sh
+++ b/tests/process/broken-answers.sh
@@ -92,6 +92,10 @@
     "HTTP/1.1 200 OK\r\n${FIELDS}Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
 broken "a chunk with a wrong size" \
     "HTTP/1.1 200 OK\r\n${FIELDS}Transfer-Encoding: chunked\r\n\r\n2\r\nokay0\r\n\r\n"
+for status in 408 429 503; do
+	broken "status $status that does not say that the request did not run" \
+	    "HTTP/1.1 $status Run\r\nRetry-After: 0\r\n$LEN"
+done
 broken "a body that is encoded" \
     "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n$LEN"
 
@@ -110,8 +114,14 @@
     "HTTP/1.1 103 Early Hints\r\nContent-Length: 4\r\n\r\nHTTP/1.1 200 OK\r\n$LEN" 200 ok
 
 # Another target serves what may be repeated.
-answer "HTTP/1.1 000 OK\r\n$LEN"
 control POST /searcher/one-0/start
+answer "HTTP/1.1 000 OK\r\n$LEN"
+other_serves() {
+	n=$((n + 1))
+	request "other-$n" /safe/x 1 >/dev/null
+	[ "$(control GET "/ran/one/other-$n")" = 1 ]
+}
+await "the other target is used" other_serves
 good=0
 for i in $(seq 20); do
 	status=$(request "again-$i" /safe/x 1)
