h1: test bytes without end in each place of a reply

Operators of similar systems reported a target that sent bytes without end, in a head or in a body. test_endless now floods the client in 22 places of a head and 17 of a body, and checks what the client reads and keeps.

--- a/lib/h1/test_endless.c
+++ b/lib/h1/test_endless.c
@@ -218,6 +218,86 @@
                < 2 * MAX_BODY_BYTES + SOCKET_BYTES);
 }
 
+/* Sends HEAD and then UNIT without end to a client, which must close within
+   the limits of a head and of a body, and deliver nothing.  */
+static void
+check_flood (struct fixture *f, const char *head, const char *unit)
+{
+  connect_all (f, 1);
+  f->ended = f->most_buffered = 0;
+  size_t written = flood (f, head, unit);
+  if (written >= 2 * MAX_BODY_BYTES + SOCKET_BYTES)
+    print_message ("%zu bytes: %s%.20s\n", written, head, unit);
+  assert_true (written < 2 * MAX_BODY_BYTES + SOCKET_BYTES);
+  assert_true (f->most_buffered < 4 * MAX_BODY_BYTES);
+  assert_int_equal (f->replies, 0);
+  close (f->fds[0]);
+  f->count = 0;
+  uv_run (&f->loop, UV_RUN_DEFAULT);
+}
+
+/* Guards against bytes without end in each place of a head.  */
+TEST_WITH_FIXTURE (each_place_of_a_head)
+{
+  static const char *const heads[][2] = {
+    { "", "aaaaaaaa" },
+    { "", "\r\n" },
+    { "", "HTTP/1.1" },
+    { "HTTP/1.", "1" },
+    { "HTTP/1.1", "    " },
+    { "HTTP/1.1 ", "2" },
+    { "HTTP/1.1 200", "    " },
+    { "HTTP/1.1 200 ", "reason " },
+    { "HTTP/1.1 200 OK", "\r" },
+    { "HTTP/1.1 200 OK\r\n", "name" },
+    { "HTTP/1.1 200 OK\r\n", "    " },
+    { "HTTP/1.1 200 OK\r\nX", "    " },
+    { "HTTP/1.1 200 OK\r\nX:", "    " },
+    { "HTTP/1.1 200 OK\r\nX: ", "value" },
+    { "HTTP/1.1 200 OK\r\nX: y", "    " },
+    { "HTTP/1.1 200 OK\r\nX: y\r\n", " z\r\n" },
+    { "HTTP/1.1 200 OK\r\nContent-Length: ", "0" },
+    { "HTTP/1.1 200 OK\r\nContent-Length: ", "9" },
+    { "HTTP/1.1 200 OK\r\n", "Content-Length: 9\r\n" },
+    { "HTTP/1.1 200 OK\r\n", ":\r\n" },
+    { "HTTP/1.1 200 OK\r\n", "X:\r\n" },
+    { "HTTP/1.1 103 Early Hints\r\n", "X: y\r\n" },
+  };
+  for (size_t i = 0; i < RW_ARRAY_LEN (heads); i++)
+    check_flood (f, heads[i][0], heads[i][1]);
+}
+
+/* Guards against bytes without end in each place of a body.  */
+TEST_WITH_FIXTURE (each_place_of_a_body)
+{
+#define CHUNKED "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+#define LONG                                                                  \
+  "abcdefghijklmnopqrstuvwxyzabcdefghijklmnopqrstuvwxyzabcdefghijklmnop"      \
+  "abcdefghijklmnopqrstuvwxyzabcdefghijklmnopqrstuvwxyzabcdefghijklmnop"      \
+  "abcdefghijklmnopqrstuvwxyzabcdefghijklmnopqrstuvwxyzabcdefghijklmnop"
+  static const char *const bodies[][2] = {
+    { "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", "a" },
+    { CHUNKED, "aaaaaaaa" },
+    { CHUNKED, "0" },
+    { CHUNKED, "\r\n" },
+    { CHUNKED "3", "    " },
+    { CHUNKED "3;", "    " },
+    { CHUNKED "3;", "name" },
+    { CHUNKED "3;a=", "value" },
+    { CHUNKED "3;a=\"", "value " },
+    { CHUNKED "3", ";a=b" },
+    { CHUNKED, "1;" LONG "\r\na\r\n" },
+    { CHUNKED, "00000000000000000000000000000000001\r\na\r\n" },
+    { CHUNKED "0\r\n", "name" },
+    { CHUNKED "0\r\nT: ", "value" },
+    { CHUNKED "0\r\n", "T: trailer\r\n" },
+    { CHUNKED "3\r\nabc", "de" },
+    { CHUNKED "5F5E0FF\r\n", "a" },
+  };
+  for (size_t i = 0; i < RW_ARRAY_LEN (bodies); i++)
+    check_flood (f, bodies[i][0], bodies[i][1]);
+}
+
 /* Guards against many servers in trouble at once: each stays below its limit,
    and all together would fill the memory.  */
 TEST_WITH_FIXTURE (many_bodies_without_end)
