rwfront: name broken answers in lines and a counter

Cause: the line of a request whose target had sent bytes that are no answer said "connection lost", as for a crash, so operators looked for one.

tests/process/broken-answers.sh checks the line and the counter.

--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -211,6 +211,7 @@
   struct sta_series *targets_limited;
   struct sta_series *limited_sends[GAT_SEND_KIND_COUNT];
   struct sta_series *targets_ended;
+  struct sta_series *broken_answers;
   struct sta_series *capacity[3]; /* by frn_capacity_counter */
   struct sta_series *requests_held;
   struct sta_series *trials;
--- a/cmd/rwfront/metrics.c
+++ b/cmd/rwfront/metrics.c
@@ -177,6 +177,9 @@
   m->targets_ended
       = sta_counter (&m->set, "rwf_targets_ended_total",
                      "targets that ended with a request of this daemon", none);
+  m->broken_answers = sta_counter (
+      &m->set, "rwf_broken_answers_total",
+      "bytes of targets and peers that were no answer to a request", none);
   frn_capacity_init_metrics (m);
   m->requests_held
       = sta_gauge (&m->set, "rwf_requests_held_back",
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -386,6 +386,19 @@
   return withdraw;
 }
 
+/* Records that what the target sent in reply to SEND is no answer, for REASON,
+   and fails the send: the request may have run.  */
+static void
+fail_broken (struct frn_pool *pool, struct frn_send *send, const char *reason)
+{
+  struct frn_daemon *daemon = pool->daemon;
+  sta_inc (daemon->metrics.broken_answers);
+  evt_line (&daemon->log, EVT_NORMAL, "target", rw_now (),
+            "%s: target=%s id=%s", reason, pool->target->id,
+            evt_value (send->request->id).text);
+  frn_on_send_failed (send, GAT_FAIL_UNKNOWN, reason);
+}
+
 /* Ends the send of CONN with the REPLY that answers it.  */
 static void
 take_reply (struct frn_pool_conn *conn, const struct h1_message *message,
@@ -413,8 +426,8 @@
   if (!valid && !reply->not_run)
     {
       conn->h1.reusable = false;
-      frn_on_send_failed (send, GAT_FAIL_UNKNOWN,
-                          is_signed ? "encoded answer" : "unsigned answer");
+      fail_broken (conn->pool, send,
+                   is_signed ? "encoded answer" : "unsigned answer");
     }
   else
     frn_on_send_reply (send, message, reply);
@@ -489,7 +502,6 @@
   struct frn_send *send = conn->send;
   bool connecting = h1->state == H1_CLIENT_CONNECTING;
 
-  (void)code;
   pool_remove_conn (conn);
   conn->send = NULL;
   if (connecting && conn->opened_at >= pool->lost_at)
@@ -500,7 +512,12 @@
       frn_quarantine_on_loss (send->request);
       send->conn = NULL;
       end_send (send, STE_FAILED, rw_now ());
-      frn_on_send_failed (send, GAT_FAIL_UNKNOWN, "connection lost");
+      if (code == RW_E_PARSE)
+        fail_broken (pool, send, "broken answer");
+      else if (code == RW_E_RANGE)
+        fail_broken (pool, send, "answer too large");
+      else
+        frn_on_send_failed (send, GAT_FAIL_UNKNOWN, "connection lost");
     }
   if (!conn->proven)
     note_refused (pool, rw_now ());
--- a/lib/h1/client.c
+++ b/lib/h1/client.c
@@ -115,7 +115,9 @@
       size_t consumed = h1_reader_feed (&client->reader, data, len);
       if (client->reader.error != H1_PARSE_OK)
         {
-          disconnect (client, RW_E_PARSE);
+          disconnect (client, client->reader.error == H1_PARSE_SYNTAX
+                                  ? RW_E_PARSE
+                                  : RW_E_RANGE);
           return;
         }
       data += consumed;
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -300,8 +300,9 @@
   enum h1_reply_result (*on_reply) (struct h1_client *client,
                                     const struct h1_message *reply);
   /* The connection failed, could not be set up, cannot be reused or was closed
-     by the server; on_closed follows.  CODE is a negative error number.  Not
-     called after h1_client_close.  */
+     by the server; on_closed follows.  CODE is a negative error number:
+     RW_E_PARSE if the server sent no HTTP/1.1 reply, RW_E_RANGE if the reply
+     exceeds a limit.  Not called after h1_client_close.  */
   void (*on_disconnect) (struct h1_client *client, int code);
   /* The last call; the client's memory may be freed.  */
   void (*on_closed) (struct h1_client *client);
--- a/tests/process/broken-answers.sh
+++ b/tests/process/broken-answers.sh
@@ -153,3 +153,7 @@
 done
 kill -0 "$VM1" || fail "the daemon has ended"
 echo "ok: broken parts are left out"
+grep -q 'target: broken answer: target=broken-0 id=broken-1$' "$DIR/vm-1.log" ||
+    fail "the line of a broken answer"
+[ "$(metric 1 rwf_broken_answers_total)" -ge 16 ] ||
+    fail "broken answers are not counted: $(metric 1 rwf_broken_answers_total)"
