rwfctl: read answers by lib/net

What was seen: an answer with "Transfer-Encoding: gzip" ended rwfctl in an assertion of h2o's client; bytes without end in a head, a chunk extension or the trailers kept it running past any timeout (killed after 20 s: 798 MB, 17 GB and 15 GB read), as the timeout was that of the connection's silence; malformed lengths and chunks became reports.

Cause: h2o's client, as in rwfd, and a timeout that each byte restarted.

Change: rwfctl makes its calls by net_client, whose calls have a deadline; a call may have a limit of its own for the body (16 MB here, as before).

Seen failing before: broken-platform.sh, "rwfctl, a transfer coding: status 134", "rwfctl, a head without end: status 124" and three others. All pass now.

--- a/cmd/rwfctl/fetch.c
+++ b/cmd/rwfctl/fetch.c
@@ -1,19 +1,19 @@
 #include "ctl.h"
 
-#include <h2o.h>
-#include <h2o/http1client.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "net.h"
+
 #define IN_FLIGHT_MAX 64 /* requests */
 #define BODY_BYTES_MAX (16 * 1024 * 1024)
 
-/* The requests of one call of ctl_fetch.  */
+/* The requests of one call of ctl_call.  */
 struct batch
 {
   uv_loop_t loop;
-  h2o_timeout_t timeout;
-  h2o_http1client_ctx_t ctx;
+  struct net_client client;
+  const struct ctl_options *options;
   const char *method;
   const char *path;
   struct ctl_reports *reports;
@@ -21,27 +21,14 @@
   size_t in_flight;
 };
 
-/* One request.  REPORT belongs to the caller of ctl_fetch.  */
-struct fetch
-{
-  struct batch *batch;
-  struct ctl_report *report;
-  h2o_iovec_t request;
-  char request_text[256];
-  struct rw_buf body;
-  int status;
-};
-
-static void start_fetches (struct batch *batch);
-
-/* Parses the answer of FETCH into REPORT, and replaces the name by the VM in
-   the answer.  Returns null, or an error text in static memory.  */
+/* Parses the answer REPLY into REPORT, and replaces the name by the VM in the
+   answer.  Returns null, or an error text in static memory.  */
 static const char *
-parse_answer (const struct fetch *fetch, struct ctl_report *report)
+parse_answer (const struct net_reply *reply, struct ctl_report *report)
 {
-  if (fetch->status != 200)
+  if (reply->status != 200)
     return "unexpected status";
-  report->body = json_loadb (fetch->body.ptr, fetch->body.len, 0, NULL);
+  report->body = json_loadb (reply->body.ptr, reply->body.len, 0, NULL);
   if (report->body == NULL)
     return "answer is not JSON";
   if (ctl_str (report->body, "vm")[0] != '\0')
@@ -50,106 +37,39 @@
   return NULL;
 }
 
-/* Completes and frees FETCH, and starts the next.  ERROR is null if the whole
-   answer arrived.  */
+/* Takes the result of the request to the daemon of the report TAG.  */
 static void
-finish_fetch (struct fetch *fetch, const char *error)
+on_done (void *arg, uint64_t tag, const struct net_reply *reply)
 {
-  struct batch *batch = fetch->batch;
+  struct batch *batch = arg;
+  struct ctl_report *report = &batch->reports->list[tag];
+  const char *error
+      = reply->err != NULL ? reply->err->detail : parse_answer (reply, report);
 
-  if (error == NULL)
-    error = parse_answer (fetch, fetch->report);
   if (error != NULL)
-    rw_str_copy (fetch->report->error, sizeof fetch->report->error,
-                 rw_str_from (error));
-  rw_buf_finish (&fetch->body);
-  free (fetch);
+    rw_str_copy (report->error, sizeof report->error, rw_str_from (error));
   batch->in_flight--;
-  start_fetches (batch);
-}
-
-/* Appends the received part of the body.  Returns non-zero to make h2o close
-   the connection.  */
-static int
-on_body (h2o_http1client_t *client, const char *error)
-{
-  struct fetch *fetch = client->data;
-  h2o_buffer_t *input = client->sock->input;
-
-  if (error != NULL && error != h2o_http1client_error_is_eos)
-    {
-      finish_fetch (fetch, error);
-      return -1;
-    }
-  rw_buf_append (&fetch->body, input->bytes, input->size);
-  h2o_buffer_consume (&client->sock->input, input->size);
-  if (fetch->body.len > BODY_BYTES_MAX)
-    {
-      finish_fetch (fetch, "answer too long");
-      return -1;
-    }
-  if (error == h2o_http1client_error_is_eos)
-    finish_fetch (fetch, NULL);
-  return 0;
-}
-
-static h2o_http1client_body_cb
-on_head (h2o_http1client_t *client, const char *error, int minor_version,
-         int status, h2o_iovec_t msg, struct st_h2o_header_t *headers,
-         size_t headers_len, int rlen)
-{
-  struct fetch *fetch = client->data;
-
-  (void)minor_version;
-  (void)msg;
-  (void)headers;
-  (void)headers_len;
-  (void)rlen;
-  fetch->status = status;
-  if (error == h2o_http1client_error_is_eos)
-    finish_fetch (fetch, NULL);
-  else if (error != NULL)
-    finish_fetch (fetch, error);
-  return error == NULL ? on_body : NULL;
 }
 
-static h2o_http1client_head_cb
-on_connect (h2o_http1client_t *client, const char *error,
-            h2o_iovec_t **request, size_t *request_len, int *is_head)
-{
-  struct fetch *fetch = client->data;
-
-  if (error != NULL)
-    {
-      finish_fetch (fetch, error);
-      return NULL;
-    }
-  *request = &fetch->request;
-  *request_len = 1;
-  *is_head = 0;
-  return on_head;
-}
-
-/* Starts the request to the daemon of REPORT.  */
+/* Starts the request to the daemon of the report INDEX.  */
 static void
-start_fetch (struct batch *batch, struct ctl_report *report)
-{
-  struct fetch *fetch = rw_xcalloc (1, sizeof *fetch);
-  const struct ctl_addr *addr = &report->addr;
-
-  fetch->batch = batch;
-  fetch->report = report;
-  rw_buf_init (&fetch->body);
-  fetch->request.base = fetch->request_text;
-  fetch->request.len = (size_t)snprintf (
-      fetch->request_text, sizeof fetch->request_text,
-      "%s %s HTTP/1.1\r\nHost: %s:%u\r\nContent-Length: 0\r\n"
-      "Connection: close\r\n\r\n",
-      batch->method, batch->path, addr->host, addr->port);
+start_fetch (struct batch *batch, size_t index)
+{
+  const struct ctl_addr *addr = &batch->reports->list[index].addr;
+  struct net_call_spec spec
+      = { .max_connections = IN_FLIGHT_MAX,
+          .max_body_bytes = BODY_BYTES_MAX,
+          .timeout = batch->options->timeout_ms * RW_MSEC,
+          .method = batch->method,
+          .path = rw_str_from (batch->path),
+          .headers = RW_LIT ("Connection: close\r\n"),
+          .done = on_done,
+          .arg = batch,
+          .tag = index };
+
+  net_addr_set (&spec.to, rw_str_from (addr->host), addr->port);
   batch->in_flight++;
-  h2o_http1client_connect (NULL, fetch, &batch->ctx,
-                           h2o_iovec_init (addr->host, strlen (addr->host)),
-                           addr->port, 0, on_connect);
+  net_client_start (&batch->client, &spec);
 }
 
 /* Starts requests up to IN_FLIGHT_MAX.  */
@@ -157,7 +77,27 @@
 start_fetches (struct batch *batch)
 {
   while (batch->in_flight < IN_FLIGHT_MAX && batch->next < batch->reports->len)
-    start_fetch (batch, &batch->reports->list[batch->next++]);
+    start_fetch (batch, batch->next++);
+}
+
+/* Runs the requests of BATCH to their ends.  */
+static void
+run_batch (struct batch *batch)
+{
+  uv_loop_init (&batch->loop);
+  net_client_init (&batch->client, &batch->loop);
+  start_fetches (batch);
+  while (batch->in_flight > 0)
+    {
+      /* A request that failed at once leaves nothing for the loop to wait
+         for.  */
+      if (!net_client_flush (&batch->client))
+        uv_run (&batch->loop, UV_RUN_ONCE);
+      start_fetches (batch);
+    }
+  net_client_finish (&batch->client);
+  uv_run (&batch->loop, UV_RUN_DEFAULT);
+  uv_loop_close (&batch->loop);
 }
 
 /* Requests PATH with METHOD from every daemon of OPTIONS and waits for all
@@ -167,7 +107,9 @@
 ctl_call (const struct ctl_options *options, const char *method,
           const char *path, struct ctl_reports *reports)
 {
-  struct batch batch = { .method = method, .path = path, .reports = reports };
+  struct batch batch = {
+    .options = options, .method = method, .path = path, .reports = reports
+  };
 
   reports->len = options->daemon_count;
   reports->list = rw_xcalloc (reports->len, sizeof *reports->list);
@@ -177,17 +119,7 @@
       snprintf (reports->list[i].name, sizeof reports->list[i].name, "%s:%u",
                 options->daemons[i].host, options->daemons[i].port);
     }
-  uv_loop_init (&batch.loop);
-  h2o_timeout_init (&batch.loop, &batch.timeout,
-                    (uint64_t)options->timeout_ms);
-  batch.ctx.loop = &batch.loop;
-  batch.ctx.io_timeout = &batch.timeout;
-  start_fetches (&batch);
-  while (batch.in_flight > 0)
-    uv_run (&batch.loop, UV_RUN_ONCE);
-  h2o_timeout_dispose (&batch.loop, &batch.timeout);
-  uv_run (&batch.loop, UV_RUN_NOWAIT);
-  uv_loop_close (&batch.loop);
+  run_batch (&batch);
 }
 
 /* Reads PATH from every daemon, as ctl_call does.  */
--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -43,7 +43,8 @@
   uint64_t id;
   enum call_state state;
   bool sent;
-  bool aborted;                  /* done must not be called */
+  bool aborted; /* done must not be called */
+  size_t max_body_bytes;
   char peer[NET_ADDR_TEXT_SIZE]; /* for errors */
   struct rw_buf request;
   struct rw_buf body;
@@ -126,7 +127,7 @@
 
   call->state = CALL_SENT;
   call->sent = true;
-  h1_client_limit (&connection->h1, NET_MAX_BODY_BYTES,
+  h1_client_limit (&connection->h1, call->max_body_bytes,
                    &call->client->arriving);
   /* After a failed write reading fails too, and on_disconnect is called.  */
   (void)h1_client_send (&connection->h1, rw_buf_str (&call->request), false);
@@ -310,6 +311,8 @@
   call->done = spec->done;
   call->arg = spec->arg;
   call->tag = spec->tag;
+  call->max_body_bytes
+      = spec->max_body_bytes > 0 ? spec->max_body_bytes : NET_MAX_BODY_BYTES;
   call->reply.retry_after_ms = -1;
   rw_buf_init (&call->request);
   rw_buf_init (&call->body);
--- a/lib/net/net.h
+++ b/lib/net/net.h
@@ -113,7 +113,8 @@
 
 /* HTTP server.  */
 
-/* Limit of request and response bodies, also for the HTTP client.  */
+/* Limit of request and response bodies, and of those of the HTTP client unless
+   a call has its own.  */
 #define NET_MAX_BODY_BYTES (1024 * 1024)
 /* Connections above this number are closed at once.  */
 #define NET_MAX_HTTP_CONNECTIONS 4096
@@ -205,6 +206,7 @@
   struct net_addr to;
   struct rw_str peer;     /* name for errors; empty: the address */
   size_t max_connections; /* to this address; a call above it fails unsent */
+  size_t max_body_bytes;  /* of the response; 0: NET_MAX_BODY_BYTES */
   rw_time timeout; /* from the start of the call to the whole response */
   const char *method;
   struct rw_str path;
--- a/tests/process/broken-platform.sh
+++ b/tests/process/broken-platform.sh
@@ -1,8 +1,9 @@
 #!/bin/sh
-# rwfd on real sockets: the configuration service sends bytes that are no HTTP/1.1,
-# or bytes without end.  Guards against a process that ends by them or keeps them
-# all.  The memory is that of the optimized build, as the sanitizers keep what was
-# freed.
+# rwfd and rwfctl on real sockets: the configuration service, and then a daemon
+# that rwfctl asks, send bytes that are no HTTP/1.1, or bytes without end.  Guards
+# against a process that ends by them or keeps them all, and against reports that
+# are made of them.  The memory is that of the optimized build, as the sanitizers
+# keep what was freed.
 set -u
 
 cd "$(dirname "$0")/../.." || exit 1
@@ -60,3 +61,34 @@
 platform "a body without end" "HTTP/1.1 200 OK\r\nX-Version: 1\r\n\r\n" "body"
 platform "trailers without end" \
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" "T: x\r\n"
+
+# Asks the broken server as a daemon: WHAT HEAD [UNIT].
+tool() {
+	answer "$2" "${3:-}"
+	: >"$DIR/broken.out"
+	begun=$(date +%s)
+	timeout 20 $BIN/rwfctl rules -t 2000 -d 127.0.0.1:$PORT \
+	    >"$DIR/rwfctl.out" 2>&1
+	status=$?
+	[ $status -lt 124 ] || fail "rwfctl, $1: status $status"
+	grep -q '^no answer from 127.0.0.1' "$DIR/rwfctl.out" ||
+	    fail "rwfctl, $1: $(head -n 3 "$DIR/rwfctl.out")"
+	[ $(($(date +%s) - begun)) -le 5 ] || fail "rwfctl, $1: too late"
+	[ "$(taken)" -le 32 ] || fail "$1: rwfctl read $(taken) MB"
+	echo "ok: rwfctl, $1"
+}
+
+tool "a status of 000" "HTTP/1.1 000 OK\r\n$LEN"
+tool "a blank in the name of a field" "HTTP/1.1 200 OK\r\nX Y: z\r\n$LEN"
+tool "a length and another one" \
+    "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n$LEN"
+tool "a transfer coding" \
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n{}"
+tool "a chunk with a wrong size" \
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nb zz\r\n{\"vm\":\"m1\"}\r\n0\r\n\r\n"
+tool "a head without end" "HTTP/1.1 200 OK\r\nX: " "value"
+tool "a body without end" "HTTP/1.1 200 OK\r\n\r\n" "body"
+tool "chunk extensions without end" \
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;a=" "value"
+tool "trailers without end" \
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" "T: x\r\n"
