rwfront: refuse answers with two ids or two stamps

Cause: of several ids or stamps the last one counted, and all were passed on. A reply that names another request first was taken for the answer to this one, and one that says "not run" of another request for a refusal of this one. The stamp of a part was put into the list of a merged answer as it came, so that one with a comma became two entries, and one wrong entry makes the whole answer wrong.

Change: a reply whose ids differ or whose stamps differ, or with a comma in its stamp, is no answer and says of no request that it was not run (RFC 9110, section 5.3: such a field appears once).

--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -412,7 +412,8 @@
   /* A reply that lacks its request's id or its stamp, which is a signature, is
      not trusted: it may come from something else at the target's address.
      Replies of peers are not signed.  */
-  bool is_signed = reply->request_id.len > 0 && reply->stamp.len > 0;
+  bool is_signed = reply->request_id.len > 0 && reply->stamp.len > 0
+                   && !reply->is_ambiguous;
   bool valid = to_peer || (is_signed && !reply->is_encoded);
   if (reply->not_run || (to_peer && message->status == 503))
     end_send (send, STE_SHED, now);
@@ -451,8 +452,8 @@
       rch_on_reply (&pool->daemon->reach.state, now);
       prove (conn, now);
     }
-  bool is_earlier
-      = reply.request_id.len > 0 && !rw_str_eq (reply.request_id, request->id);
+  bool is_earlier = reply.request_id.len > 0 && !reply.is_ambiguous
+                    && !rw_str_eq (reply.request_id, request->id);
   bool withdraw = conn->send->scope == FRN_SCOPE_PART
                   && note_target_state (pool, &reply,
                                         is_earlier ? RW_TIME_NEVER
--- a/tests/process/broken-answers.sh
+++ b/tests/process/broken-answers.sh
@@ -96,6 +96,10 @@
 	broken "status $status that does not say that the request did not run" \
 	    "HTTP/1.1 $status Run\r\nRetry-After: 0\r\n$LEN"
 done
+broken "two ids" "HTTP/1.1 200 OK\r\nX-Redwingfork-Request-Id: other\r\n$LEN"
+broken "two stamps" "HTTP/1.1 200 OK\r\nX-Redwingfork-Server-Stamp: other\r\n$LEN"
+broken "a stamp that is a list" \
+    "HTTP/1.1 200 OK\r\nX-Redwingfork-Request-Id: %%I\r\nX-Redwingfork-Server-Stamp: a, b\r\nContent-Length: 2\r\n\r\nok"
 broken "a body that is encoded" \
     "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n$LEN"
 
@@ -144,7 +148,8 @@
 }
 await "its sound part is merged" reached
 for head in "HTTP/1.1 000 OK\r\n" "HTTP/1.1 200 OK\r\nX Y: z\r\n" \
-    "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n"; do
+    "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n" \
+    "HTTP/1.1 200 OK\r\nX-Redwingfork-Server-Stamp: a, b.query\r\n"; do
 	merged "$head${FIELDS}Content-Length: 32\r\n\r\n$PARTS"
 	[ "$(sent "query-$n")" -ge 1 ] || fail "query-$n did not reach the target"
 	grep -q 'AAAAAAAA' "$DIR/body" && fail "records of a broken part: query-$n"
