h1: state no length of a body in forwarded replies to HEAD

What callers saw: each answer to a forwarded HEAD said "Content-Length: 0", whatever GET would get, which RFC 9110, section 8.6, forbids: a cache may drop what it has.

Cause: the reply's own length is left out when it is forwarded, and the server states that of the body which it has, none.

Change: no length in a reply to HEAD without a body.

Seen failing before: broken-answers.sh, "a length of an empty body in it: '1' instead of '0'". test_h1 passes.

--- a/lib/h1/server.c
+++ b/lib/h1/server.c
@@ -162,7 +162,8 @@
   rw_buf_printf (&out, "HTTP/1.1 %d %s\r\n", reply->status,
                  reason_phrase (reply->status));
   rw_buf_append_str (&out, reply->headers);
-  if (!no_content)
+  /* The body of a forwarded reply to HEAD is not known.  */
+  if (!no_content && !(head && reply->body.len == 0))
     rw_buf_printf (&out, "Content-Length: %zu\r\n", reply->body.len);
   rw_buf_printf (&out, "%s\r\n", close ? "Connection: close\r\n" : "");
   if (!no_content && !head)
--- a/tests/process/broken-answers.sh
+++ b/tests/process/broken-answers.sh
@@ -117,6 +117,14 @@
 sound "an interim answer that names a length" \
     "HTTP/1.1 103 Early Hints\r\nContent-Length: 4\r\n\r\nHTTP/1.1 200 OK\r\n$LEN" 200 ok
 
+# The length of what GET would get is not that of an empty body.
+answer "HTTP/1.1 200 OK\r\n${FIELDS}Content-Length: 500\r\n\r\n"
+curl -s -m 5 -I -H 'Host: site.example' -H 'X-Redwingfork-Request-Id: head-1' \
+    "http://$NET.1:8104/unsafe/x" >"$DIR/head"
+expect "an answer to HEAD" "$(head -n 1 "$DIR/head" | cut -d ' ' -f 2)" 200
+expect "a length of an empty body in it" \
+    "$(grep -ci '^Content-Length: 0' "$DIR/head")" 0
+
 # Another target serves what may be repeated.
 control POST /searcher/one-0/start
 answer "HTTP/1.1 000 OK\r\n$LEN"
