net: use no idle connection on which something has arrived

Cause: the client that replaced h2o's in sent a call on an idle connection whose end, or a late response, had arrived and was not read yet.

Change: an idle connection is used only if nothing waits in its socket.

--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -124,6 +124,7 @@
   size_t padding; /* bytes of chunk lines that carry no content */
 };
 
+/* Prepares GRAMMAR for a reply or, if not IS_REPLY, a request.  */
 void h1_grammar_init (struct h1_grammar *grammar, bool is_reply);
 /* Checks DATA, up to the end of the head or of the chunks.  Returns the number
    of bytes that were checked, and sets failed if the last of them makes DATA
--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -1,8 +1,10 @@
 #include "net.h"
 
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 /* A timer that expires later than this was held up by a pause of the process;
    libuv timers have a resolution of 1 ms.  */
@@ -280,21 +282,49 @@
     fail_call (call, RW_E_RESET, "connect", uv_strerror (rc));
 }
 
+/* Returns whether nothing has arrived on CONNECTION, which is idle: the end of
+   the stream would fail the next call, and other input could be taken for its
+   response.  */
+static bool
+is_quiet (const struct connection *connection)
+{
+  uv_os_fd_t fd;
+  char byte;
+
+  return uv_fileno ((const uv_handle_t *)&connection->h1.tcp, &fd) == 0
+         && recv (fd, &byte, 1, MSG_DONTWAIT | MSG_PEEK) < 0
+         && errno == EAGAIN;
+}
+
+/* Takes the idle connection of TARGET that was used last, and closes those
+   that cannot be used.  Returns null if there is none.  */
+static struct connection *
+take_idle (struct net_target *target)
+{
+  struct connection *connection;
+
+  close_idle (target, rw_now () - NET_KEEPALIVE_TIMEOUT_MS * RW_MSEC);
+  while ((connection = target->idle) != NULL)
+    {
+      target->idle = connection->next_idle;
+      if (is_quiet (connection))
+        return connection;
+      h1_client_close (&connection->h1);
+    }
+  return NULL;
+}
+
 /* Sends CALL on an idle connection, or opens one for it.  */
 static void
 give_connection (struct net_call *call)
 {
-  struct net_target *target = call->target;
-  struct connection *connection;
+  struct connection *connection = take_idle (call->target);
 
-  close_idle (target, rw_now () - NET_KEEPALIVE_TIMEOUT_MS * RW_MSEC);
-  connection = target->idle;
   if (connection == NULL)
     {
       open_connection (call);
       return;
     }
-  target->idle = connection->next_idle;
   connection->call = call;
   call->connection = connection;
   send_request (connection);
--- a/lib/net/test_http.c
+++ b/lib/net/test_http.c
@@ -1,3 +1,5 @@
+#include <fcntl.h>
+
 #include "loop.h"
 
 #define MAX_CALLS 8
@@ -526,6 +528,41 @@
   assert_int_equal (f->calls[1].err.code, 0);
 }
 
+/* Guards against a request that is sent on a connection whose end, or whose
+   input without a request, has arrived but was not read: it would count as
+   sent, or that input be taken for its response.  */
+TEST_WITH_FIXTURE (idle_connections_with_unread_input_are_not_reused)
+{
+  static const char text[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  static const char *const late[] = { "", text };
+  char buf[512];
+  int fd;
+
+  f->raw_fd = loop_listen_raw (&f->addr);
+  fcntl (f->raw_fd, F_SETFL, O_NONBLOCK);
+  for (size_t i = 0; i < RW_ARRAY_LEN (late); i++)
+    {
+      start (f, i, "/", RW_LIT (""));
+      uv_run (&f->loop, UV_RUN_ONCE);
+      fd = accept (f->raw_fd, NULL, NULL);
+      RUN_UNTIL (f, recv (fd, buf, sizeof buf, MSG_DONTWAIT | MSG_PEEK) > 0);
+      assert_int_equal (write (fd, text, strlen (text)), strlen (text));
+      RUN_UNTIL (f, f->calls[i].report_count == 1);
+      if (late[i][0] == '\0')
+        shutdown (fd, SHUT_WR);
+      else
+        assert_int_equal (write (fd, late[i], strlen (late[i])),
+                          strlen (late[i]));
+      f->calls[i].report_count = 0;
+      f->calls[i].err.code = 0;
+      f->calls[i].body.len = 0;
+      serve_raw (f, i, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown");
+      assert_int_equal (f->calls[i].err.code, 0);
+      assert_true (body_is (f, (int)i, "own"));
+      close (fd);
+    }
+}
+
 /* Guards against the use of a request that was freed with its connection, and
    against a second response to one request.  */
 TEST_WITH_FIXTURE (responses_to_closed_connections_are_dropped)
