--- a/tests/process/broken-answers.sh
+++ b/tests/process/broken-answers.sh
@@ -8,22 +8,7 @@
 cd "$(dirname "$0")/../.." || exit 1
 BIN=build/${VARIANT:-asan}/bin
 . tests/site.sh
-
-FIELDS='X-Redwingfork-Request-Id: %%I\r\nX-Redwingfork-Server-Stamp: b.%%I\r\n'
-
-# Lets the stand-in answer with the bytes that printf makes of FORMAT.
-answer() { printf "$1" >"$DIR/broken/answer"; }
-
-# Writes the entry of the broken target under ID in SERVICE: ID SERVICE.
-publish() {
-	curl -s -m 5 -X PUT "http://127.0.0.1:$CONTROL/item/servers/$1" --data \
-	    "{\"service\":\"$2\",\"address\":\"127.0.0.1:$PORT\",\"zone\":\"dc-a\",
-	    \"version\":\"v1\",\"capacity\":2,\"state\":\"ready\",
-	    \"warmupLeftMs\":0,\"sequence\":1,\"born\":1}"
-}
-
-# Number of times the broken target was sent request ID.
-sent() { grep -c "^request $1\$" "$DIR/broken.out"; }
+. tests/broken.sh
 
 # The target's answer FORMAT is none: WHAT FORMAT.  The request may have run, so
 # it gets 502, which promises nothing, and is not sent again.
@@ -53,23 +38,19 @@
 }
 
 n=0
-mkdir "$DIR/broken"
-$BIN/rwfbroken "$DIR/broken" >"$DIR/broken.out" &
-PIDS="$PIDS $!"
-await "the broken target starts" grep -q '^port=' "$DIR/broken.out"
-PORT=$(sed -n 's/^port=//p' "$DIR/broken.out")
+start_broken
 start_site --shards 3 --singles 1
 control POST /searcher/one-0/stop
-publish broken-0 one
+publish_broken broken-0 one
 start_front 1 1
 VM1=$PID
 await "the daemon is ready" ready 1
-OK="HTTP/1.1 200 OK\r\n${FIELDS}Content-Length: 2\r\n\r\nok"
+OK="HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: 2\r\n\r\nok"
 answer "$OK"
 served() { [ "$(request "ok-$(date +%N)" /unsafe/x 1)" = 200 ]; }
 await "a request is served" served
 
-LEN="${FIELDS}Content-Length: 2\r\n\r\nok"
+LEN="${SIGNED}Content-Length: 2\r\n\r\nok"
 broken "status 000" "HTTP/1.1 000 OK\r\n$LEN"
 broken "status 099" "HTTP/1.1 099 OK\r\n$LEN"
 broken "status 600" "HTTP/1.1 600 OK\r\n$LEN"
@@ -80,7 +61,7 @@
 broken "a blank in the name of a field" \
     "HTTP/1.1 200 OK\r\nX Y: z\r\n$LEN"
 broken "a blank after the name of a field" \
-    "HTTP/1.1 200 OK\r\n${FIELDS}Content-Length : 1\r\n\r\nok"
+    "HTTP/1.1 200 OK\r\n${SIGNED}Content-Length : 1\r\n\r\nok"
 broken "a blank before the name of a field" \
     "HTTP/1.1 200 OK\r\n Y: z\r\n$LEN"
 broken "a control byte in the name of a field" \
@@ -89,9 +70,9 @@
     "HTTP/1.1 200 OK\r\nX: y\r\n\tY: z\r\n$LEN"
 broken "a control byte in a value" "HTTP/1.1 200 OK\r\nY:\001z\r\n$LEN"
 broken "a transfer coding that is not undone" \
-    "HTTP/1.1 200 OK\r\n${FIELDS}Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+    "HTTP/1.1 200 OK\r\n${SIGNED}Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
 broken "a chunk with a wrong size" \
-    "HTTP/1.1 200 OK\r\n${FIELDS}Transfer-Encoding: chunked\r\n\r\n2\r\nokay0\r\n\r\n"
+    "HTTP/1.1 200 OK\r\n${SIGNED}Transfer-Encoding: chunked\r\n\r\n2\r\nokay0\r\n\r\n"
 for status in 408 429 503; do
 	broken "status $status that does not say that the request did not run" \
 	    "HTTP/1.1 $status Run\r\nRetry-After: 0\r\n$LEN"
@@ -111,14 +92,14 @@
 sound "blanks around values" \
     "HTTP/1.1 200 OK\r\nX-Redwingfork-Request-Id:%%I \t\r\nX-Redwingfork-Server-Stamp: b.%%I\r\nContent-Length:2\r\n\r\nok" 200 ok
 sound "chunks with an extension and a trailer" \
-    "HTTP/1.1 200 OK\r\n${FIELDS}Transfer-Encoding: Chunked\r\n\r\n1;a=\"b c\"\r\no\r\n1\r\nk\r\n0\r\nT: x\r\n\r\n" 200 ok
+    "HTTP/1.1 200 OK\r\n${SIGNED}Transfer-Encoding: Chunked\r\n\r\n1;a=\"b c\"\r\no\r\n1\r\nk\r\n0\r\nT: x\r\n\r\n" 200 ok
 sound "an answer without content that names a length" \
-    "HTTP/1.1 304 Not Modified\r\n${FIELDS}Content-Length: 500\r\n\r\n" 304 ""
+    "HTTP/1.1 304 Not Modified\r\n${SIGNED}Content-Length: 500\r\n\r\n" 304 ""
 sound "an interim answer that names a length" \
     "HTTP/1.1 103 Early Hints\r\nContent-Length: 4\r\n\r\nHTTP/1.1 200 OK\r\n$LEN" 200 ok
 
 # The length of what GET would get is not that of an empty body.
-answer "HTTP/1.1 200 OK\r\n${FIELDS}Content-Length: 500\r\n\r\n"
+answer "HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: 500\r\n\r\n"
 curl -s -m 5 -I -H 'Host: site.example' -H 'X-Redwingfork-Request-Id: head-1' \
     "http://$NET.1:8104/unsafe/x" >"$DIR/head"
 expect "an answer to HEAD" "$(head -n 1 "$DIR/head" | cut -d ' ' -f 2)" 200
@@ -143,7 +124,7 @@
 
 # One shard of three has the broken target alone: its part is left out.
 for s in s0-0 s0-1; do control POST /searcher/$s/stop; done
-publish broken-1 shard0
+publish_broken broken-1 shard0
 PARTS='AAAAAAAAAAAAAAAABBBBBBBBBBBBBBBB'
 merged() {
 	n=$((n + 1))
@@ -151,14 +132,14 @@
 	request "query-$n" /all/x 1 >/dev/null
 }
 reached() {
-	merged "HTTP/1.1 200 OK\r\n${FIELDS}Content-Length: 32\r\n\r\n$PARTS"
+	merged "HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: 32\r\n\r\n$PARTS"
 	grep -q A "$DIR/body"
 }
 await "its sound part is merged" reached
 for head in "HTTP/1.1 000 OK\r\n" "HTTP/1.1 200 OK\r\nX Y: z\r\n" \
     "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n" \
     "HTTP/1.1 200 OK\r\nX-Redwingfork-Server-Stamp: a, b.query\r\n"; do
-	merged "$head${FIELDS}Content-Length: 32\r\n\r\n$PARTS"
+	merged "$head${SIGNED}Content-Length: 32\r\n\r\n$PARTS"
 	[ "$(sent "query-$n")" -ge 1 ] || fail "query-$n did not reach the target"
 	grep -q 'AAAAAAAA' "$DIR/body" && fail "records of a broken part: query-$n"
 	grep -q 'X-Redwingfork-Part-Stamps:.*b\.query' "$DIR/head" &&
--- a/tests/process/broken-platform.sh
+++ b/tests/process/broken-platform.sh
@@ -9,27 +9,13 @@
 cd "$(dirname "$0")/../.." || exit 1
 BIN=build/opt/bin
 . tests/checks.sh
+. tests/broken.sh
 
 MEMORY_MB=64
 LEN='Content-Length: 11\r\n\r\n{"vm":"m1"}'
 
-answer() { printf "$1" >"$DIR/broken/answer"; printf "${2:-}" >"$DIR/broken/repeat"; }
-
-# Prints the highest resident memory of process PID so far, in MB.
-peak() { awk '/^VmHWM/ { print int($2 / 1024) }' "/proc/$1/status"; }
-
-# Prints the most bytes of one answer that were read, in MB.
-taken() {
-	awk '/^closed/ && $3 > most { most = $3 } END { print int(most / 1e6) }' \
-	    "$DIR/broken.out"
-}
-
-mkdir "$DIR/broken"
 answer "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
-$BIN/rwfbroken "$DIR/broken" >"$DIR/broken.out" &
-PIDS="$PIDS $!"
-await "the broken server starts" grep -q '^port=' "$DIR/broken.out"
-PORT=$(sed -n 's/^port=//p' "$DIR/broken.out")
+start_broken
 
 NET=127.21.$(($$ % 250)).1
 $BIN/rwfd --vm m1 --dc a --addr $NET --platform 127.0.0.1:$PORT \
@@ -45,9 +31,7 @@
 	: >"$DIR/broken.out"
 	await "$1: the service is asked" asked
 	sleep 0.7
-	kill -0 $RWFD 2>/dev/null || fail "$1: rwfd has ended"
-	[ "$(peak $RWFD)" -lt $MEMORY_MB ] || fail "$1: rwfd has $(peak $RWFD) MB"
-	[ "$(taken)" -le 32 ] || fail "$1: $(taken) MB were read of one answer"
+	check_bounded $RWFD $MEMORY_MB "$1"
 	echo "ok: rwfd, $1, peak of $(peak $RWFD) MB"
 }
 
--- a/tests/process/endless-answers.sh
+++ b/tests/process/endless-answers.sh
@@ -8,35 +8,16 @@
 cd "$(dirname "$0")/../.." || exit 1
 BIN=build/opt/bin
 . tests/site.sh
+. tests/broken.sh
 
 MEMORY_MB=64
 MORE_SETTINGS="RWF_MEMORY_MB=$MEMORY_MB"
-FIELDS='X-Redwingfork-Request-Id: %%I\r\nX-Redwingfork-Server-Stamp: b.%%I\r\n'
 CALLERS=8
 
-answer() { printf "$1" >"$DIR/broken/answer"; printf "$2" >"$DIR/broken/repeat"; }
-
-# Prints the highest resident memory of process PID so far, in MB.
-peak() { awk '/^VmHWM/ { print int($2 / 1024) }' "/proc/$1/status"; }
-
-# Checks that no connection took more than MB from the broken server.
-check_taken() {
-	most=$(awk '/^closed/ && $3 > most { most = $3 } END { print int(most / 1e6) }' \
-	    "$DIR/broken.out")
-	[ "$most" -le "$1" ] || fail "$most MB were read of one answer"
-}
-
-mkdir "$DIR/broken"
-$BIN/rwfbroken "$DIR/broken" >"$DIR/broken.out" &
-PIDS="$PIDS $!"
-await "the broken server starts" grep -q '^port=' "$DIR/broken.out"
-PORT=$(sed -n 's/^port=//p' "$DIR/broken.out")
+start_broken
 start_site --shards 3 --singles 1
 control POST /searcher/one-0/stop
-curl -s -m 5 -X PUT "http://127.0.0.1:$CONTROL/item/servers/broken-0" --data \
-    "{\"service\":\"one\",\"address\":\"127.0.0.1:$PORT\",\"zone\":\"dc-a\",
-    \"version\":\"v1\",\"capacity\":8,\"state\":\"ready\",\"warmupLeftMs\":0,
-    \"sequence\":1,\"born\":1}"
+publish_broken broken-0 one
 start_front 1 1
 VM1=$PID
 await "the daemon is ready" ready 1
@@ -60,27 +41,25 @@
 		served && good=$((good + 1))
 	done
 	for pid in $callers; do wait "$pid"; done
-	kill -0 "$VM1" || fail "$1: the daemon has ended"
 	[ "$good" -ge 9 ] || fail "$1: $good of 10 queries beside it were served"
 	grep -q 200 "$DIR"/flood-* && fail "$1: a caller got it as an answer"
-	[ "$(peak "$VM1")" -lt $MEMORY_MB ] || fail "$1: $(peak "$VM1") MB"
-	check_taken 32
+	check_bounded "$VM1" $MEMORY_MB "$1"
 	echo "ok: $1, peak of $(peak "$VM1") MB"
 }
 
 flood "a status line" "HTTP/1.1 200 " "reason "
 flood "a field" "HTTP/1.1 200 OK\r\nX: " "value"
-flood "fields" "HTTP/1.1 200 OK\r\n$FIELDS" "X: y\r\n"
-flood "a body up to the end" "HTTP/1.1 200 OK\r\n$FIELDS\r\n" "body"
+flood "fields" "HTTP/1.1 200 OK\r\n$SIGNED" "X: y\r\n"
+flood "a body up to the end" "HTTP/1.1 200 OK\r\n$SIGNED\r\n" "body"
 flood "a body with a length" \
-    "HTTP/1.1 200 OK\r\n${FIELDS}Content-Length: 99999999999\r\n\r\n" "body"
+    "HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: 99999999999\r\n\r\n" "body"
 flood "chunks" \
-    "HTTP/1.1 200 OK\r\n${FIELDS}Transfer-Encoding: chunked\r\n\r\n" \
+    "HTTP/1.1 200 OK\r\n${SIGNED}Transfer-Encoding: chunked\r\n\r\n" \
     "8\r\nabcdefgh\r\n"
 flood "chunk extensions" \
-    "HTTP/1.1 200 OK\r\n${FIELDS}Transfer-Encoding: chunked\r\n\r\n8" ";a=b"
+    "HTTP/1.1 200 OK\r\n${SIGNED}Transfer-Encoding: chunked\r\n\r\n8" ";a=b"
 flood "trailers" \
-    "HTTP/1.1 200 OK\r\n${FIELDS}Transfer-Encoding: chunked\r\n\r\n0\r\n" "T: x\r\n"
+    "HTTP/1.1 200 OK\r\n${SIGNED}Transfer-Encoding: chunked\r\n\r\n0\r\n" "T: x\r\n"
 flood "interim answers" "" "HTTP/1.1 102 Processing\r\n\r\n"
 flood "answers to other requests" "" \
     "HTTP/1.1 200 OK\r\nX-Redwingfork-Request-Id: x\r\nContent-Length: 2\r\n\r\nxx"
@@ -96,9 +75,7 @@
 	start_front 3 1
 	asked() { [ "$(grep -c '^closed' "$DIR/broken.out")" -ge 3 ]; }
 	await "the store is asked again" asked
-	kill -0 "$PID" || fail "a $place of the store: the daemon has ended"
-	[ "$(peak "$PID")" -lt $MEMORY_MB ] || fail "$place of the store: $(peak "$PID") MB"
-	check_taken 32
+	check_bounded "$PID" $MEMORY_MB "a $place of the store"
 	echo "ok: a $place of the store, peak of $(peak "$PID") MB"
 	kill -9 "$PID"
 done
--- a/tests/rwfbroken/main.c
+++ b/tests/rwfbroken/main.c
@@ -1,5 +1,9 @@
-/* A server whose answers are any bytes.  In the directory that is its only
-   argument it looks, at each request, for these files:
+/* A server whose answers are any bytes:
+
+     rwfbroken DIRECTORY [HOST:PORT]
+
+   It listens on HOST:PORT, by default on a free port of the loopback address.
+   In DIRECTORY it looks, at each request, for these files:
 
      answer  what it sends; "%I" stands for the request's id
      repeat  what it sends after that, again and again until the client closes
@@ -17,7 +21,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "base.h"
+#include "net.h"
 
 #define MAX_REQUEST_BYTES 65536
 #define MIN_REPEAT_BYTES 65536
@@ -163,28 +167,32 @@
 int
 main (int argc, char **argv)
 {
-  struct sockaddr_in addr = { .sin_family = AF_INET };
-  socklen_t len = sizeof addr;
+  struct net_addr listen_on = { .host = "127.0.0.1" };
+  struct sockaddr_storage addr;
+  socklen_t len = sizeof (struct sockaddr_in);
   pthread_t thread;
+  int on = 1;
   int fd;
-  if (argc != 2)
+  if (argc < 2 || argc > 3
+      || (argc == 3 && net_addr_parse (rw_str_from (argv[2]), &listen_on) != 0)
+      || net_addr_to_sockaddr (&listen_on, &addr) != 0)
     {
-      fprintf (stderr, "usage: rwfbroken DIRECTORY\n");
+      fprintf (stderr, "usage: rwfbroken DIRECTORY [HOST:PORT]\n");
       return 2;
     }
   directory = argv[1];
   signal (SIGPIPE, SIG_IGN);
   setvbuf (stdout, NULL, _IOLBF, 0);
-  addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   int listener = socket (AF_INET, SOCK_STREAM, 0);
-  if (bind (listener, (struct sockaddr *)&addr, sizeof addr) != 0
+  setsockopt (listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind (listener, (struct sockaddr *)&addr, len) != 0
       || listen (listener, 128) != 0)
     {
       perror ("rwfbroken");
       return 1;
     }
   getsockname (listener, (struct sockaddr *)&addr, &len);
-  printf ("port=%u\n", ntohs (addr.sin_port));
+  printf ("port=%u\n", ntohs (((struct sockaddr_in *)&addr)->sin_port));
   while ((fd = accept (listener, NULL, NULL)) >= 0)
     if (pthread_create (&thread, NULL, run_connection, (void *)(intptr_t)fd)
         == 0)
