--- a/tests/process/broken-answers.sh
+++ b/tests/process/broken-answers.sh
@@ -97,6 +97,11 @@
     "HTTP/1.1 304 Not Modified\r\n${SIGNED}Content-Length: 500\r\n\r\n" 304 ""
 sound "an interim answer that names a length" \
     "HTTP/1.1 103 Early Hints\r\nContent-Length: 4\r\n\r\nHTTP/1.1 200 OK\r\n$LEN" 200 ok
+# The server closes the connection after each answer.
+: >"$DIR/broken/close"
+sound "a body up to the end of the connection" \
+    "HTTP/1.1 200 OK\r\n${SIGNED}\r\nall of it" 200 "all of it"
+rm "$DIR/broken/close"
 
 # The length of what GET would get is not that of an empty body.
 answer "HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: 500\r\n\r\n"
