h1: count what connections hold, and drop the worst past a bound

Callers saw: nothing any more, as the process had run out of memory. Cause: each limit was one of a single connection (head, body, input sent ahead), and nothing bounded their sum; answers that a caller did not read had no limit at all, and were copied for each connection. Change: lib/account counts the bytes and descriptors of all connections, and of bodies that several owners share. Past a bound the connection that holds most, times the time without progress, is dropped; one that is being served is not. A request of which a part has arrived gets 503, which is true: it was never delivered. The next request of a connection is delivered only when the last answer was taken. A full listener drops the connection that has waited longest in place of closing the new one.

--- a/lib/base/arena.c
+++ b/lib/base/arena.c
@@ -22,6 +22,7 @@
   arena->head = NULL;
   arena->block_size = block_size != 0 ? block_size : 4096;
   arena->used = 0;
+  arena->allocated = 0;
 }
 
 /* Frees all memory of ARENA, which may be used again afterwards.  */
@@ -36,6 +37,7 @@
       arena->head = next;
     }
   arena->used = 0;
+  arena->allocated = 0;
 }
 
 /* Invalidates all allocations and keeps the newest block for reuse.  */
@@ -51,6 +53,7 @@
   kept->next = NULL;
   kept->used = 0;
   arena->head = kept;
+  arena->allocated = sizeof *kept + kept->size;
 }
 
 /* Returns SIZE bytes with the alignment of max_align_t, owned by ARENA.  */
@@ -70,6 +73,7 @@
       block->used = 0;
       block->next = arena->head;
       arena->head = block;
+      arena->allocated += sizeof *block + room;
     }
   ptr = (char *)block->data + block->used;
   block->used += need;
--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -53,7 +53,8 @@
 {
   struct rw_arena_block *head;
   size_t block_size;
-  size_t used; /* bytes handed out since init or reset */
+  size_t used;      /* bytes handed out since init or reset */
+  size_t allocated; /* bytes of its blocks */
 };
 
 void rw_arena_init (struct rw_arena *arena, size_t block_size);
--- a/lib/h1/client.c
+++ b/lib/h1/client.c
@@ -18,6 +18,7 @@
     return;
   client->state = H1_CLIENT_CLOSED;
   uv_close ((uv_handle_t *)&client->tcp, on_closed);
+  h1_writer_close (&client->writer);
 }
 
 /* Reports the end of the connection and closes it.  */
@@ -224,6 +225,7 @@
   client->read_buf = read_buf;
   client->state = H1_CLIENT_CONNECTING;
   h1_reader_init (&client->reader, HTTP_RESPONSE);
+  h1_writer_init (&client->writer, (uv_stream_t *)&client->tcp, NULL);
   int r = source == NULL
               ? 0
               : uv_tcp_bind (&client->tcp, (const struct sockaddr *)source, 0);
@@ -235,8 +237,8 @@
 }
 
 int
-h1_client_send (struct h1_client *client, struct rw_str request,
-                bool skip_body)
+h1_client_send_body (struct h1_client *client, struct rw_str head,
+                     struct rw_str body, struct acc_blob *blob, bool skip_body)
 {
   if (client->state != H1_CLIENT_IDLE)
     return RW_E_RANGE;
@@ -244,5 +246,13 @@
   client->request_sent = true;
   client->unused_bytes = 0;
   client->reader.skip_body = skip_body;
-  return h1_write ((uv_stream_t *)&client->tcp, request);
+  return h1_writer_send (&client->writer, head, body, blob);
+}
+
+int
+h1_client_send (struct h1_client *client, struct rw_str request,
+                bool skip_body)
+{
+  return h1_client_send_body (client, request, (struct rw_str){ NULL, 0 },
+                              NULL, skip_body);
 }
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -8,11 +8,14 @@
 #include <http_parser.h>
 #include <uv.h>
 
+#include "account.h"
 #include "base.h"
 
 /* A message with more headers is rejected.  */
 #define H1_MAX_HEADERS 64
 
+struct h1_reader;
+
 struct h1_header
 {
   struct rw_str name;
@@ -30,8 +33,14 @@
   struct h1_header headers[H1_MAX_HEADERS];
   size_t header_count;
   struct rw_str body;
+  struct h1_reader *reader; /* that holds it */
 };
 
+/* Returns a reference to the body of MESSAGE, so that it stays valid after the
+   delivery, and counts it in ACCOUNT.  Returns null if the body is so small
+   that it is to be copied.  */
+struct acc_blob *h1_message_share_body (const struct h1_message *message,
+                                        struct acc_account *account);
 /* Returns the value of the first header NAME, or an empty string.  */
 struct rw_str h1_header_value (const struct h1_message *message,
                                const char *name);
@@ -62,6 +71,7 @@
 {
   size_t used;
   size_t max;
+  struct acc_account *account; /* in which they count too; may be null */
 };
 
 enum h1_parse_error
@@ -141,6 +151,7 @@
   http_parser parser;
   struct rw_buf head; /* target, and names and values of headers */
   struct rw_buf body;
+  struct acc_blob *blob; /* holds the body; null: BODY does */
   struct h1_slice target;
   struct h1_slice names[H1_MAX_HEADERS];
   struct h1_slice values[H1_MAX_HEADERS];
@@ -169,8 +180,35 @@
 size_t h1_reader_feed (struct h1_reader *reader, const char *data, size_t len);
 /* Fills MESSAGE with views of the complete message, valid until the next call
    of h1_reader_reset.  */
-void h1_reader_message (const struct h1_reader *reader,
-                        struct h1_message *message);
+void h1_reader_message (struct h1_reader *reader, struct h1_message *message);
+/* Returns the bytes of the buffers, without those of a shared body.  */
+size_t h1_reader_held (const struct h1_reader *reader);
+/* Returns an upper limit of h1_reader_held after LEN more bytes of a body.  */
+size_t h1_reader_need (const struct h1_reader *reader, size_t len);
+
+/* What is written to a connection, and not yet taken by its peer.  */
+struct h1_pending;
+struct h1_writer
+{
+  uv_stream_t *stream;
+  struct h1_pending *first; /* newest first */
+  size_t queued;            /* bytes of all pending writes */
+  size_t copied;            /* of these, bytes that are copies */
+  void (*on_drained) (struct h1_writer *writer); /* may be null */
+};
+
+void h1_writer_init (struct h1_writer *writer, uv_stream_t *stream,
+                     void (*on_drained) (struct h1_writer *writer));
+/* Writes HEAD and BODY.  What the socket does not accept at once is written
+   later and then reported by on_drained; it is copied, but for BODY if it lies
+   in BLOB.  Returns 0 or a negative error number.  */
+int h1_writer_send (struct h1_writer *writer, struct rw_str head,
+                    struct rw_str body, struct acc_blob *blob);
+/* Returns the bytes that the socket has not accepted yet.  */
+size_t h1_writer_unwritten (const struct h1_writer *writer);
+/* Releases what is pending.  The stream must be closing, or be closed before
+   the loop runs again.  */
+void h1_writer_close (struct h1_writer *writer);
 
 /* Writes DATA.  Copies the bytes that the socket does not accept at once and
    writes them later.  Returns 0 or a negative error number.  */
@@ -198,6 +236,11 @@
   void (*on_bad_request) (void *arg, struct h1_conn *conn, int status);
   /* CONN was accepted; returns false to close it at once.  May be null.  */
   bool (*on_accept) (void *arg, struct h1_conn *conn);
+  /* CONN is dropped for CAUSE, as the account is full.  STATUS is 503 if a
+     request of which a part has arrived is answered with it, else 0.  May be
+     null.  */
+  void (*on_drop) (void *arg, struct h1_conn *conn, enum acc_cause cause,
+                   int status);
 };
 
 struct h1_server
@@ -210,10 +253,11 @@
   uv_timer_t timeout_timer;
   struct h1_conn *conns; /* doubly linked list */
   size_t conn_count;
-  size_t max_conns;  /* further connections are closed at once */
-  size_t busy_count; /* connections whose request is not answered yet */
-  bool draining;     /* replies say Connection: close */
-  char *read_buf;    /* H1_READ_BUF_SIZE, shared by all connections */
+  struct acc_group group; /* its max: that of connections */
+  struct rw_str refusal;  /* header lines of a 503 for lack of memory */
+  size_t busy_count;      /* connections whose request is not answered yet */
+  bool draining;          /* replies say Connection: close */
+  char *read_buf;         /* H1_READ_BUF_SIZE, shared by all connections */
 };
 
 struct h1_reply
@@ -222,26 +266,38 @@
   struct rw_str headers; /* lines that each end in CR LF; without
                             Content-Length and Connection */
   struct rw_str body;
+  struct acc_blob
+      *blob;  /* holds BODY, which is not copied then; may be null */
   bool close; /* end the connection after the reply */
 };
 
-/* Listens on ADDR.  LIMITS must stay valid as long as SERVER.  Returns 0 or a
+/* Listens on ADDR.  LIMITS must stay valid as long as SERVER.  Above MAX_CONNS
+   connections the one that has advanced least is dropped for a new one, or the
+   new one is closed if all wait for answers.  Returns 0 or a
    negative error number; after an error, too, h1_server_stop and
    h1_server_finish free the handles and the memory.  */
 int h1_server_init (struct h1_server *server, uv_loop_t *loop,
                     const struct sockaddr *addr, struct h1_limits *limits,
                     size_t max_conns, const struct h1_server_ops *ops,
                     void *arg);
-/* Answers the pending request of CONN; the reply is copied.  Does nothing if
-   no request is pending.  If the caller has already sent its next request,
-   on_request is called for it before this returns.  */
+/* Counts what the connections hold in ACCOUNT, which must outlive SERVER.
+   RESERVE of them are not dropped for connections of other servers.
+   RECV_BYTES limits what the kernel keeps of a connection's input; 0: its
+   default.  To be called before the loop runs.  */
+void h1_server_set_account (struct h1_server *server,
+                            struct acc_account *account, size_t reserve,
+                            int recv_bytes);
+/* Answers the pending request of CONN; the reply is copied, except for a body
+   that lies in a blob.  Does nothing if no request is pending.  If the caller
+   has already sent its next request, and has taken its replies, on_request is
+   called for it before this returns.  */
 void h1_conn_reply (struct h1_conn *conn, const struct h1_reply *reply);
 /* Sends an interim reply with the 1xx STATUS, to show that the pending request
    is worked on.  Does nothing if no request is pending.  */
 void h1_conn_interim (struct h1_conn *conn, int status);
 /* Fills MESSAGE with the pending request again; valid until it is
    answered.  */
-void h1_conn_message (const struct h1_conn *conn, struct h1_message *message);
+void h1_conn_message (struct h1_conn *conn, struct h1_message *message);
 /* Returns the address of the peer of CONN in host order, 0 if it is not
    known.  */
 uint32_t h1_conn_peer (const struct h1_conn *conn);
@@ -321,6 +377,7 @@
   void *arg;
   char *read_buf;
   struct h1_reader reader;
+  struct h1_writer writer;
   enum h1_client_state state;
   bool request_sent;   /* h1_client_send was called; never cleared */
   bool reusable;       /* after the last reply; on_reply may clear it */
@@ -347,6 +404,11 @@
    on_disconnect as well.  */
 int h1_client_send (struct h1_client *client, struct rw_str request,
                     bool skip_body);
+/* The same for a request whose BODY follows HEAD; a body in BLOB is not
+   copied.  */
+int h1_client_send_body (struct h1_client *client, struct rw_str head,
+                         struct rw_str body, struct acc_blob *blob,
+                         bool skip_body);
 /* Sets the highest size of a reply's body, and of all replies together that
    are no answer to a request.  The body also counts in BUDGET, which must
    outlive the client; null: in none.  A reply that exceeds either ends the
--- a/lib/h1/message.c
+++ b/lib/h1/message.c
@@ -211,7 +211,10 @@
     return fail (reader, H1_PARSE_BODY_TOO_LARGE);
   rw_buf_append (&reader->body, at, len);
   if (budget != NULL)
-    budget->used += len;
+    {
+      budget->used += len;
+      acc_add (budget->account, len);
+    }
   return 0;
 }
 
@@ -256,18 +259,72 @@
 static void
 release_budget (struct h1_reader *reader)
 {
-  if (reader->budget != NULL)
-    reader->budget->used -= reader->body.len;
+  if (reader->budget == NULL)
+    return;
+  reader->budget->used -= reader->body.len;
+  acc_sub (reader->budget->account, reader->body.len);
+}
+
+/* Lets go of the body, which others may keep.  */
+static void
+release_body (struct h1_reader *reader)
+{
+  if (reader->blob == NULL)
+    {
+      release_budget (reader);
+      return;
+    }
+  acc_blob_unref (reader->blob);
+  reader->blob = NULL;
+  rw_buf_init (&reader->body);
 }
 
 void
 h1_reader_finish (struct h1_reader *reader)
 {
-  release_budget (reader);
+  release_body (reader);
   rw_buf_finish (&reader->head);
   rw_buf_finish (&reader->body);
 }
 
+/* The first size of an rw_buf, which doubles as it grows.  */
+#define MIN_BUF_BYTES 256
+
+size_t
+h1_reader_held (const struct h1_reader *reader)
+{
+  return reader->head.cap + reader->body.cap;
+}
+
+size_t
+h1_reader_need (const struct h1_reader *reader, size_t len)
+{
+  size_t cap = reader->body.cap > 0 ? reader->body.cap : MIN_BUF_BYTES;
+  while (cap < reader->body.len + len)
+    cap *= 2;
+  return reader->head.cap + cap;
+}
+
+/* A smaller body is copied rather than shared.  */
+#define MIN_SHARED_BYTES 4096
+
+struct acc_blob *
+h1_message_share_body (const struct h1_message *message,
+                       struct acc_account *account)
+{
+  struct h1_reader *reader = message->reader;
+  if (reader == NULL || message->body.len < MIN_SHARED_BYTES)
+    return NULL;
+  if (reader->blob == NULL)
+    {
+      release_budget (reader);
+      reader->blob = acc_blob_new (account, &reader->body);
+      reader->body
+          = (struct rw_buf){ reader->blob->buf.ptr, message->body.len, 0 };
+    }
+  return acc_blob_ref (reader->blob);
+}
+
 /* A larger buffer is freed after a message, so that idle connections hold
    little memory.  */
 #define MAX_IDLE_BUF_BYTES 4096
@@ -287,7 +344,7 @@
 {
   http_parser_init (&reader->parser, reader->parser.type);
   h1_grammar_init (&reader->grammar, reader->parser.type == HTTP_RESPONSE);
-  release_budget (reader);
+  release_body (reader);
   clear_buf (&reader->head);
   clear_buf (&reader->body);
   reader->target = (struct h1_slice){ 0, 0 };
@@ -341,8 +398,9 @@
 }
 
 void
-h1_reader_message (const struct h1_reader *reader, struct h1_message *message)
+h1_reader_message (struct h1_reader *reader, struct h1_message *message)
 {
+  message->reader = reader;
   message->method = reader->parser.method;
   message->status = (int)reader->parser.status_code;
   message->keep_alive = reader->keep_alive;
--- a/lib/h1/server.c
+++ b/lib/h1/server.c
@@ -33,18 +33,22 @@
 {
   uv_tcp_t tcp;
   struct h1_server *server;
+  struct acc_client client;
+  struct h1_writer writer;
   struct h1_conn *prev;
   struct h1_conn *next;
   struct h1_reader reader;
   struct rw_buf pipelined; /* input after the pending request */
   enum conn_state state;
-  bool in_pipelined;  /* deliver_pipelined is running */
+  bool in_input;      /* take_input is running */
   bool keep_alive;    /* of the pending request */
   bool continue_sent; /* "100 Continue" */
   bool had_request;
-  /* CONN_READING: start of the idle time, or first byte of the request;
-     CONN_LINGER: time of the last reply.  */
+  /* CONN_READING: start of the idle time, or first byte of the request, or
+     the last time at which the caller took a part of the replies that it has
+     not read; CONN_LINGER: time of the last reply.  */
   rw_time state_since;
+  size_t unwritten; /* bytes of replies, at the last check */
   void *data;
 };
 
@@ -56,8 +60,15 @@
   return ts.tv_sec * RW_SEC + ts.tv_nsec / 1000;
 }
 
+/* The time at which the present iteration of the loop began.  */
+static rw_time
+loop_now (const struct h1_server *server)
+{
+  return (rw_time)uv_now (server->loop) * RW_MSEC;
+}
+
 void
-h1_conn_message (const struct h1_conn *conn, struct h1_message *message)
+h1_conn_message (struct h1_conn *conn, struct h1_message *message)
 {
   h1_reader_message (&conn->reader, message);
 }
@@ -79,10 +90,58 @@
 {
   struct h1_conn *conn = handle->data;
   h1_reader_finish (&conn->reader);
-  rw_buf_finish (&conn->pipelined);
   free (conn);
 }
 
+/* Sets the state of CONN in the account, as of the last change of it.  */
+static void
+update_client (struct h1_conn *conn)
+{
+  struct acc_client *client = &conn->client;
+  client->since = conn->state_since;
+  client->keeps = conn->writer.queued - conn->writer.copied;
+  switch (conn->state)
+    {
+    case CONN_READING:
+      client->state = conn->writer.queued > 0 ? ACC_UNREAD
+                      : conn->reader.started  ? ACC_ARRIVING
+                                              : ACC_IDLE;
+      break;
+    case CONN_PENDING:
+      client->state = conn->pipelined.len > 0 ? ACC_UNREAD : ACC_SERVED;
+      break;
+    case CONN_LINGER:
+    case CONN_CLOSED:
+      client->state = ACC_ENDING;
+      break;
+    }
+}
+
+/* What CONN holds, without the buffers of its reader.  */
+static size_t
+held_beside_reader (const struct h1_conn *conn)
+{
+  return sizeof *conn + conn->pipelined.cap + conn->writer.copied;
+}
+
+/* Counts what CONN holds.  */
+static void
+count_held (struct h1_conn *conn)
+{
+  update_client (conn);
+  acc_set (&conn->client,
+           held_beside_reader (conn) + h1_reader_held (&conn->reader));
+}
+
+/* Frees the input of CONN that has not been delivered.  */
+static void
+drop_input (struct h1_conn *conn)
+{
+  h1_reader_finish (&conn->reader);
+  h1_reader_init (&conn->reader, HTTP_REQUEST);
+  rw_buf_finish (&conn->pipelined);
+}
+
 /* Closes CONN and reports a pending request.  CONN is freed in a later
    iteration of the loop.  */
 static void
@@ -98,6 +157,7 @@
         server->ops->on_disconnect (server->arg, conn);
     }
   conn->state = CONN_CLOSED;
+  acc_leave (&conn->client);
   if (conn->prev != NULL)
     conn->prev->next = conn->next;
   else
@@ -106,6 +166,8 @@
     conn->next->prev = conn->prev;
   server->conn_count--;
   uv_close ((uv_handle_t *)&conn->tcp, on_conn_closed);
+  h1_writer_close (&conn->writer);
+  rw_buf_finish (&conn->pipelined);
 }
 
 void
@@ -130,11 +192,14 @@
   uv_shutdown_t *req = rw_xmalloc (sizeof *req);
   conn->state = CONN_LINGER;
   conn->state_since = monotonic_now ();
+  drop_input (conn);
   if (uv_shutdown (req, (uv_stream_t *)&conn->tcp, on_shutdown) != 0)
     {
       free (req);
       conn_close (conn);
+      return;
     }
+  count_held (conn);
 }
 
 static const char *
@@ -156,6 +221,7 @@
 write_reply (struct h1_conn *conn, const struct h1_reply *reply, bool close)
 {
   struct rw_buf out;
+  struct rw_str body = reply->body;
   bool no_content = reply->status == 204 || reply->status == 304;
   bool head = conn->reader.parser.method == HTTP_HEAD;
   rw_buf_init (&out);
@@ -166,10 +232,12 @@
   if (!no_content && !(head && reply->body.len == 0))
     rw_buf_printf (&out, "Content-Length: %zu\r\n", reply->body.len);
   rw_buf_printf (&out, "%s\r\n", close ? "Connection: close\r\n" : "");
-  if (!no_content && !head)
-    rw_buf_append_str (&out, reply->body);
-  if (h1_write ((uv_stream_t *)&conn->tcp, rw_buf_str (&out)) != 0)
+  if (no_content || head)
+    body.len = 0;
+  if (h1_writer_send (&conn->writer, rw_buf_str (&out), body, reply->blob)
+      != 0)
     conn->keep_alive = false;
+  conn->unwritten = h1_writer_unwritten (&conn->writer);
   rw_buf_finish (&out);
 }
 
@@ -202,9 +270,54 @@
   return 400;
 }
 
-/* Parses input from the caller and delivers a whole request.  Input after it
-   is kept until the request has been answered.  */
+/* Refuses the request of which a part has arrived, for lack of memory.  It has
+   not run.  */
 static void
+refuse_arriving (struct h1_conn *conn, enum acc_cause cause)
+{
+  struct h1_server *server = conn->server;
+  struct h1_reply reply
+      = { .status = 503, .headers = server->refusal, .close = true };
+  if (server->ops->on_drop != NULL)
+    server->ops->on_drop (server->arg, conn, cause, reply.status);
+  write_reply (conn, &reply, true);
+  conn_linger (conn);
+}
+
+/* Ends CONN, whose memory or place is needed.  */
+static void
+on_drop (struct acc_client *client, enum acc_cause cause)
+{
+  struct h1_conn *conn = client->owner;
+  struct h1_server *server = conn->server;
+  if (client->state == ACC_ARRIVING)
+    refuse_arriving (conn, cause);
+  else if (client->state != ACC_ENDING && server->ops->on_drop != NULL)
+    server->ops->on_drop (server->arg, conn, cause, 0);
+  if (client->state != ACC_ENDING || cause == ACC_FOR_PLACE)
+    conn_close (conn);
+}
+
+/* Makes room for LEN more bytes of the request that arrives on CONN.  Refuses
+   it and returns false if there is none.  */
+static bool
+make_room (struct h1_conn *conn, size_t len)
+{
+  update_client (conn);
+  if (acc_charge (&conn->client,
+                  held_beside_reader (conn)
+                      + h1_reader_need (&conn->reader, len),
+                  loop_now (conn->server)))
+    return true;
+  if (conn->client.group != NULL)
+    conn->client.group->account->dropped[ACC_FOR_MEMORY]++;
+  refuse_arriving (conn, ACC_FOR_MEMORY);
+  return false;
+}
+
+/* Parses input from the caller and delivers a whole request.  Returns the
+   number of bytes that were parsed.  */
+static size_t
 conn_input (struct h1_conn *conn, const char *data, size_t len)
 {
   struct h1_server *server = conn->server;
@@ -216,11 +329,14 @@
       conn->reader.max_head_bytes = server->limits->max_head_bytes;
       conn->reader.max_body_bytes = server->limits->max_body_bytes;
     }
+  if (!make_room (conn, len))
+    return len;
   size_t consumed = h1_reader_feed (&conn->reader, data, len);
+  count_held (conn);
   if (conn->reader.error != H1_PARSE_OK)
     {
       reject (conn, error_status (conn->reader.error));
-      return;
+      return len;
     }
   if (!conn->reader.complete)
     {
@@ -228,38 +344,75 @@
           && !conn->continue_sent)
         {
           conn->continue_sent = true;
-          h1_write ((uv_stream_t *)&conn->tcp,
-                    RW_LIT ("HTTP/1.1 100 Continue\r\n\r\n"));
+          h1_writer_send (&conn->writer,
+                          RW_LIT ("HTTP/1.1 100 Continue\r\n\r\n"),
+                          RW_LIT (""), NULL);
         }
-      return;
+      return consumed;
     }
-  if (consumed < len)
-    rw_buf_append (&conn->pipelined, data + consumed, len - consumed);
   conn->state = CONN_PENDING;
   conn->had_request = true;
   conn->keep_alive = conn->reader.keep_alive;
   server->busy_count++;
+  update_client (conn);
   h1_reader_message (&conn->reader, &message);
   server->ops->on_request (server->arg, conn, &message);
+  return consumed;
+}
+
+/* Counts what CONN holds after it was answered or has sent ahead, and drops
+   what there is no room for, maybe CONN itself.  */
+static void
+settle (struct h1_conn *conn)
+{
+  count_held (conn);
+  if (conn->writer.queued + conn->pipelined.cap > 0)
+    (void)acc_make_room (conn->server->group.account, 0,
+                         loop_now (conn->server));
+}
+
+/* Whether the next request of CONN may be delivered: the last one was
+   answered, and the caller has taken the answer.  */
+static bool
+is_reading (const struct h1_conn *conn)
+{
+  return conn->state == CONN_READING && conn->writer.queued == 0;
 }
 
-/* Delivers the requests that arrived while another one was pending, one after
-   the other.  A loop, because each may be answered within its delivery, which
-   ends here again.  */
+/* Takes DATA, which arrived after what is in conn->pipelined.  Delivers the
+   requests in it, one after the other, and keeps the rest.  A loop, because
+   each may be answered within its delivery, which ends here again.  */
 static void
-deliver_pipelined (struct h1_conn *conn)
+take_input (struct h1_conn *conn, const char *data, size_t len)
 {
-  if (conn->in_pipelined)
+  struct rw_buf input;
+  size_t used = 0;
+  if (conn->in_input)
     return;
-  conn->in_pipelined = true;
-  while (conn->state == CONN_READING && conn->pipelined.len > 0)
+  if (!is_reading (conn) || conn->pipelined.len > 0)
     {
-      struct rw_buf pipelined = conn->pipelined;
+      rw_buf_append (&conn->pipelined, data, len);
+      data = conn->pipelined.ptr;
+      len = conn->pipelined.len;
+    }
+  if (is_reading (conn))
+    {
+      input = conn->pipelined;
       rw_buf_init (&conn->pipelined);
-      conn_input (conn, pipelined.ptr, pipelined.len);
-      rw_buf_finish (&pipelined);
+      conn->in_input = true;
+      while (is_reading (conn) && used < len)
+        used += conn_input (conn, data + used, len - used);
+      conn->in_input = false;
+      if (conn->state == CONN_READING || conn->state == CONN_PENDING)
+        rw_buf_append (&conn->pipelined, data + used, len - used);
+      rw_buf_finish (&input);
     }
-  conn->in_pipelined = false;
+  if (conn->state == CONN_CLOSED)
+    return;
+  if (conn->pipelined.len > MAX_PIPELINED_BYTES)
+    conn_close (conn);
+  else
+    settle (conn);
 }
 
 static void
@@ -276,12 +429,8 @@
   switch (conn->state)
     {
     case CONN_READING:
-      conn_input (conn, buf->base, (size_t)n);
-      break;
     case CONN_PENDING:
-      rw_buf_append (&conn->pipelined, buf->base, (size_t)n);
-      if (conn->pipelined.len > MAX_PIPELINED_BYTES)
-        conn_close (conn);
+      take_input (conn, buf->base, (size_t)n);
       break;
     case CONN_LINGER:
     case CONN_CLOSED:
@@ -289,6 +438,18 @@
     }
 }
 
+/* The caller has taken all replies.  */
+static void
+on_drained (struct h1_writer *writer)
+{
+  struct h1_conn *conn = writer->stream->data;
+  if (conn->state == CONN_READING && !conn->reader.started)
+    conn->state_since = monotonic_now ();
+  count_held (conn);
+  if (conn->state == CONN_READING)
+    take_input (conn, NULL, 0);
+}
+
 static void
 on_alloc (uv_handle_t *handle, size_t size, uv_buf_t *buf)
 {
@@ -316,7 +477,11 @@
   h1_reader_reset (&conn->reader);
   conn->continue_sent = false;
   conn->state_since = monotonic_now ();
-  deliver_pipelined (conn);
+  if (conn->in_input)
+    return;
+  settle (conn);
+  if (is_reading (conn))
+    take_input (conn, NULL, 0);
 }
 
 uint32_t
@@ -339,6 +504,7 @@
   conn->state_since = monotonic_now ();
   h1_reader_init (&conn->reader, HTTP_REQUEST);
   rw_buf_init (&conn->pipelined);
+  h1_writer_init (&conn->writer, (uv_stream_t *)&conn->tcp, on_drained);
   conn->next = server->conns;
   if (conn->next != NULL)
     conn->next->prev = conn;
@@ -352,7 +518,9 @@
 conn_begin (struct h1_conn *conn, int r)
 {
   struct h1_server *server = conn->server;
-  if (r != 0 || server->conn_count > server->max_conns
+  if (r != 0
+      || !acc_enter (&conn->client, &server->group, conn, sizeof *conn,
+                     conn->state_since)
       || (server->ops->on_accept != NULL
           && !server->ops->on_accept (server->arg, conn)))
     {
@@ -401,7 +569,14 @@
   switch (conn->state)
     {
     case CONN_READING:
-      if (!conn->reader.started)
+      if (conn->writer.queued > 0
+          && h1_writer_unwritten (&conn->writer) != conn->unwritten)
+        {
+          conn->unwritten = h1_writer_unwritten (&conn->writer);
+          conn->state_since = now;
+          update_client (conn);
+        }
+      else if (conn->writer.queued > 0 || !conn->reader.started)
         {
           if (now - conn->state_since > limits->idle_timeout)
             conn_close (conn);
@@ -443,7 +618,7 @@
   server->ops = ops;
   server->arg = arg;
   server->limits = limits;
-  server->max_conns = max_conns;
+  acc_group_init (&server->group, NULL, max_conns, 0, on_drop);
   server->read_buf = rw_xmalloc (H1_READ_BUF_SIZE);
   uv_tcp_init (loop, &server->listener);
   server->listener.data = server;
@@ -458,6 +633,17 @@
                          TIMEOUT_CHECK_MS, TIMEOUT_CHECK_MS);
 }
 
+void
+h1_server_set_account (struct h1_server *server, struct acc_account *account,
+                       size_t reserve, int recv_bytes)
+{
+  server->group.account = account;
+  server->group.reserve = reserve;
+  /* Accepted sockets inherit it.  */
+  if (recv_bytes > 0)
+    uv_recv_buffer_size ((uv_handle_t *)&server->listener, &recv_bytes);
+}
+
 void
 h1_server_drain (struct h1_server *server)
 {
@@ -549,6 +735,6 @@
   rw_buf_init (&out);
   rw_buf_printf (&out, "HTTP/1.1 %d %s\r\n\r\n", status,
                  reason_phrase (status));
-  h1_write ((uv_stream_t *)&conn->tcp, rw_buf_str (&out));
+  h1_writer_send (&conn->writer, rw_buf_str (&out), RW_LIT (""), NULL);
   rw_buf_finish (&out);
 }
--- a/mk/common.mk
+++ b/mk/common.mk
@@ -21,7 +21,7 @@
 # Libraries in dependency order: each may use only those before it.
 # platform/ lies at the top: it alone knows the users' names.
 libdir = $(if $(filter platform,$(1)),platform,lib/$(1))
-LIBDIRS = base rules topo wire stat trace conf member lease admit route \
+LIBDIRS = base account rules topo wire stat trace conf member lease admit route \
 	query once node model log h1 net \
 	org cat lint extra bucket quarantine capacity steer shed fair gather subquery follow event reach stop \
 	replica gossip quota platform
