rwfront: one account of what callers, peers and operators hold

Callers saw: a daemon that ran out of memory with a crowd of unfinished bodies or of unread answers, and none of its descriptors left. Cause: each of three listeners took its own number of connections, up to 64 MB of body each from peers, copied the body for the request and for each send to a target, and made a copy of the whole answer for each caller. Bodies of requests and answers are shared by all that use them. A request for which there is no memory gets 503 before anything is allocated for it. Counters: rwf_refusals_total{reason=memory}, rwf_connections_dropped_total, rwf_unreadable_requests_total, rwf_held_bytes, rwf_held_descriptors.

--- a/cmd/rwfront/admin.c
+++ b/cmd/rwfront/admin.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "config_admin.h"
+#include "frn_account.h"
 #include "frn_capacity.h"
 #include "frn_quarantine.h"
 #include "frn_quota.h"
@@ -46,6 +47,7 @@
 
 static const struct h1_server_ops admin_ops = {
   .on_request = on_request,
+  .on_drop = frn_on_drop,
 };
 
 int
@@ -57,8 +59,11 @@
     .request_timeout = 5 * RW_SEC,
     .idle_timeout = 60 * RW_SEC,
   };
-  return h1_server_init (&daemon->admin_server, daemon->loop,
-                         (const struct sockaddr *)&daemon->settings.ready_addr,
-                         &daemon->admin_limits, MAX_ADMIN_CONNS, &admin_ops,
-                         daemon);
+  int r = h1_server_init (
+      &daemon->admin_server, daemon->loop,
+      (const struct sockaddr *)&daemon->settings.ready_addr,
+      &daemon->admin_limits, MAX_ADMIN_CONNS, &admin_ops, daemon);
+  if (r == 0)
+    frn_account_serve (daemon, &daemon->admin_server);
+  return r;
 }
--- a/cmd/rwfront/callers.c
+++ b/cmd/rwfront/callers.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "access.h"
+#include "frn_account.h"
 #include "front.h"
 
 /* The longest time that a request waits for the first configuration, which
@@ -78,6 +79,8 @@
       decline (daemon, &arrival, FRN_INVALID, 400, "without id");
       return;
     }
+  if (!frn_account_admit (daemon, conn, &head, relayed))
+    return;
   switch (frn_access_check (daemon, &arrival))
     {
     case FRN_ACCESS_GRANTED:
@@ -188,12 +191,29 @@
   frn_request_end (request);
 }
 
+static enum frn_unreadable
+unreadable_as (int status)
+{
+  switch (status)
+    {
+    case 408:
+      return FRN_UNREADABLE_SLOW;
+    case 413:
+      return FRN_UNREADABLE_BODY;
+    case 431:
+      return FRN_UNREADABLE_HEAD;
+    default:
+      return FRN_UNREADABLE_MALFORMED;
+    }
+}
+
 static void
 on_bad_request (void *arg, struct h1_conn *conn, int status)
 {
   struct frn_daemon *daemon = arg;
   (void)conn;
   sta_inc (daemon->metrics.no_route.outcome[FRN_INVALID]);
+  sta_inc (daemon->metrics.unreadable[unreadable_as (status)]);
   evt_line (&daemon->log, EVT_NORMAL, "caller", rw_now (),
             "unreadable request: status=%d", status);
 }
@@ -202,4 +222,5 @@
   .on_request = on_request,
   .on_disconnect = frn_on_caller_gone,
   .on_bad_request = on_bad_request,
+  .on_drop = frn_on_drop,
 };
--- a/cmd/rwfront/daemon.c
+++ b/cmd/rwfront/daemon.c
@@ -4,6 +4,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "frn_account.h"
 #include "frn_quarantine.h"
 #include "frn_quota.h"
 #include "frn_stop.h"
@@ -59,6 +60,7 @@
 {
   daemon->reply_budget.max = (size_t)daemon->settings.memory_mb * BYTES_PER_MB
                              / REPLY_MEMORY_DIVISOR;
+  frn_account_update (daemon);
   daemon->fleet.settings.dc = rw_hash (rw_str_from (daemon->settings.dc));
   daemon->fleet.settings.daemon_key
       = rw_hash (rw_str_from (daemon->settings.name));
@@ -134,6 +136,7 @@
   fai_sweep (&daemon->fair, now);
   ste_sweep (&daemon->fleet, frn_pool_release, daemon, now);
   frn_parked_serve (daemon, now);
+  frn_account_tick (daemon, now);
   evt_flush (&daemon->log, now);
   if (++ticks % SETTINGS_CHECK_TICKS == 0
       && file_mtime_ns (daemon->settings_path) != daemon->settings_mtime)
@@ -203,6 +206,7 @@
                       &frn_caller_ops, daemon);
   if (r != 0)
     return start_error (err, "listen-callers", r);
+  frn_account_serve (daemon, &daemon->caller_server);
   r = frn_admin_init (daemon);
   if (r != 0)
     return start_error (err, "listen-ready", r);
--- a/cmd/rwfront/front.h
+++ b/cmd/rwfront/front.h
@@ -25,6 +25,7 @@
    overload.c   refusal of requests that targets have no room for
    quarantine.c requests that are held back, as they crash targets
    quota.c      quotas of organisations
+   account.c    what callers and peers make the daemon hold
    pool.c       connection pool of each target
    feasible.c   requests that too few targets can answer
    reach.c      whether this daemon is cut off from the targets
@@ -39,6 +40,7 @@
 
 #include <netinet/in.h>
 
+#include "account.h"
 #include "cat.h"
 #include "event.h"
 #include "fair.h"
@@ -169,10 +171,21 @@
   FRN_REFUSE_HELD,      /* it crashes targets */
   FRN_REFUSE_STALE,     /* keys may have been revoked meanwhile */
   FRN_REFUSE_QUOTA,     /* its organisation is beyond its limit */
+  FRN_REFUSE_MEMORY,    /* callers hold all memory that they may */
   FRN_REFUSE_STOPPING,  /* the stop of this daemon leaves no time for it */
   FRN_REFUSAL_COUNT
 };
 
+/* Requests that could not be read, by the status of the answer.  */
+enum frn_unreadable
+{
+  FRN_UNREADABLE_MALFORMED, /* 400 */
+  FRN_UNREADABLE_SLOW,      /* 408 */
+  FRN_UNREADABLE_BODY,      /* 413 */
+  FRN_UNREADABLE_HEAD,      /* 431 */
+  FRN_UNREADABLE_COUNT
+};
+
 struct frn_route_metrics
 {
   struct sta_series *outcome[FRN_OUTCOME_COUNT];
@@ -219,6 +232,10 @@
   struct sta_series *config_age;
   struct sta_series *loop_lag;
   struct sta_series *memory;
+  struct sta_series *dropped[ACC_CAUSE_COUNT]; /* connections */
+  struct sta_series *held_bytes;
+  struct sta_series *held_places;
+  struct sta_series *unreadable[FRN_UNREADABLE_COUNT];
   struct sta_series *log_left_out; /* lines dropped by the rate limit */
 };
 
@@ -382,11 +399,14 @@
   struct evt_log log;
   struct frn_metrics metrics;
   struct ste_fleet fleet;
-  struct cat_config *config; /* null: none is known yet */
-  rw_time config_since;      /* when it came into force */
-  struct rw_map route_stats; /* struct frn_route_stats by hash of the name */
-  struct rw_map shed_groups; /* struct shd_group by key of a service */
-  struct fai_table fair;     /* shares of organisations under pressure */
+  struct cat_config *config;  /* null: none is known yet */
+  rw_time config_since;       /* when it came into force */
+  struct rw_map route_stats;  /* struct frn_route_stats by hash of the name */
+  struct rw_map shed_groups;  /* struct shd_group by key of a service */
+  struct fai_table fair;      /* shares of organisations under pressure */
+  struct acc_account account; /* of callers, peers and operators */
+  uint64_t drops_logged;      /* connections dropped, in the last line */
+  rw_time drops_logged_at;
   struct h1_budget reply_budget;  /* bodies of replies that are arriving */
   struct h1_limits caller_limits; /* from the configuration */
   struct h1_server caller_server;
@@ -554,7 +574,9 @@
   struct rw_str path_query;
   struct rw_str header_lines; /* forwarded to targets, each ends in CR LF */
   struct rw_str body;
-  bool is_head; /* HEAD: replies have no body */
+  struct acc_blob *body_blob; /* holds it; null: the arena does */
+  size_t counted_bytes;       /* in the account */
+  bool is_head;               /* HEAD: replies have no body */
   /* The reply of a single target or of a peer, forwarded as it is: a success,
      or a failure if no later attempt succeeds.  */
   struct h1_reply target_reply;
@@ -763,6 +785,7 @@
 struct frn_pool_conn
 {
   struct h1_client h1;
+  struct acc_account *account; /* in which its descriptor counts */
   struct frn_pool *pool;
   struct frn_pool_conn *next; /* of the pool */
   struct frn_send *send;      /* in flight; null: none */
@@ -818,7 +841,7 @@
 bool frn_pool_release (void *arg, struct ste_target *target);
 /* Abandons every send to TARGET and frees its pool.  */
 void frn_pool_close (struct ste_target *target);
-/* Appends the HTTP request of SEND.  */
+/* Appends the head of the HTTP request of SEND.  */
 void frn_request_write (const struct frn_send *send, struct rw_buf *out);
 
 #endif
--- a/cmd/rwfront/metrics.c
+++ b/cmd/rwfront/metrics.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "frn_account.h"
 #include "frn_capacity.h"
 #include "front.h"
 
@@ -24,6 +25,8 @@
       return "keys-not-confirmed";
     case FRN_REFUSE_QUOTA:
       return "quota";
+    case FRN_REFUSE_MEMORY:
+      return "memory";
     case FRN_REFUSE_STOPPING:
       return "stopping";
     case FRN_REFUSAL_COUNT:
@@ -93,6 +96,8 @@
 {
   static const char *const sends[FRN_SEND_OUTCOME_COUNT]
       = { "ok", "refused", "broken", "abandoned" };
+  static const char *const unreadable[FRN_UNREADABLE_COUNT]
+      = { "400", "408", "413", "431" };
   struct rw_str none = { NULL, 0 };
   char label[64];
   sta_init (&m->set);
@@ -195,6 +200,25 @@
                            "delay of the last tick of the loop", none);
   m->memory = sta_gauge (&m->set, "rwf_memory_bytes",
                          "resident memory of the process", none);
+  for (int i = 0; i < ACC_CAUSE_COUNT; i++)
+    m->dropped[i] = sta_counter (
+        &m->set, "rwf_connections_dropped_total",
+        "connections that were closed for others, by what was short",
+        sta_label (label, sizeof label, "cause",
+                   rw_str_from (frn_drop_cause_name ((enum acc_cause)i))));
+  m->held_bytes
+      = sta_gauge (&m->set, "rwf_held_bytes",
+                   "bytes held for callers, peers and their requests", none);
+  m->held_places = sta_gauge (&m->set, "rwf_held_descriptors",
+                              "connections of callers, peers, operators and "
+                              "to targets",
+                              none);
+  for (int i = 0; i < FRN_UNREADABLE_COUNT; i++)
+    m->unreadable[i] = sta_counter (
+        &m->set, "rwf_unreadable_requests_total",
+        "requests that were not read, by the status of the answer",
+        sta_label (label, sizeof label, "status",
+                   rw_str_from (unreadable[i])));
   m->log_left_out = sta_gauge (&m->set, "rwf_log_lines_left_out",
                                "log lines not written", none);
 }
@@ -217,5 +241,7 @@
                  daemon->config ? (double)(now - daemon->config_since) / RW_SEC
                                 : 0);
   sta_set_value (m->memory, (double)resident_memory ());
+  sta_set_value (m->held_bytes, (double)daemon->account.used);
+  sta_set_value (m->held_places, (double)daemon->account.places);
   sta_set_value (m->log_left_out, (double)daemon->log.suppressed_count);
 }
--- a/cmd/rwfront/peers.c
+++ b/cmd/rwfront/peers.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "frn_account.h"
 #include "frn_quarantine.h"
 #include "frn_quota.h"
 #include "forward.h"
@@ -331,6 +332,7 @@
 static const struct h1_server_ops peer_ops = {
   .on_request = on_peer_request,
   .on_disconnect = frn_on_caller_gone,
+  .on_drop = frn_on_drop,
 };
 
 void
@@ -462,6 +464,12 @@
                         (const struct sockaddr *)&settings->peer_addr,
                         &peers->limits, frn_max_conns (daemon), &peer_ops,
                         daemon);
+  if (r == 0)
+    {
+      frn_account_serve (daemon, &peers->server);
+      /* The peer sends it elsewhere.  */
+      peers->server.refusal = frn_peer_refusal (daemon).headers;
+    }
   for (size_t i = 0; r == 0 && i < gossip.seed_count; i++)
     if (gossip.seeds[i] != gossip.ip)
       send_message (daemon, gossip.seeds[i], true);
--- a/cmd/rwfront/pool.c
+++ b/cmd/rwfront/pool.c
@@ -275,7 +275,8 @@
   h1_client_limit (&conn->h1, max_reply_bytes (send),
                    &conn->pool->daemon->reply_budget);
   /* After a failed write reading fails too, and on_disconnect is called.  */
-  (void)h1_client_send (&conn->h1, rw_buf_str (&out), send->request->is_head);
+  (void)h1_client_send_body (&conn->h1, rw_buf_str (&out), send->request->body,
+                             send->request->body_blob, send->request->is_head);
   rw_buf_finish (&out);
 }
 
@@ -534,7 +535,9 @@
 static void
 on_closed (struct h1_client *h1)
 {
-  free (h1->arg);
+  struct frn_pool_conn *conn = h1->arg;
+  acc_return_place (conn->account);
+  free (conn);
 }
 
 static const struct h1_client_ops conn_ops = {
@@ -562,7 +565,14 @@
       back_off (pool, "invalid address");
       return;
     }
+  if (!acc_take_place (&pool->daemon->account, rw_now ()))
+    {
+      if (pool->conn_count == 0)
+        back_off (pool, "no descriptor");
+      return;
+    }
   conn = rw_xcalloc (1, sizeof *conn);
+  conn->account = &pool->daemon->account;
   conn->pool = pool;
   conn->opened_at = rw_now ();
   conn->next = pool->conns;
--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "frn_account.h"
 #include "frn_feasible.h"
 #include "frn_quarantine.h"
 #include "frn_quota.h"
@@ -78,7 +79,11 @@
   request->method = rw_str_from (http_method_str (message->method));
   request->is_head = message->method == HTTP_HEAD;
   request->path_query = rw_arena_str (&request->arena, message->target);
-  request->body = rw_arena_str (&request->arena, message->body);
+  request->body_blob
+      = h1_message_share_body (message, &request->daemon->account);
+  request->body = request->body_blob != NULL
+                      ? message->body
+                      : rw_arena_str (&request->arena, message->body);
   request->key = key_of (request, message);
   rw_buf_init (&lines);
   for (size_t i = 0; i < message->header_count; i++)
@@ -133,7 +138,6 @@
   if (needs_content_length (request))
     rw_buf_printf (out, "Content-Length: %zu\r\n", request->body.len);
   rw_buf_append (out, "\r\n", 2);
-  rw_buf_append_str (out, request->body);
 }
 
 /* Frees the request: the last handle of it is closed.  */
@@ -144,6 +148,7 @@
   for (struct frn_send *s = request->sends; s != NULL; s = s->next)
     s->target->refs--;
   request->daemon->request_count--;
+  frn_account_forget (request);
   cat_config_unref (request->config);
   rw_arena_finish (&request->arena);
   free (request);
@@ -323,7 +328,13 @@
   request->target_reply.status = message->status;
   request->target_reply.headers
       = rw_arena_str (&request->arena, rw_buf_str (&lines));
-  request->target_reply.body = rw_arena_str (&request->arena, message->body);
+  acc_blob_unref (request->target_reply.blob);
+  request->target_reply.blob
+      = h1_message_share_body (message, &request->daemon->account);
+  request->target_reply.body
+      = request->target_reply.blob != NULL
+            ? message->body
+            : rw_arena_str (&request->arena, message->body);
   request->has_target_reply = true;
   rw_buf_finish (&lines);
 }
@@ -445,6 +456,7 @@
                rw_arena_str (&request->arena, reply->stamp),
                is_gather ? rw_arena_str (&request->arena, message->body)
                          : (struct rw_str){ NULL, 0 });
+  frn_account_count (request);
   frn_abandon_if_cheaper (request, send->u.part);
   frn_request_run (request);
 }
@@ -456,6 +468,7 @@
   request->tried = rw_arena_zalloc (&request->arena,
                                     plan->part_count * gat_max_sends (plan),
                                     sizeof (struct ste_target *));
+  frn_account_count (request);
 }
 
 void
@@ -572,6 +585,7 @@
   request->timer.data = request;
   daemon->request_count++;
   h1_conn_set_data (arrival->conn, request);
+  frn_account_count (request);
   if (frn_quota_admit (request))
     frn_request_start (request);
 }
--- a/cmd/rwfront/subquery.c
+++ b/cmd/rwfront/subquery.c
@@ -1,6 +1,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "frn_account.h"
 #include "frn_quarantine.h"
 #include "forward.h"
 #include "front.h"
@@ -400,7 +401,7 @@
     }
   if (arrival.route == NULL)
     frn_refuse_peer (daemon, conn);
-  else
+  else if (frn_account_admit (daemon, conn, &head, true))
     {
       sta_inc (daemon->metrics.subqueries_served);
       frn_request_begin (daemon, &arrival);
