--- a/bench/rwfcost/http.c
+++ b/bench/rwfcost/http.c
@@ -163,5 +163,5 @@
           "(%llu exchanges, %llu failed, %zu connections)\n",
           client.cpu / (double)client.done, server.cpu / (double)client.done,
           (unsigned long long)client.done, (unsigned long long)client.failed,
-          server.http.connection_count);
+          server.http.server.conn_count);
 }
--- a/cmd/rwfd/admin.c
+++ b/cmd/rwfd/admin.c
@@ -78,7 +78,10 @@
                "Datagrams too long or refused by the kernel.",
                c->datagrams_dropped);
   set_counter (rwfd, "rwf_net_streams_refused_total",
-               "RPC connections refused at the limit.", c->streams_refused);
+               "RPC connections refused for lack of room.",
+               c->streams_refused);
+  set_counter (rwfd, "rwf_net_streams_dropped_total",
+               "RPC connections closed for others.", c->streams_dropped);
   set_gauge (rwfd, "rwf_net_streams", "RPC connections.",
              rwfd->rpc.streams.len);
 }
@@ -98,14 +101,61 @@
                "HTTP calls refused at the connection limit.", c->refused);
   set_counter (rwfd, "rwf_net_connections_refused_total",
                "Callers' connections refused at the limit.",
-               rwfd->callers.connections_refused);
+               rwfd->callers.server.closed_conns);
   set_gauge (rwfd, "rwf_net_caller_connections", "Callers' connections.",
-             rwfd->callers.connection_count);
+             rwfd->callers.server.conn_count);
   set_gauge (rwfd, "rwf_net_pending_requests",
              "Callers' requests without an answer.",
              rwfd->callers.pending.len);
 }
 
+/* Sets what HTTP has refused; LABELS name the listener.  */
+static void
+update_listener_metrics (struct rwfd *rwfd, const struct net_http *http,
+                         struct rw_str labels)
+{
+  const struct net_http_counts *c = &http->counts;
+  const struct
+  {
+    const char *name;
+    const char *help;
+    uint64_t value;
+  } counters[] = {
+    { "rwf_net_requests_malformed_total", "Requests answered 400.",
+      c->malformed },
+    { "rwf_net_requests_slow_total", "Requests answered 408.", c->slow },
+    { "rwf_net_requests_too_large_total", "Requests answered 413 or 431.",
+      c->too_large },
+    { "rwf_net_requests_refused_total",
+      "Requests answered 503 for lack of memory before they were read.",
+      c->refused },
+    { "rwf_net_dropped_for_memory_total",
+      "Connections closed as their memory was needed.",
+      c->dropped[ACC_FOR_MEMORY] },
+    { "rwf_net_dropped_for_descriptors_total",
+      "Connections closed as their descriptors were needed.",
+      c->dropped[ACC_FOR_PLACE] },
+  };
+
+  for (size_t i = 0; i < RW_ARRAY_LEN (counters); i++)
+    sta_counter (&rwfd->stats, counters[i].name, counters[i].help, labels)
+        ->u.count
+        = counters[i].value;
+}
+
+static void
+update_account_metrics (struct rwfd *rwfd)
+{
+  update_listener_metrics (rwfd, &rwfd->callers,
+                           RW_LIT ("listener=\"callers\""));
+  update_listener_metrics (rwfd, &rwfd->admin, RW_LIT ("listener=\"admin\""));
+  set_gauge (rwfd, "rwf_held_bytes",
+             "Bytes held for clients and their requests.", rwfd->account.used);
+  set_gauge (rwfd, "rwf_held_descriptors",
+             "Connections of clients, daemons and to targets.",
+             rwfd->account.places);
+}
+
 static void
 reply_metrics (struct rwfd *rwfd, uint64_t id)
 {
@@ -115,6 +165,7 @@
   nod_report (rwfd->node, RW_LIT ("metrics"), &out, rw_now ());
   update_rpc_metrics (rwfd);
   update_http_metrics (rwfd);
+  update_account_metrics (rwfd);
   sta_write (&rwfd->stats, &out);
   rwfd_respond (&rwfd->admin, id, 200, "text/plain; version=0.0.4",
                 rw_buf_str (&out));
--- a/cmd/rwfd/callers.c
+++ b/cmd/rwfd/callers.c
@@ -102,7 +102,11 @@
     respond_error (rwfd, request->id, rc == RW_E_DEADLINE ? 504 : 400, rc,
                    detail);
   else
-    nod_on_request (rwfd->node, request->id, &out, rw_now ());
+    {
+      /* The node refuses the request if this does not succeed.  */
+      (void)acc_make_room (&rwfd->account, 2 * out.body.len, rw_now ());
+      nod_on_request (rwfd->node, request->id, &out, rw_now ());
+    }
 }
 
 static void
--- a/cmd/rwfd/daemon.c
+++ b/cmd/rwfd/daemon.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/random.h>
+#include <sys/resource.h>
 #include <sys/timerfd.h>
 #include <time.h>
 #include <unistd.h>
@@ -309,6 +310,63 @@
 static const struct net_rpc_ops RPC_OPS
     = { on_record, on_open, on_closed, on_unsent, on_datagram, on_error };
 
+/* Part of the memory that clients and their requests may fill.  The rest is
+   for the node's own state, what the kernel has received for the process, and
+   the allocator's gaps.  */
+#define ACCOUNT_DIVISOR 4
+/* Part of the memory for input that was received and not read yet.  */
+#define RECEIVED_DIVISOR 4
+#define MIN_RECV_BYTES 16384
+#define MAX_RECV_BYTES 262144
+/* Descriptors beside connections: listeners, files, timers, signals.  */
+#define OWN_DESCRIPTORS 40
+/* Connections of a listener that are not dropped for those of others.  */
+#define RESERVE_DIVISOR 8
+#define MAX_RESERVE 64
+#define REFUSAL_BODY                                                          \
+  "{\"error\":\"no memory for the request\",\"ran\":\"no\","                  \
+  "\"retry_after_ms\":1000,\"step\":\"read request\",\"peer\":\"\"}"
+
+static void
+init_account (struct rwfd *rwfd)
+{
+  const struct opt_options *options = rwfd->options;
+  size_t files = options->max_files;
+  struct rlimit limit;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < files)
+    files = (size_t)limit.rlim_cur;
+  acc_init (&rwfd->account, options->memory_mb * 1000000 / ACCOUNT_DIVISOR,
+            files > 2 * OWN_DESCRIPTORS ? files - OWN_DESCRIPTORS : files / 2);
+  log_line (&rwfd->log, LOG_LEVEL_INFO, "daemon", rw_now (),
+            "Clients may use %zu MB and %zu descriptors.",
+            rwfd->account.max / 1000000, rwfd->account.max_places);
+}
+
+/* Lets all listeners and the calls count in the account.  */
+static void
+use_account (struct rwfd *rwfd)
+{
+  size_t places = rwfd->account.max_places;
+  size_t reserve = places / RESERVE_DIVISOR;
+  size_t recv_bytes
+      = rwfd->options->memory_mb * 1000000 / RECEIVED_DIVISOR / places;
+
+  if (reserve > MAX_RESERVE)
+    reserve = MAX_RESERVE;
+  if (recv_bytes < MIN_RECV_BYTES)
+    recv_bytes = MIN_RECV_BYTES;
+  if (recv_bytes > MAX_RECV_BYTES)
+    recv_bytes = MAX_RECV_BYTES;
+  net_client_set_account (&rwfd->client, &rwfd->account);
+  net_rpc_set_account (&rwfd->rpc, &rwfd->account, places / 2, reserve,
+                       (int)recv_bytes);
+  net_http_set_account (&rwfd->callers, &rwfd->account, places / 2, reserve,
+                        (int)recv_bytes, RW_LIT (REFUSAL_BODY));
+  net_http_set_account (&rwfd->admin, &rwfd->account, places / 8, reserve,
+                        (int)recv_bytes, RW_LIT (REFUSAL_BODY));
+}
+
 static int
 listen_all (struct rwfd *rwfd, struct rw_err *err)
 {
@@ -327,8 +385,11 @@
   if (rc < 0)
     return rc;
   addr.port = options->admin_port;
-  return net_http_init (&rwfd->admin, &rwfd->loop, &addr, &rwfd_admin_ops,
-                        rwfd, err);
+  rc = net_http_init (&rwfd->admin, &rwfd->loop, &addr, &rwfd_admin_ops, rwfd,
+                      err);
+  if (rc == 0)
+    use_account (rwfd);
+  return rc;
 }
 
 /* Returns a random number that is not 0.  */
@@ -368,6 +429,7 @@
           .trace_sample_ratio = options->trace_sample_ratio,
           .drain_delay = options->drain_delay,
           .wall_clock_offset = wall_clock_offset (),
+          .account = &rwfd->account,
           .peers = options->peers,
           .peer_count = options->peer_count };
 
@@ -442,6 +504,7 @@
   rc = open_trace (rwfd, err);
   if (rc < 0)
     return rc;
+  init_account (rwfd);
   uv_loop_init (&rwfd->loop);
   net_client_init (&rwfd->client, &rwfd->loop);
   rc = listen_all (rwfd, err);
@@ -459,13 +522,14 @@
   return rwfd->status;
 }
 
-/* Frees the daemon's resources, except the connections of callers, which are
-   closed when the process exits.  */
+/* Closes all connections and frees the daemon's resources.  */
 void
 rwfd_finish (struct rwfd *rwfd)
 {
   net_http_stop (&rwfd->callers);
   net_http_stop (&rwfd->admin);
+  net_http_finish (&rwfd->callers);
+  net_http_finish (&rwfd->admin);
   net_rpc_finish (&rwfd->rpc);
   net_client_finish (&rwfd->client);
   uv_close ((uv_handle_t *)&rwfd->prepare, NULL);
--- a/cmd/rwfd/main.c
+++ b/cmd/rwfd/main.c
@@ -91,6 +91,7 @@
     }
   signal (SIGPIPE, SIG_IGN); /* libuv writes without MSG_NOSIGNAL */
   raise_descriptor_limit ();
+  rw_return_large_blocks ();
   if (rwfd_init (&rwfd, &options, &err) < 0)
     exit_with_error (&err);
   print_addresses (&rwfd);
--- a/cmd/rwfd/options.c
+++ b/cmd/rwfd/options.c
@@ -2,10 +2,12 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 /* The texts of SETTINGS state these limits.  */
 #define DRAIN_DELAY_MAX (9 * RW_SEC)
 #define PATH_LEN_MAX 4095
+#define MAX_SIZE 1000000
 
 /* Keys of argp; above the character codes, since there are no short flags.  */
 enum
@@ -21,6 +23,8 @@
   KEY_DRAIN_DELAY,
   KEY_TRACE_FILE,
   KEY_TRACE_SAMPLE,
+  KEY_MEMORY,
+  KEY_MAX_FILES,
   KEY_LOG_LEVEL,
   KEY_LOG_FORMAT,
   KEY_CHECK
@@ -50,6 +54,8 @@
   { KEY_TRACE_FILE, "--trace-file", "RWF_TRACE_FILE",
     "a path of 1 to 4095 characters" },
   { KEY_TRACE_SAMPLE, "--trace-sample", "RWF_TRACE_SAMPLE", "0 to 1" },
+  { KEY_MEMORY, "--memory", "RWF_MEMORY_MB", "16 to 1000000" },
+  { KEY_MAX_FILES, "--max-files", "RWF_MAX_FILES", "64 to 1000000" },
   { KEY_LOG_LEVEL, "--log-level", "RWF_LOG_LEVEL",
     "error, warn, info or debug" },
   { KEY_LOG_FORMAT, "--log-format", "RWF_LOG_FORMAT", "text or json" },
@@ -73,6 +79,10 @@
   { "trace-file", KEY_TRACE_FILE, "PATH", 0, "Append spans to this file", 0 },
   { "trace-sample", KEY_TRACE_SAMPLE, "SHARE", 0,
     "Share of requests without traceparent that are traced, default 0.01", 0 },
+  { "memory", KEY_MEMORY, "MB", 0,
+    "Memory that the process may use, default that of the machine", 0 },
+  { "max-files", KEY_MAX_FILES, "N", 0,
+    "Descriptors that it may use, default the limit of the process", 0 },
   { "log-level", KEY_LOG_LEVEL, "LEVEL", 0,
     "error, warn, info (default) or debug", 0 },
   { "log-format", KEY_LOG_FORMAT, "FORMAT", 0, "text (default) or json", 0 },
@@ -108,6 +118,19 @@
         NULL,
         NULL };
 
+/* Returns the memory of the machine in MB, within the limits of the setting.
+ */
+static size_t
+machine_memory_mb (void)
+{
+  double bytes
+      = (double)sysconf (_SC_PHYS_PAGES) * (double)sysconf (_SC_PAGESIZE);
+
+  if (bytes < 16e6)
+    return 16;
+  return bytes < MAX_SIZE * 1e6 ? (size_t)(bytes / 1e6) : MAX_SIZE;
+}
+
 void
 opt_init (struct opt_options *options)
 {
@@ -117,6 +140,8 @@
   options->admin_port = 8081;
   options->drain_delay = 500 * RW_MSEC;
   options->trace_sample_ratio = 0.01;
+  options->memory_mb = machine_memory_mb ();
+  options->max_files = MAX_SIZE;
   options->log_level = LOG_LEVEL_INFO;
 }
 
@@ -158,6 +183,17 @@
   return rc;
 }
 
+static int
+set_size (struct rw_str text, int64_t min, size_t *size)
+{
+  int64_t value;
+  int rc = rw_str_to_int (text, min, MAX_SIZE, &value);
+
+  if (rc == 0)
+    *size = (size_t)value;
+  return rc;
+}
+
 static int
 set_peers (struct rw_str text, struct opt_options *options)
 {
@@ -249,6 +285,10 @@
       return set_path (value, &options->trace_file);
     case KEY_TRACE_SAMPLE:
       return set_ratio (value, &options->trace_sample_ratio);
+    case KEY_MEMORY:
+      return set_size (text, 16, &options->memory_mb);
+    case KEY_MAX_FILES:
+      return set_size (text, 64, &options->max_files);
     case KEY_LOG_LEVEL:
       return log_level_parse (text, &options->log_level);
     case KEY_LOG_FORMAT:
--- a/cmd/rwfd/options.h
+++ b/cmd/rwfd/options.h
@@ -26,6 +26,8 @@
   rw_time drain_delay;       /* from "not ready" to the hand-over of targets */
   const char *trace_file;    /* null: no spans are written */
   double trace_sample_ratio; /* of requests without traceparent, 0 to 1 */
+  size_t memory_mb;          /* of this process, at most */
+  size_t max_files;          /* descriptors of this process, at most */
   enum log_level log_level;
   enum log_format log_format;
   bool check_only; /* check the settings and exit */
--- a/cmd/rwfd/rwfd.h
+++ b/cmd/rwfd/rwfd.h
@@ -29,6 +29,7 @@
 struct rwfd
 {
   const struct opt_options *options;
+  struct acc_account account; /* of callers, daemons, operators, targets */
   uv_loop_t loop;
   uv_prepare_t prepare;
   uv_check_t check;      /* runs after the sockets were read */
--- a/cmd/rwfd/targets.c
+++ b/cmd/rwfd/targets.c
@@ -19,7 +19,7 @@
   struct net_addr to;
   char target[64];
   size_t max_connections;
-  struct rw_buf body; /* of the request, with the ids of its queries */
+  struct acc_blob *body; /* of the request, with the ids of its queries */
 };
 
 /* Cancels the queries of one exchange, one call at a time.  It may outlive the
@@ -38,7 +38,7 @@
 free_exchange (struct exchange *exchange)
 {
   rw_map_remove (&exchange->rwfd->exchanges, exchange->id);
-  rw_buf_finish (&exchange->body);
+  acc_blob_unref (exchange->body);
   free (exchange);
 }
 
@@ -75,8 +75,7 @@
   exchange->max_connections = action->u.start.max_connections > 0
                                   ? (size_t)action->u.start.max_connections
                                   : 0;
-  exchange->body = action->data;
-  rw_buf_init (&action->data);
+  exchange->body = acc_blob_new (&rwfd->account, &action->data);
   rw_map_put (&rwfd->exchanges, exchange->id, exchange);
   return exchange;
 }
@@ -109,7 +108,8 @@
           .method = "POST",
           .path = exchange->kind == NOD_EXCHANGE_ONCE ? RW_LIT ("/once")
                                                       : RW_LIT ("/search"),
-          .body = rw_buf_str (&exchange->body),
+          .body = rw_buf_str (&exchange->body->buf),
+          .blob = exchange->body,
           .done = on_done,
           .arg = rwfd,
           .tag = exchange->id };
@@ -190,7 +190,8 @@
   memcpy (cancel->target, exchange->target, sizeof cancel->target);
   cancel->max_connections
       = CANCEL_CONNECTIONS_FACTOR * exchange->max_connections;
-  cancel->body = json_loadb (exchange->body.ptr, exchange->body.len, 0, NULL);
+  cancel->body
+      = json_loadb (exchange->body->buf.ptr, exchange->body->buf.len, 0, NULL);
   send_next_cancel (cancel);
 }
 
--- a/cmd/rwfront/main.c
+++ b/cmd/rwfront/main.c
@@ -83,6 +83,7 @@
   /* A SIGHUP before the handler is set must not end the process.  It needs no
      reload, as the start reads the settings.  */
   signal (SIGHUP, SIG_IGN);
+  rw_return_large_blocks ();
   uv_loop_init (&loop);
   if (frn_daemon_init (&daemon, &loop, options.settings, &err) != 0)
     return report (&err);
--- a/lib/account/account.c
+++ b/lib/account/account.c
@@ -157,6 +157,12 @@
              : account->max - account->max / ACC_RESERVE_DIVISOR;
 }
 
+bool
+acc_has_room (const struct acc_account *account, size_t bytes)
+{
+  return account == NULL || account->used + bytes <= limit_of (account, bytes);
+}
+
 bool
 acc_make_room (struct acc_account *account, size_t bytes, rw_time now)
 {
--- a/lib/account/account.h
+++ b/lib/account/account.h
@@ -96,6 +96,8 @@
    acc_make_room.  */
 void acc_add (struct acc_account *account, size_t bytes);
 void acc_sub (struct acc_account *account, size_t bytes);
+/* Whether BYTES more fit, without dropping a connection.  */
+bool acc_has_room (const struct acc_account *account, size_t bytes);
 /* Drops connections until BYTES more fit.  Returns whether they do.  */
 bool acc_make_room (struct acc_account *account, size_t bytes, rw_time now);
 
--- a/lib/base/arena.c
+++ b/lib/base/arena.c
@@ -1,10 +1,12 @@
 #include "base.h"
 
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define ALIGN _Alignof(max_align_t)
+#define LARGE_BLOCK_BYTES (128 * 1024)
 
 struct rw_arena_block
 {
@@ -136,6 +138,12 @@
   return (struct rw_str){ text, (size_t)len };
 }
 
+void
+rw_return_large_blocks (void)
+{
+  (void)mallopt (M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES);
+}
+
 /* Returns SIZE bytes of heap memory.  Aborts the process when memory runs out,
    since a daemon cannot continue without it.  */
 void *
--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -67,6 +67,11 @@
     __attribute__ ((format (printf, 2, 3)));
 char *rw_arena_cstr (struct rw_arena *arena, struct rw_str s);
 
+/* Makes the heap return large blocks to the system when they are freed.  The
+   C library otherwise raises the size from which it does so.  For the start of
+   a daemon.  */
+void rw_return_large_blocks (void);
+
 /* Heap allocation.  These functions abort the process when memory runs out,
    and so does every function that allocates through them.  */
 void *rw_xmalloc (size_t size);
@@ -89,6 +94,7 @@
     __attribute__ ((format (printf, 2, 3)));
 void rw_buf_consume (struct rw_buf *buf, size_t len);
 struct rw_str rw_buf_str (const struct rw_buf *buf);
+size_t rw_buf_need (const struct rw_buf *buf, size_t extra);
 
 /* Error numbers, always returned negative, besides those of errno.h.  */
 enum rw_errno
--- a/lib/base/buf.c
+++ b/lib/base/buf.c
@@ -19,16 +19,28 @@
   rw_buf_init (buf);
 }
 
-/* Gives BUF room for EXTRA more bytes.  */
-static void
-reserve (struct rw_buf *buf, size_t extra)
+/* Returns the memory in bytes that BUF has once EXTRA more bytes are
+   appended.  */
+size_t
+rw_buf_need (const struct rw_buf *buf, size_t extra)
 {
   size_t cap = buf->cap != 0 ? buf->cap : 256;
 
   if (buf->cap - buf->len >= extra)
-    return;
+    return buf->cap;
   while (cap - buf->len < extra)
     cap *= 2;
+  return cap;
+}
+
+/* Gives BUF room for EXTRA more bytes.  */
+static void
+reserve (struct rw_buf *buf, size_t extra)
+{
+  size_t cap = rw_buf_need (buf, extra);
+
+  if (cap == buf->cap)
+    return;
   buf->ptr = rw_xrealloc (buf->ptr, cap);
   buf->cap = cap;
 }
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -254,10 +254,12 @@
   struct h1_conn *conns; /* doubly linked list */
   size_t conn_count;
   struct acc_group group; /* its max: that of connections */
+  uint64_t closed_conns;  /* for lack of room, when they were accepted */
   struct rw_str refusal;  /* header lines of a 503 for lack of memory */
-  size_t busy_count;      /* connections whose request is not answered yet */
-  bool draining;          /* replies say Connection: close */
-  char *read_buf;         /* H1_READ_BUF_SIZE, shared by all connections */
+  struct rw_str refusal_body;
+  size_t busy_count; /* connections whose request is not answered yet */
+  bool draining;     /* replies say Connection: close */
+  char *read_buf;    /* H1_READ_BUF_SIZE, shared by all connections */
 };
 
 struct h1_reply
--- a/lib/h1/message.c
+++ b/lib/h1/message.c
@@ -287,9 +287,6 @@
   rw_buf_finish (&reader->body);
 }
 
-/* The first size of an rw_buf, which doubles as it grows.  */
-#define MIN_BUF_BYTES 256
-
 size_t
 h1_reader_held (const struct h1_reader *reader)
 {
@@ -299,10 +296,7 @@
 size_t
 h1_reader_need (const struct h1_reader *reader, size_t len)
 {
-  size_t cap = reader->body.cap > 0 ? reader->body.cap : MIN_BUF_BYTES;
-  while (cap < reader->body.len + len)
-    cap *= 2;
-  return reader->head.cap + cap;
+  return reader->head.cap + rw_buf_need (&reader->body, len);
 }
 
 /* A smaller body is copied rather than shared.  */
--- a/lib/h1/server.c
+++ b/lib/h1/server.c
@@ -108,7 +108,7 @@
                                               : ACC_IDLE;
       break;
     case CONN_PENDING:
-      client->state = conn->pipelined.len > 0 ? ACC_UNREAD : ACC_SERVED;
+      client->state = ACC_SERVED;
       break;
     case CONN_LINGER:
     case CONN_CLOSED:
@@ -276,8 +276,10 @@
 refuse_arriving (struct h1_conn *conn, enum acc_cause cause)
 {
   struct h1_server *server = conn->server;
-  struct h1_reply reply
-      = { .status = 503, .headers = server->refusal, .close = true };
+  struct h1_reply reply = { .status = 503,
+                            .headers = server->refusal,
+                            .body = server->refusal_body,
+                            .close = true };
   if (server->ops->on_drop != NULL)
     server->ops->on_drop (server->arg, conn, cause, reply.status);
   write_reply (conn, &reply, true);
@@ -379,39 +381,76 @@
   return conn->state == CONN_READING && conn->writer.queued == 0;
 }
 
+/* Ends CONN, which sends ahead of its answers, for lack of memory.  */
+static void
+drop_ahead (struct h1_conn *conn)
+{
+  struct h1_server *server = conn->server;
+  if (server->group.account != NULL)
+    server->group.account->dropped[ACC_FOR_MEMORY]++;
+  if (server->ops->on_drop != NULL)
+    server->ops->on_drop (server->arg, conn, ACC_FOR_MEMORY, 0);
+  conn_close (conn);
+}
+
+/* Keeps DATA, which was sent ahead of an answer.  Ends CONN if that is too
+   much for it or for the memory.  */
+static void
+keep_ahead (struct h1_conn *conn, const char *data, size_t len)
+{
+  if (len == 0)
+    return;
+  if (conn->pipelined.len + len > MAX_PIPELINED_BYTES)
+    {
+      conn_close (conn);
+      return;
+    }
+  update_client (conn);
+  conn->client.state = ACC_UNREAD;
+  if (!acc_charge (&conn->client,
+                   held_beside_reader (conn) - conn->pipelined.cap
+                       + rw_buf_need (&conn->pipelined, len)
+                       + h1_reader_held (&conn->reader),
+                   loop_now (conn->server)))
+    {
+      drop_ahead (conn);
+      return;
+    }
+  rw_buf_append (&conn->pipelined, data, len);
+}
+
 /* Takes DATA, which arrived after what is in conn->pipelined.  Delivers the
    requests in it, one after the other, and keeps the rest.  A loop, because
    each may be answered within its delivery, which ends here again.  */
 static void
 take_input (struct h1_conn *conn, const char *data, size_t len)
 {
-  struct rw_buf input;
+  struct rw_buf ahead = conn->pipelined;
   size_t used = 0;
   if (conn->in_input)
     return;
-  if (!is_reading (conn) || conn->pipelined.len > 0)
+  if (!is_reading (conn))
     {
-      rw_buf_append (&conn->pipelined, data, len);
-      data = conn->pipelined.ptr;
-      len = conn->pipelined.len;
+      keep_ahead (conn, data, len);
+      if (conn->state != CONN_CLOSED)
+        count_held (conn);
+      return;
     }
-  if (is_reading (conn))
+  rw_buf_init (&conn->pipelined);
+  if (ahead.len > 0)
     {
-      input = conn->pipelined;
-      rw_buf_init (&conn->pipelined);
-      conn->in_input = true;
-      while (is_reading (conn) && used < len)
-        used += conn_input (conn, data + used, len - used);
-      conn->in_input = false;
-      if (conn->state == CONN_READING || conn->state == CONN_PENDING)
-        rw_buf_append (&conn->pipelined, data + used, len - used);
-      rw_buf_finish (&input);
+      rw_buf_append (&ahead, data, len);
+      data = ahead.ptr;
+      len = ahead.len;
     }
-  if (conn->state == CONN_CLOSED)
-    return;
-  if (conn->pipelined.len > MAX_PIPELINED_BYTES)
-    conn_close (conn);
-  else
+  conn->in_input = true;
+  while (is_reading (conn) && used < len)
+    used += conn_input (conn, data + used, len - used);
+  conn->in_input = false;
+  if (conn->state == CONN_READING || conn->state == CONN_PENDING)
+    keep_ahead (conn, data + used, len - used);
+  rw_buf_finish (&ahead);
+  if (conn->state != CONN_CLOSED)
     settle (conn);
 }
 
@@ -524,6 +563,7 @@
       || (server->ops->on_accept != NULL
           && !server->ops->on_accept (server->arg, conn)))
     {
+      server->closed_conns++;
       conn_close (conn);
       return;
     }
--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -24,8 +24,9 @@
 struct connection
 {
   struct h1_client h1;
-  struct net_target *target; /* valid while it has a call or is idle */
-  struct net_call *call;     /* null: idle, or closing */
+  struct acc_account *account; /* in which its descriptor counts */
+  struct net_target *target;   /* valid while it has a call or is idle */
+  struct net_call *call;       /* null: idle, or closing */
   struct connection *next_idle;
   rw_time idle_since;
 };
@@ -49,6 +50,8 @@
   size_t max_body_bytes;
   char peer[NET_ADDR_TEXT_SIZE]; /* for errors */
   struct rw_buf request;
+  struct rw_str request_body; /* in BLOB; empty: in REQUEST */
+  struct acc_blob *blob;      /* may be null */
   struct rw_buf body;
   struct net_reply reply;
   struct rw_err err;
@@ -132,7 +135,8 @@
   h1_client_limit (&connection->h1, call->max_body_bytes,
                    &call->client->arriving);
   /* After a failed write reading fails too, and on_disconnect is called.  */
-  (void)h1_client_send (&connection->h1, rw_buf_str (&call->request), false);
+  (void)h1_client_send_body (&connection->h1, rw_buf_str (&call->request),
+                             call->request_body, call->blob, false);
 }
 
 /* The connection was established, or its call has been answered.  */
@@ -160,6 +164,7 @@
   call->reply.status = message->status;
   read_headers (call, message);
   rw_buf_append_str (&call->body, message->body);
+  acc_add (call->client->account, call->body.cap);
   finish_call (call);
   return H1_REPLY_ACCEPTED;
 }
@@ -201,7 +206,10 @@
 static void
 on_closed (struct h1_client *h1)
 {
-  free (h1->arg);
+  struct connection *connection = h1->arg;
+
+  acc_return_place (connection->account);
+  free (connection);
 }
 
 static const struct h1_client_ops connection_ops = {
@@ -222,7 +230,14 @@
                  "content-length: %zu\r\n%.*s\r\n",
                  spec->method, RW_STR_ARG (spec->path), RW_STR_ARG (name),
                  spec->body.len, RW_STR_ARG (spec->headers));
-  rw_buf_append_str (&call->request, spec->body);
+  if (spec->blob == NULL)
+    rw_buf_append_str (&call->request, spec->body);
+  else
+    {
+      call->request_body = spec->body;
+      call->blob = acc_blob_ref (spec->blob);
+    }
+  acc_add (call->client->account, call->request.cap);
 }
 
 /* Returns the connection pool of an address, which its first call creates.
@@ -269,9 +284,18 @@
 static void
 open_connection (struct net_call *call)
 {
-  struct connection *connection = rw_xcalloc (1, sizeof *connection);
+  struct acc_account *account = call->client->account;
+  struct connection *connection;
   int rc;
 
+  if (!acc_take_place (account, rw_now ()))
+    {
+      fail_call (call, RW_E_QUEUE_FULL, "connect", "no descriptor");
+      return;
+    }
+  connection = rw_xcalloc (1, sizeof *connection);
+  connection->account = account;
+
   connection->target = call->target;
   connection->call = call;
   call->connection = connection;
@@ -407,6 +431,13 @@
       fail_call (call, RW_E_QUEUE_FULL, "connect", "too many connections");
       return call->id;
     }
+  if (!acc_make_room (client->account, spec->blob == NULL ? spec->body.len : 0,
+                      rw_now ()))
+    {
+      client->counts.refused++;
+      fail_call (call, RW_E_QUEUE_FULL, "connect", "no memory");
+      return call->id;
+    }
   call->target = target;
   target->active_count++;
   target->last_used_at = rw_now ();
@@ -500,6 +531,8 @@
 free_call (struct net_call *call)
 {
   rw_map_remove (&call->client->calls, call->id);
+  acc_sub (call->client->account, call->request.cap + call->body.cap);
+  acc_blob_unref (call->blob);
   rw_buf_finish (&call->request);
   rw_buf_finish (&call->body);
   free (call);
@@ -601,6 +634,18 @@
   client->read_buf = rw_xmalloc (H1_READ_BUF_SIZE);
 }
 
+/* Counts the descriptors and the memory of CLIENT's calls in ACCOUNT, which
+   must outlive it.  To be called before there are calls.  Responses that are
+   arriving get half of the memory at most.  */
+void
+net_client_set_account (struct net_client *client, struct acc_account *account)
+{
+  client->account = account;
+  client->arriving.account = account;
+  if (client->arriving.max > account->max / 2)
+    client->arriving.max = account->max / 2;
+}
+
 /* Fails and reports all calls.  Calls that DONE starts meanwhile fail at
    once.  */
 static void
--- a/lib/net/http.c
+++ b/lib/net/http.c
@@ -3,129 +3,113 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
-#define LISTEN_BACKLOG 512
-
-/* A request without a response.  It is allocated in the memory pool of the h2o
-   request, whose disposal calls on_request_disposed.  */
+/* A request without a response.  */
 struct pending_request
 {
-  struct net_http *http;
   uint64_t id;
-  h2o_req_t *req;
-};
-
-struct connection
-{
-  uv_tcp_t tcp; /* first member, since h2o uses the data pointer */
-  struct net_http *http;
-};
-
-struct handler
-{
-  h2o_handler_t super;
-  struct net_http *http;
+  struct h1_conn *conn;
 };
 
-static struct rw_str
-iovec_str (h2o_iovec_t v)
-{
-  return (struct rw_str){ v.base, v.len };
-}
-
 static void
-on_request_disposed (void *ptr)
-{
-  struct pending_request *pending = ptr;
-  struct net_http *http = pending->http;
-
-  if (rw_map_remove (&http->pending, pending->id) != NULL)
-    http->ops->on_disconnect (http->arg, pending->id);
-}
-
-static int
-on_request (h2o_handler_t *self, h2o_req_t *req)
-{
-  struct net_http *http = ((struct handler *)self)->http;
-  struct pending_request *pending = h2o_mem_alloc_shared (
-      &req->pool, sizeof *pending, on_request_disposed);
-  size_t path_len = req->query_at != SIZE_MAX ? req->query_at : req->path.len;
-  struct net_request request = { .id = http->next_id++,
-                                 .method = iovec_str (req->method),
-                                 .path = { req->path.base, path_len },
-                                 .query = RW_LIT (""),
-                                 .body = iovec_str (req->entity),
-                                 .req = req };
-
-  if (path_len < req->path.len)
-    request.query = (struct rw_str){ req->path.base + path_len + 1,
-                                     req->path.len - path_len - 1 };
-  *pending = (struct pending_request){ http, request.id, req };
+on_request (void *arg, struct h1_conn *conn, const struct h1_message *message)
+{
+  struct net_http *http = arg;
+  struct pending_request *pending = rw_xcalloc (1, sizeof *pending);
+  struct rw_str path = message->target;
+  const char *query = memchr (path.ptr, '?', path.len);
+  struct net_request request
+      = { .id = http->next_id++,
+          .method = rw_str_from (http_method_str (message->method)),
+          .path = path,
+          .query = RW_LIT (""),
+          .body = message->body,
+          .message = message };
+
+  if (query != NULL)
+    {
+      request.path.len = (size_t)(query - path.ptr);
+      request.query
+          = (struct rw_str){ query + 1, path.len - request.path.len - 1 };
+    }
+  *pending = (struct pending_request){ request.id, conn };
+  h1_conn_set_data (conn, pending);
   rw_map_put (&http->pending, request.id, pending);
   http->ops->on_request (http->arg, &request);
-  return 0;
 }
 
-/* Returns the value of the header NAME, which is given in lower case, or an
-   empty string.  The value is valid as long as REQUEST.  */
-struct rw_str
-net_http_header (const struct net_request *request, const char *name)
+static void
+on_disconnect (void *arg, struct h1_conn *conn)
 {
-  const h2o_headers_t *headers = &request->req->headers;
-  const h2o_token_t *token = h2o_lookup_token (name, strlen (name));
-  ssize_t at = token != NULL
-                   ? h2o_find_header (headers, token, -1)
-                   : h2o_find_header_by_str (headers, name, strlen (name), -1);
+  struct net_http *http = arg;
+  struct pending_request *pending = h1_conn_data (conn);
+  uint64_t id = pending->id;
 
-  return at >= 0 ? iovec_str (headers->entries[at].value) : RW_LIT ("");
+  rw_map_remove (&http->pending, id);
+  free (pending);
+  http->ops->on_disconnect (http->arg, id);
 }
 
-static const char *
-reason_phrase (int status)
+static void
+on_bad_request (void *arg, struct h1_conn *conn, int status)
 {
+  struct net_http *http = arg;
+
+  (void)conn;
   switch (status)
     {
-    case 200:
-      return "OK";
-    case 400:
-      return "Bad Request";
-    case 404:
-      return "Not Found";
-    case 405:
-      return "Method Not Allowed";
-    case 409:
-      return "Conflict";
-    case 429:
-      return "Too Many Requests";
-    case 500:
-      return "Internal Server Error";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
+    case 408:
+      http->counts.slow++;
+      break;
+    case 413:
+    case 431:
+      http->counts.too_large++;
+      break;
     default:
-      return "Status";
+      http->counts.malformed++;
+      break;
     }
 }
 
 static void
-add_header (h2o_req_t *req, const char *name, struct rw_str value)
+on_drop (void *arg, struct h1_conn *conn, enum acc_cause cause, int status)
+{
+  struct net_http *http = arg;
+
+  (void)conn;
+  http->counts.dropped[cause]++;
+  if (status == 503)
+    http->counts.refused++;
+}
+
+static const struct h1_server_ops SERVER_OPS = {
+  .on_request = on_request,
+  .on_disconnect = on_disconnect,
+  .on_bad_request = on_bad_request,
+  .on_drop = on_drop,
+};
+
+/* Returns the value of the header NAME, without regard to case, or an empty
+   string.  The value is valid as long as REQUEST.  */
+struct rw_str
+net_http_header (const struct net_request *request, const char *name)
 {
-  h2o_iovec_t copy = h2o_strdup (&req->pool, value.ptr, value.len);
+  struct rw_str value = h1_header_value (request->message, name);
 
-  h2o_add_header_by_str (&req->pool, &req->res.headers, name, strlen (name), 1,
-                         NULL, copy.base, copy.len);
+  return value.len > 0 ? value : RW_LIT ("");
 }
 
-/* Retry-After has whole seconds, so MS is rounded up; the body of an error
-   response has the milliseconds.  */
 static void
-add_retry_after (h2o_req_t *req, int64_t ms)
+write_date (struct rw_buf *out)
 {
-  char text[24];
+  char text[40];
+  time_t now = time (NULL);
+  struct tm tm;
 
-  snprintf (text, sizeof text, "%lld", (long long)((ms + 999) / 1000));
-  add_header (req, "retry-after", rw_str_from (text));
+  gmtime_r (&now, &tm);
+  strftime (text, sizeof text, "%a, %d %b %Y %H:%M:%S GMT", &tm);
+  rw_buf_printf (out, "date: %s\r\n", text);
 }
 
 /* Sends RESPONSE, which is copied, to the request ID.  Does nothing if the
@@ -135,108 +119,30 @@
                   const struct net_response *response)
 {
   struct pending_request *pending = rw_map_remove (&http->pending, id);
-  h2o_req_t *req;
+  struct h1_reply reply = { .status = response->status };
+  struct h1_conn *conn;
+  struct rw_buf headers;
 
   if (pending == NULL)
     return;
-  req = pending->req;
-  req->res.status = response->status;
-  req->res.reason = reason_phrase (response->status);
-  req->res.content_length = response->body.len;
-  add_header (req, "content-type", rw_str_from (response->content_type));
+  conn = pending->conn;
+  free (pending);
+  h1_conn_set_data (conn, NULL);
+  rw_buf_init (&headers);
+  write_date (&headers);
+  rw_buf_printf (&headers, "content-type: %s\r\n", response->content_type);
+  /* Whole seconds, so it is rounded up; the body of an error response has the
+     milliseconds.  */
   if (response->retry_after_ms >= 0)
-    add_retry_after (req, response->retry_after_ms);
+    rw_buf_printf (&headers, "retry-after: %lld\r\n",
+                   (long long)((response->retry_after_ms + 999) / 1000));
   if (response->traceparent.len > 0)
-    add_header (req, "traceparent", response->traceparent);
-  h2o_send_inline (req, response->body.len > 0 ? response->body.ptr : "",
-                   response->body.len);
-}
-
-static void
-on_refused_closed (uv_handle_t *handle)
-{
-  free (handle);
-}
-
-static void
-on_connection_closed (uv_handle_t *handle)
-{
-  struct connection *connection = (struct connection *)handle;
-
-  connection->http->connection_count--;
-  free (connection);
-}
-
-static void
-on_connection (uv_stream_t *listener, int status)
-{
-  struct net_http *http = listener->data;
-  struct connection *connection;
-  uv_tcp_t *tcp;
-
-  if (status < 0)
-    return;
-  connection = rw_xcalloc (1, sizeof *connection);
-  connection->http = http;
-  tcp = &connection->tcp;
-  uv_tcp_init (http->loop, tcp);
-  if (uv_accept (listener, (uv_stream_t *)tcp) < 0
-      || http->connection_count >= NET_MAX_HTTP_CONNECTIONS)
-    {
-      http->connections_refused++;
-      uv_close ((uv_handle_t *)tcp, on_refused_closed);
-      return;
-    }
-  http->connection_count++;
-  uv_tcp_nodelay (tcp, 1);
-  h2o_accept (&http->accept_ctx,
-              h2o_uv_socket_create ((uv_stream_t *)tcp, on_connection_closed));
-}
-
-static int
-listen_on (struct net_http *http, const struct net_addr *addr)
-{
-  struct sockaddr_storage sa;
-  struct net_addr bound;
-  int len = sizeof sa;
-  int rc = net_addr_to_sockaddr (addr, &sa);
-
-  uv_tcp_init (http->loop, &http->listener);
-  http->listener.data = http;
-  if (rc == 0)
-    rc = uv_tcp_bind (&http->listener, (struct sockaddr *)&sa, 0);
-  if (rc == 0)
-    rc = uv_listen ((uv_stream_t *)&http->listener, LISTEN_BACKLOG,
-                    on_connection);
-  if (rc == 0)
-    rc = uv_tcp_getsockname (&http->listener, (struct sockaddr *)&sa, &len);
-  if (rc == 0)
-    rc = net_addr_from_sockaddr ((struct sockaddr *)&sa, &bound);
-  if (rc == 0)
-    http->port = bound.port;
-  return rc;
-}
-
-static void
-configure_h2o (struct net_http *http)
-{
-  h2o_hostconf_t *host;
-  struct handler *handler;
-
-  h2o_config_init (&http->config);
-  http->config.max_request_entity_size = NET_MAX_BODY_BYTES;
-  http->config.http1.req_timeout = NET_HTTP_REQUEST_TIMEOUT_MS;
-  http->config.http1.upgrade_to_http2 = 0;
-  http->config.server_name = h2o_iovec_init (H2O_STRLIT ("rwfd"));
-  host = h2o_config_register_host (
-      &http->config, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
-  handler = (struct handler *)h2o_create_handler (
-      h2o_config_register_path (host, "/", 0), sizeof *handler);
-  handler->super.on_req = on_request;
-  handler->http = http;
-  h2o_context_init (&http->context, http->loop, &http->config);
-  http->accept_ctx.ctx = &http->context;
-  http->accept_ctx.hosts = http->config.hosts;
+    rw_buf_printf (&headers, "traceparent: %.*s\r\n",
+                   RW_STR_ARG (response->traceparent));
+  reply.headers = rw_buf_str (&headers);
+  reply.body = response->body;
+  h1_conn_reply (conn, &reply);
+  rw_buf_finish (&headers);
 }
 
 /* Listens on ADDR and reports requests to OPS with ARG.  Each request must be
@@ -249,44 +155,76 @@
                void *arg, struct rw_err *err)
 {
   char name[NET_ADDR_TEXT_SIZE];
-  int rc;
+  struct sockaddr_storage sa;
+  struct net_addr bound;
+  int len = sizeof sa;
+  int rc = net_addr_to_sockaddr (addr, &sa);
 
   memset (http, 0, sizeof *http);
-  http->loop = loop;
   http->ops = ops;
   http->arg = arg;
   http->next_id = 1;
+  http->limits = (struct h1_limits){
+    .max_head_bytes = NET_MAX_HEAD_BYTES,
+    .max_body_bytes = NET_MAX_BODY_BYTES,
+    .request_timeout = NET_HTTP_REQUEST_TIMEOUT_MS * RW_MSEC,
+    .idle_timeout = NET_HTTP_REQUEST_TIMEOUT_MS * RW_MSEC,
+  };
   rw_map_init (&http->pending);
-  configure_h2o (http);
-  rc = listen_on (http, addr);
+  if (rc == 0)
+    rc = h1_server_init (&http->server, loop, (struct sockaddr *)&sa,
+                         &http->limits, NET_MAX_HTTP_CONNECTIONS, &SERVER_OPS,
+                         http);
+  if (rc == 0)
+    rc = uv_tcp_getsockname (&http->server.listener, (struct sockaddr *)&sa,
+                             &len);
+  if (rc == 0)
+    rc = net_addr_from_sockaddr ((struct sockaddr *)&sa, &bound);
   if (rc < 0)
     return rw_err_set (err, rc, "listen http", net_addr_format (addr, name),
                        "%s", uv_strerror (rc));
+  http->port = bound.port;
   return 0;
 }
 
+/* Counts the connections in ACCOUNT, which must outlive HTTP: at most
+   MAX_CONNECTIONS, of which RESERVE are not dropped for those of other
+   listeners.  RECV_BYTES limits what the kernel keeps of a connection's input.
+   A request that is refused for lack of memory gets BODY, which is static.  */
+void
+net_http_set_account (struct net_http *http, struct acc_account *account,
+                      size_t max_connections, size_t reserve, int recv_bytes,
+                      struct rw_str body)
+{
+  if (max_connections < NET_MAX_HTTP_CONNECTIONS)
+    http->server.group.max = max_connections;
+  http->server.refusal
+      = RW_LIT ("content-type: application/json\r\nretry-after: 1\r\n");
+  http->server.refusal_body = body;
+  h1_server_set_account (&http->server, account, reserve, recv_bytes);
+}
+
 /* Makes each connection end after its next response.  New connections and
    requests are still accepted.  */
 void
 net_http_drain (struct net_http *http)
 {
-  h2o_context_request_shutdown (&http->context);
+  h1_server_drain (&http->server);
 }
 
 /* Closes the listener.  Connections and pending requests stay.  */
 void
 net_http_stop (struct net_http *http)
 {
-  uv_close ((uv_handle_t *)&http->listener, NULL);
+  h1_server_stop_listening (&http->server);
 }
 
-/* Frees the memory of h2o.  Call it after net_http_stop, when
-   connection_count is 0.  HTTP must stay valid until the loop has closed its
-   handles.  */
+/* Closes all connections, and frees the memory.  Call it after net_http_stop.
+   HTTP must stay valid until the loop has closed its handles.  */
 void
 net_http_finish (struct net_http *http)
 {
-  h2o_context_dispose (&http->context);
-  h2o_config_dispose (&http->config);
+  h1_server_stop (&http->server);
+  h1_server_finish (&http->server);
   rw_map_finish (&http->pending);
 }
--- a/lib/net/net.h
+++ b/lib/net/net.h
@@ -6,7 +6,6 @@
 #ifndef NET_NET_H
 #define NET_NET_H
 
-#include <h2o.h>
 #include <uv.h>
 
 #include "base.h"
@@ -80,7 +79,8 @@
   uint64_t datagrams_out;
   uint64_t datagrams_dropped; /* received too long, or not accepted by the
                                  kernel */
-  uint64_t streams_refused;   /* by NET_MAX_STREAMS */
+  uint64_t streams_refused;   /* for lack of room */
+  uint64_t streams_dropped;   /* for others */
 };
 
 struct net_rpc
@@ -95,6 +95,7 @@
   struct rw_map streams;          /* by number */
   struct rw_map outgoing_by_addr; /* by hash of the address */
   struct net_stream *flush_list;  /* streams with new records to write */
+  struct acc_group incoming;      /* streams that peers have opened */
   char *read_buf;                 /* shared by all sockets */
   uint16_t port;                  /* of the listener and of the UDP socket */
   struct net_rpc_counts counts;
@@ -103,6 +104,8 @@
 int net_rpc_init (struct net_rpc *rpc, uv_loop_t *loop,
                   const struct net_addr *addr, const struct net_rpc_ops *ops,
                   void *arg, struct rw_err *err);
+void net_rpc_set_account (struct net_rpc *rpc, struct acc_account *account,
+                          size_t max_incoming, size_t reserve, int recv_bytes);
 void net_rpc_finish (struct net_rpc *rpc);
 void net_rpc_send (struct net_rpc *rpc, uint64_t stream,
                    const struct net_addr *to, uint64_t token,
@@ -116,9 +119,12 @@
 /* Limit of request and response bodies, and of those of the HTTP client unless
    a call has its own.  */
 #define NET_MAX_BODY_BYTES (1024 * 1024)
-/* Connections above this number are closed at once.  */
+/* Limit of the request line and of the headers.  */
+#define NET_MAX_HEAD_BYTES (64 * 1024)
+/* Limit of connections; see h1_server_init.  */
 #define NET_MAX_HTTP_CONNECTIONS 4096
-/* h2o closes a connection on which no request arrives within this time.  */
+/* A request takes at most this time to arrive, and a connection is closed on
+   which none arrives within it.  */
 #define NET_HTTP_REQUEST_TIMEOUT_MS 60000
 
 /* A request.  The strings are valid during the call of on_request.  */
@@ -129,7 +135,7 @@
   struct rw_str path; /* without the query */
   struct rw_str query;
   struct rw_str body;
-  const h2o_req_t *req;
+  const struct h1_message *message;
 };
 
 struct net_response
@@ -149,26 +155,33 @@
   void (*on_disconnect) (void *arg, uint64_t id);
 };
 
+struct net_http_counts
+{
+  uint64_t malformed;                /* requests answered 400 */
+  uint64_t slow;                     /* 408 */
+  uint64_t too_large;                /* 413 and 431 */
+  uint64_t refused;                  /* 503 for lack of memory */
+  uint64_t dropped[ACC_CAUSE_COUNT]; /* connections, for others */
+};
+
 struct net_http
 {
-  uv_loop_t *loop;
   const struct net_http_ops *ops;
   void *arg;
-  uv_tcp_t listener;
-  h2o_globalconf_t config;
-  h2o_context_t context;
-  h2o_accept_ctx_t accept_ctx;
+  struct h1_limits limits;
+  struct h1_server server;
   uint64_t next_id;
   struct rw_map pending; /* requests without a response, by id */
-  size_t connection_count;
-  uint64_t connections_refused; /* by NET_MAX_HTTP_CONNECTIONS, or not
-                                   accepted */
+  struct net_http_counts counts;
   uint16_t port;
 };
 
 int net_http_init (struct net_http *http, uv_loop_t *loop,
                    const struct net_addr *addr, const struct net_http_ops *ops,
                    void *arg, struct rw_err *err);
+void net_http_set_account (struct net_http *http, struct acc_account *account,
+                           size_t max_connections, size_t reserve,
+                           int recv_bytes, struct rw_str body);
 struct rw_str net_http_header (const struct net_request *request,
                                const char *name);
 void net_http_respond (struct net_http *http, uint64_t id,
@@ -212,6 +225,8 @@
   struct rw_str path;
   struct rw_str headers; /* lines that each end in CR LF, or empty */
   struct rw_str body;
+  struct acc_blob
+      *blob; /* holds BODY, which is not copied then; may be null */
   net_call_done *done;
   void *arg;
   uint64_t tag;
@@ -235,10 +250,11 @@
 {
   uv_loop_t *loop;
   uv_timer_t deadline_timer;
-  bool deadlines_deferred;   /* to the next iteration, after a pause */
-  uv_timer_t sweep_timer;    /* frees unused connection pools */
-  struct h1_budget arriving; /* bodies of responses */
-  char *read_buf;            /* shared by all connections */
+  bool deadlines_deferred;     /* to the next iteration, after a pause */
+  uv_timer_t sweep_timer;      /* frees unused connection pools */
+  struct h1_budget arriving;   /* bodies of responses */
+  struct acc_account *account; /* of requests and responses; may be null */
+  char *read_buf;              /* shared by all connections */
   struct rw_heap deadlines;
   struct rw_map calls;       /* by number */
   struct rw_map targets;     /* connection pools by hash of the address */
@@ -252,6 +268,8 @@
 
 void net_client_init (struct net_client *client, uv_loop_t *loop);
 void net_client_finish (struct net_client *client);
+void net_client_set_account (struct net_client *client,
+                             struct acc_account *account);
 uint64_t net_client_start (struct net_client *client,
                            const struct net_call_spec *spec);
 bool net_client_abort (struct net_client *client, uint64_t call);
--- a/lib/net/rpc.c
+++ b/lib/net/rpc.c
@@ -30,6 +30,8 @@
   uv_connect_t connect;
   uv_write_t write;
   struct net_rpc *rpc;
+  struct acc_client client; /* of an incoming stream */
+  size_t counted;           /* bytes of an outgoing one in the account */
   uint64_t id;
   struct net_addr addr;
   char peer_name[NET_ADDR_TEXT_SIZE]; /* for errors */
@@ -49,6 +51,9 @@
   struct net_stream *next_to_flush;
 };
 
+/* A larger buffer is freed when it is empty.  */
+#define MAX_EMPTY_BYTES ((size_t)64 * 1024)
+
 static uint64_t
 addr_key (const struct net_addr *addr)
 {
@@ -73,6 +78,49 @@
   free (stream);
 }
 
+static size_t
+held_bytes (const struct net_stream *stream)
+{
+  return sizeof *stream + stream->reader.record.cap + stream->queue.cap
+         + stream->write_chunk.cap
+         + stream->record_cap * sizeof *stream->records;
+}
+
+/* Counts what STREAM holds.  */
+static void
+count_held (struct net_stream *stream)
+{
+  struct acc_account *account = stream->rpc->incoming.account;
+  const struct wir_reader *reader = &stream->reader;
+  size_t held = held_bytes (stream);
+
+  if (stream->outgoing)
+    {
+      acc_add (account, held - stream->counted);
+      stream->counted = held;
+      return;
+    }
+  acc_set (&stream->client, held);
+  if (stream->queue.len > 0 || stream->write_in_progress)
+    stream->client.state = ACC_UNREAD;
+  else if (reader->in_fragment || reader->mark_len > 0
+           || (reader->record.len > 0 && !reader->complete))
+    stream->client.state = ACC_ARRIVING;
+  else
+    stream->client.state = ACC_IDLE;
+}
+
+/* Takes STREAM, which closes, out of the account.  */
+static void
+leave_account (struct net_stream *stream)
+{
+  acc_leave (&stream->client);
+  if (!stream->outgoing)
+    return;
+  acc_sub (stream->rpc->incoming.account, stream->counted);
+  acc_return_place (stream->rpc->incoming.account);
+}
+
 static void
 report_unsent (struct net_rpc *rpc, uint64_t token)
 {
@@ -101,6 +149,7 @@
   if (stream->closing)
     return;
   stream->closing = true;
+  leave_account (stream);
   rw_map_remove (&rpc->streams, stream->id);
   if (stream->outgoing)
     rw_map_remove (&rpc->outgoing_by_addr, addr_key (&stream->addr));
@@ -133,6 +182,20 @@
   fail_stream (stream, &err);
 }
 
+/* Ends the stream of CLIENT, whose memory or descriptor is needed.  */
+static void
+on_drop (struct acc_client *client, enum acc_cause cause)
+{
+  struct net_stream *stream = client->owner;
+  struct rw_err err;
+
+  stream->rpc->counts.streams_dropped++;
+  rw_err_set (&err, RW_E_QUEUE_FULL, "hold record", get_peer_name (stream),
+              "closed for lack of %s",
+              cause == ACC_FOR_MEMORY ? "memory" : "descriptors");
+  fail_stream (stream, &err);
+}
+
 static struct net_stream *
 new_stream (struct net_rpc *rpc, bool outgoing)
 {
@@ -185,17 +248,36 @@
   struct rw_err err;
   int code;
 
+  /* What has been read of a record may double as its buffer grows.  */
+  if (!stream->outgoing
+      && !acc_charge (&stream->client,
+                      held_bytes (stream) - stream->reader.record.cap
+                          + rw_buf_need (&stream->reader.record, input.len),
+                      rw_now ()))
+    {
+      on_drop (&stream->client, ACC_FOR_MEMORY);
+      return;
+    }
   while ((code = wir_reader_next (&stream->reader, &input, &record,
                                   get_peer_name (stream), &err))
          == 1)
     {
       rpc->counts.records_in++;
+      stream->client.since = rw_now ();
       code = rpc->ops->on_record (rpc->arg, stream->id, record, &err);
       if (code < 0 || stream->closing)
         break;
     }
   if (code < 0)
     fail_stream (stream, &err);
+  if (stream->closing)
+    return;
+  if (stream->reader.complete && stream->reader.record.cap > MAX_EMPTY_BYTES)
+    {
+      rw_buf_finish (&stream->reader.record);
+      stream->reader.complete = false;
+    }
+  count_held (stream);
 }
 
 static void
@@ -281,10 +363,17 @@
 static struct net_stream *
 open_stream (struct net_rpc *rpc, const struct net_addr *to)
 {
-  struct net_stream *stream = new_stream (rpc, true);
+  struct net_stream *stream;
   struct sockaddr_storage sa;
   int rc = net_addr_to_sockaddr (to, &sa);
 
+  if (!acc_take_place (rpc->incoming.account, rw_now ()))
+    {
+      rpc->counts.streams_refused++;
+      return NULL;
+    }
+  stream = new_stream (rpc, true);
+
   stream->addr = *to;
   net_addr_format (to, stream->peer_name);
   rw_map_put (&rpc->outgoing_by_addr, addr_key (to), stream);
@@ -338,6 +427,9 @@
     }
   wir_append_record (&stream->queue, record);
   append_queued_record (stream, token, stream->queue.len);
+  if (!stream->outgoing && stream->client.state == ACC_IDLE)
+    stream->client.since = rw_now ();
+  count_held (stream);
   rpc->counts.records_out++;
   if (stream->in_flush_list)
     return;
@@ -374,6 +466,9 @@
   stream->write_in_progress = false;
   if (status == UV_ECANCELED)
     return;
+  stream->client.since = rw_now ();
+  if (stream->write_chunk.cap > 2 * MAX_EMPTY_BYTES)
+    rw_buf_finish (&stream->write_chunk);
   if (status < 0)
     {
       fail_uv (stream, "write record", status);
@@ -447,6 +542,11 @@
     remove_written (stream, (size_t)rc, 0);
   if (stream->queue.len > 0)
     continue_write (stream, partial);
+  if (stream->closing)
+    return;
+  if (stream->queue.len == 0 && stream->queue.cap > MAX_EMPTY_BYTES)
+    rw_buf_finish (&stream->queue);
+  count_held (stream);
 }
 
 /* Writes what net_rpc_send queued: one write for each stream.  Called once in
@@ -462,24 +562,7 @@
       stream->in_flush_list = false;
       flush_stream (stream);
     }
-}
-
-static void
-on_refused_closed (uv_handle_t *handle)
-{
-  free (handle);
-}
-
-/* Accepts and closes a connection above NET_MAX_STREAMS.  */
-static void
-refuse_stream (struct net_rpc *rpc)
-{
-  uv_tcp_t *tcp = rw_xcalloc (1, sizeof *tcp);
-
-  rpc->counts.streams_refused++;
-  uv_tcp_init (rpc->loop, tcp);
-  uv_accept ((uv_stream_t *)&rpc->listener, (uv_stream_t *)tcp);
-  uv_close ((uv_handle_t *)tcp, on_refused_closed);
+  (void)acc_make_room (rpc->incoming.account, 0, rw_now ());
 }
 
 static void
@@ -492,12 +575,15 @@
 
   if (status < 0)
     return;
-  if (rpc->streams.len >= NET_MAX_STREAMS)
+  stream = new_stream (rpc, false);
+  if (!acc_enter (&stream->client, &rpc->incoming, stream, sizeof *stream,
+                  stream->created_at))
     {
-      refuse_stream (rpc);
+      rpc->counts.streams_refused++;
+      uv_accept (handle, (uv_stream_t *)&stream->tcp);
+      close_stream (stream);
       return;
     }
-  stream = new_stream (rpc, false);
   if (uv_accept (handle, (uv_stream_t *)&stream->tcp) < 0)
     {
       close_stream (stream);
@@ -686,6 +772,7 @@
   rpc->ops = ops;
   rpc->arg = arg;
   rpc->next_stream = 1;
+  acc_group_init (&rpc->incoming, NULL, NET_MAX_STREAMS, 0, on_drop);
   rw_map_init (&rpc->streams);
   rw_map_init (&rpc->outgoing_by_addr);
   rc = bind_sockets (rpc, addr);
@@ -700,6 +787,21 @@
   return 0;
 }
 
+/* Counts the streams in ACCOUNT, which must outlive RPC: at most MAX_INCOMING
+   that peers have opened, of which RESERVE are not dropped for connections of
+   other listeners.  RECV_BYTES limits what the kernel keeps of a stream's
+   input.  To be called before there are streams.  */
+void
+net_rpc_set_account (struct net_rpc *rpc, struct acc_account *account,
+                     size_t max_incoming, size_t reserve, int recv_bytes)
+{
+  rpc->incoming.account = account;
+  rpc->incoming.reserve = reserve;
+  if (max_incoming < NET_MAX_STREAMS)
+    rpc->incoming.max = max_incoming;
+  uv_recv_buffer_size ((uv_handle_t *)&rpc->listener, &recv_bytes);
+}
+
 static void
 on_connect_timer_closed (uv_handle_t *handle)
 {
--- a/lib/net/test_http.c
+++ b/lib/net/test_http.c
@@ -123,7 +123,7 @@
     answer (f, f->held[i], 200, RW_LIT (""));
   net_client_finish (&f->client);
   net_http_stop (&f->http);
-  RUN_UNTIL (f, f->http.connection_count == 0);
+  RUN_UNTIL (f, f->http.server.conn_count == 0);
   net_http_finish (&f->http);
   loop_stop (&f->handles);
   loop_finish (&f->loop);
@@ -182,7 +182,7 @@
   run_call (f, 3, "/busy", RW_LIT (""));
   assert_int_equal (f->calls[3].status, 503);
   assert_int_equal (f->calls[3].retry_after_ms, 2000);
-  assert_int_equal (f->http.connection_count, 1);
+  assert_int_equal (f->http.server.conn_count, 1);
 }
 
 /* Guards against more connections to an address than max_connections.  */
@@ -200,7 +200,7 @@
              f->calls[0].report_count == 1 && f->calls[1].report_count == 1);
   run_call (f, 3, "/echo", RW_LIT ("three"));
   assert_true (body_is (f, 3, "three"));
-  assert_int_equal (f->http.connection_count, 2);
+  assert_int_equal (f->http.server.conn_count, 2);
 }
 
 /* Guards against a response that is reported to another call when responses
@@ -575,5 +575,5 @@
     uv_run (&f->loop, UV_RUN_ONCE);
   answer (f, f->held[0], 200, RW_LIT ("late"));
   answer (f, f->held[0], 200, RW_LIT ("twice"));
-  RUN_UNTIL (f, f->http.connection_count == 0);
+  RUN_UNTIL (f, f->http.server.conn_count == 0);
 }
--- a/lib/net/test_rpc.c
+++ b/lib/net/test_rpc.c
@@ -345,3 +345,76 @@
   assert_int_equal (net_addr_parse (RW_LIT ("10.0.0.1:8080"), &addr), 0);
   assert_true (rw_str_eq_cstr (net_addr_format (&addr, buf), "10.0.0.1:8080"));
 }
+
+#define HELD_BYTES 1000000
+#define PARTIAL_BYTES 300000
+
+/* Connects to A and sends LEN bytes of a record of WIR_MAX_RECORD.  */
+static int
+send_partial (struct fixture *f, size_t len)
+{
+  struct sockaddr_storage sa;
+  unsigned char mark[4];
+  char *bytes = rw_xcalloc (1, len);
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  net_addr_to_sockaddr (&f->a.addr, &sa);
+  assert_int_equal (
+      connect (fd, (struct sockaddr *)&sa, sizeof (struct sockaddr_in)), 0);
+  wir_write_record_mark (mark, WIR_MAX_RECORD);
+  assert_int_equal (write (fd, mark, sizeof mark), sizeof mark);
+  for (size_t sent = 0; sent < len;)
+    {
+      ssize_t n
+          = send (fd, bytes + sent, len - sent, MSG_DONTWAIT | MSG_NOSIGNAL);
+
+      sent += n > 0 ? (size_t)n : 0;
+      uv_run (&f->loop, UV_RUN_NOWAIT);
+      if (n < 0 && errno != EAGAIN)
+        break;
+    }
+  free (bytes);
+  for (int i = 0; i < 50; i++)
+    uv_run (&f->loop, UV_RUN_ONCE);
+  return fd;
+}
+
+/* Guards against records that are never finished and are kept until the memory
+   is used up, and against a peer that finds no room beside them.  */
+TEST_WITH_FIXTURE (unfinished_records_make_room)
+{
+  static struct acc_account account;
+  int fds[6];
+
+  acc_init (&account, HELD_BYTES, 100);
+  net_rpc_set_account (&f->a.rpc, &account, 50, 0, 65536);
+  for (size_t i = 0; i < RW_ARRAY_LEN (fds); i++)
+    {
+      fds[i] = send_partial (f, PARTIAL_BYTES);
+      assert_true (account.used <= HELD_BYTES);
+    }
+  assert_true (f->a.rpc.counts.streams_dropped >= 4);
+  net_rpc_send (&f->b.rpc, 0, &f->a.addr, 'x', RW_LIT ("own"));
+  RUN_UNTIL (f, f->a.received.len > 0);
+  assert_true (rw_str_eq_cstr (rw_buf_str (&f->a.received), "own|"));
+  for (size_t i = 0; i < RW_ARRAY_LEN (fds); i++)
+    close (fds[i]);
+  RUN_UNTIL (f, f->a.rpc.streams.len == 1);
+}
+
+/* Guards against silent streams that keep peers out.  */
+TEST_WITH_FIXTURE (silent_streams_make_place)
+{
+  static struct acc_account account;
+  int fds[6];
+
+  acc_init (&account, HELD_BYTES, 100);
+  net_rpc_set_account (&f->a.rpc, &account, 3, 0, 65536);
+  for (size_t i = 0; i < RW_ARRAY_LEN (fds); i++)
+    fds[i] = send_partial (f, 0);
+  assert_int_equal (f->a.rpc.incoming.count, 3);
+  net_rpc_send (&f->b.rpc, 0, &f->a.addr, 'x', RW_LIT ("own"));
+  RUN_UNTIL (f, f->a.received.len > 0);
+  for (size_t i = 0; i < RW_ARRAY_LEN (fds); i++)
+    close (fds[i]);
+}
--- a/lib/node/entry.c
+++ b/lib/node/entry.c
@@ -6,6 +6,8 @@
 /* Retry-After of the answer to a request that arrives before the partition map
    of its service.  */
 #define NOT_READY_RETRY_AFTER (1 * RW_SEC)
+/* Retry-After of a request for which there is no memory.  */
+#define NO_MEMORY_RETRY_AFTER (1 * RW_SEC)
 
 /* Records that the part SHARD of a request is sent to PEER, which is believed
    to hold TARGET, in the message with TOKEN.  The caller sets the owner and
@@ -143,6 +145,14 @@
                   "the header Idempotency-Key is missing");
       return 400;
     }
+  /* One copy of the body for this request, and one for its parts.  */
+  if (!acc_has_room (node->settings.account, 2 * req->body.len))
+    {
+      rw_err_set (err, RW_E_QUEUE_FULL, "request", req->service,
+                  "no memory for the request");
+      *retry_after = NO_MEMORY_RETRY_AFTER;
+      return 503;
+    }
   return 0;
 }
 
@@ -250,6 +260,7 @@
   search->span = *span;
   rw_buf_init (&search->body);
   rw_buf_append_str (&search->body, req->body);
+  acc_add (node->settings.account, search->body.cap);
   search->admission.item.class_id = class_id;
   search->admission.item.deadline = deadline;
   search->admission.user = search;
@@ -277,6 +288,7 @@
   free (search->sent_parts);
   if (search->started)
     qry_finish (&search->query);
+  acc_sub (node->settings.account, search->body.cap);
   rw_buf_finish (&search->body);
   rw_map_remove (&node->searches, search->id.sequence);
   rw_map_remove (&node->searches_by_request, search->request);
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -8,6 +8,7 @@
 #ifndef NOD_NODE_H
 #define NOD_NODE_H
 
+#include "account.h"
 #include "base.h"
 
 /* Mechanisms that the scenario runner can switch off, to show that a scenario
@@ -50,6 +51,8 @@
   double trace_sample_ratio;        /* of untraced requests, 0 to 1 */
   rw_time drain_delay; /* in a planned stop, from "not ready" to hand-over */
   int64_t wall_clock_offset; /* wall clock minus monotonic clock, in us */
+  /* In which requests count; may be null.  The node drops no connection.  */
+  struct acc_account *account;
   /* Daemons to probe until a VM list is known, in case the platform does not
      answer.  */
   const struct nod_addr *peers;
--- a/lib/node/once.c
+++ b/lib/node/once.c
@@ -20,6 +20,7 @@
   nod_disarm (node, &once->timer);
   if (once->sent_part != NULL)
     nod_sent_part_free (once->sent_part);
+  acc_sub (node->settings.account, once->body.cap);
   rw_buf_finish (&once->body);
   rw_buf_finish (&once->key);
   rw_map_remove (&node->once_requests, once->entry.id.sequence);
@@ -45,6 +46,7 @@
   once->span = *span;
   rw_buf_init (&once->body);
   rw_buf_append_str (&once->body, req->body);
+  acc_add (node->settings.account, once->body.cap);
   rw_buf_init (&once->key);
   rw_buf_append_str (&once->key, req->idempotency_key);
   onc_entry_init (&once->entry, id, deadline, once_disabled (node));
--- a/lib/node/part.c
+++ b/lib/node/part.c
@@ -64,6 +64,7 @@
       if (batch->next != NULL)
         batch->next->prev = batch->prev;
     }
+  acc_sub (node->settings.account, batch->arena.allocated);
   rw_arena_finish (&batch->arena);
   free (batch);
 }
@@ -354,6 +355,7 @@
     }
   batch->parts
       = rw_arena_zalloc (&batch->arena, submit->part_count, sizeof (void *));
+  acc_add (node->settings.account, batch->arena.allocated);
   batch->stream = stream != NULL ? stream->number : 0;
   batch->arrived_at = node->now;
   batch->unanswered = 1; /* for nod_holder_submit, until its loop ends */
@@ -365,6 +367,29 @@
   return batch;
 }
 
+/* Refuses all parts of SUBMIT, as there is no memory for them.  */
+static void
+refuse_all (struct nod_node *node, struct nod_stream *stream,
+            const struct wir_submit *submit)
+{
+  struct nod_batch batch = { .submit = *submit, .arrived_at = node->now };
+  struct nod_target unknown_target = { .name = "" };
+
+  batch.stream = stream != NULL ? stream->number : 0;
+  for (uint32_t i = 0; i < submit->part_count; i++)
+    {
+      struct nod_part part = { .batch = &batch,
+                               .wire = submit->parts[i],
+                               .target = &unknown_target };
+      struct wir_part_result *result = nod_part_add_result (node, &part);
+
+      result->target
+          = rw_arena_str (&node->results.arena, submit->parts[i].target);
+      nod_part_error (node, result, RW_E_QUEUE_FULL, WIR_RAN_NO, "admission",
+                      "no memory for the request");
+    }
+}
+
 /* Handles a SUBMIT message.  STREAM is null if it comes from this daemon's own
    entry role; otherwise the age of the message is subtracted from the time
    that remains.  */
@@ -372,10 +397,16 @@
 nod_holder_submit (struct nod_node *node, struct nod_stream *stream,
                    const struct wir_submit *submit)
 {
-  struct nod_batch *batch = batch_new (node, stream, submit);
+  struct nod_batch *batch;
   rw_time remaining = submit->remaining;
   unsigned int class_id = nod_class_id (node, submit->caller_class);
 
+  if (!acc_has_room (node->settings.account, submit->body.len))
+    {
+      refuse_all (node, stream, submit);
+      return;
+    }
+  batch = batch_new (node, stream, submit);
   if (stream != NULL)
     remaining
         = onc_clock_remaining (&stream->clock, submit->remaining, submit->sent,
