net: streams on which an answer may be due are dropped last

A daemon's stream carries nothing while its parts are at the targets, so by the time without progress it went before the silent streams of a crowd, and the results of its parts were lost. A stream now counts as advancing for 10 s after a record. A part of a request that grows is counted at each step of it.

--- a/cmd/rwfront/request.c
+++ b/cmd/rwfront/request.c
@@ -280,6 +280,7 @@
   size_t part;
   enum gat_send_kind kind;
 
+  frn_account_count (request);
   frn_subquery_expire (request, now);
   frn_feasible_update (request, now);
   enum gat_decision decision = gat_decide (&request->query, now);
@@ -456,7 +457,6 @@
                rw_arena_str (&request->arena, reply->stamp),
                is_gather ? rw_arena_str (&request->arena, message->body)
                          : (struct rw_str){ NULL, 0 });
-  frn_account_count (request);
   frn_abandon_if_cheaper (request, send->u.part);
   frn_request_run (request);
 }
--- a/lib/net/http.c
+++ b/lib/net/http.c
@@ -180,10 +180,11 @@
                              &len);
   if (rc == 0)
     rc = net_addr_from_sockaddr ((struct sockaddr *)&sa, &bound);
-  if (rc < 0)
+  if (rc == 0)
+    http->port = bound.port;
+  else
     return rw_err_set (err, rc, "listen http", net_addr_format (addr, name),
                        "%s", uv_strerror (rc));
-  http->port = bound.port;
   return 0;
 }
 
--- a/lib/net/rpc.c
+++ b/lib/net/rpc.c
@@ -51,6 +51,9 @@
   struct net_stream *next_to_flush;
 };
 
+/* A stream is not dropped in favour of others for this time after a record:
+   the answer may be due on it.  */
+#define ACTIVE_TIME (10 * RW_SEC)
 /* A larger buffer is freed when it is empty.  */
 #define MAX_EMPTY_BYTES ((size_t)64 * 1024)
 
@@ -92,6 +95,7 @@
 {
   struct acc_account *account = stream->rpc->incoming.account;
   const struct wir_reader *reader = &stream->reader;
+  enum acc_state before = stream->client.state;
   size_t held = held_bytes (stream);
 
   if (stream->outgoing)
@@ -108,6 +112,11 @@
     stream->client.state = ACC_ARRIVING;
   else
     stream->client.state = ACC_IDLE;
+  if (stream->client.state == before)
+    return;
+  stream->client.since = rw_now ();
+  if (stream->client.state == ACC_IDLE)
+    stream->client.since += ACTIVE_TIME;
 }
 
 /* Takes STREAM, which closes, out of the account.  */
@@ -263,7 +272,7 @@
          == 1)
     {
       rpc->counts.records_in++;
-      stream->client.since = rw_now ();
+      stream->client.since = rw_now () + ACTIVE_TIME;
       code = rpc->ops->on_record (rpc->arg, stream->id, record, &err);
       if (code < 0 || stream->closing)
         break;
@@ -427,8 +436,6 @@
     }
   wir_append_record (&stream->queue, record);
   append_queued_record (stream, token, stream->queue.len);
-  if (!stream->outgoing && stream->client.state == ACC_IDLE)
-    stream->client.since = rw_now ();
   count_held (stream);
   rpc->counts.records_out++;
   if (stream->in_flush_list)
