node: an attempt that runs here is not refused as not run for lack of memory

An entry daemon would have heard "not run" of a part that was running: a SUBMIT that arrives a second time while there is no memory was refused whole, with ran=no, before the attempts were looked up. Repeated attempts are now reported as before, duplicate and unknown. Evidence: test_part, repeated_attempt_without_room..., failed without it.

--- a/lib/node/part.c
+++ b/lib/node/part.c
@@ -305,12 +305,18 @@
   return part;
 }
 
-/* Sends an error for a part whose target is unknown here or, if REPEATED,
-   whose attempt is already in the map of parts and may run.  No part is
-   allocated for it.  */
+/* Why a part is refused as it arrives.  */
+enum submitted
+{
+  SUBMITTED_REPEATED,    /* its attempt is in the map of parts, and may run */
+  SUBMITTED_TO_UNKNOWN,  /* its target is unknown here */
+  SUBMITTED_WITHOUT_ROOM /* there is no memory for it */
+};
+
+/* Sends an error for a part, for which none is allocated.  */
 static void
 refuse_submitted (struct nod_node *node, struct nod_batch *batch,
-                  const struct wir_part *wire, bool repeated)
+                  const struct wir_part *wire, enum submitted reason)
 {
   struct nod_target unknown_target = { .name = "" };
   struct nod_part part
@@ -318,12 +324,21 @@
   struct wir_part_result *result = nod_part_add_result (node, &part);
 
   result->target = rw_arena_str (&node->results.arena, wire->target);
-  if (repeated)
-    nod_part_error (node, result, RW_E_DUPLICATE, WIR_RAN_UNKNOWN, "admission",
-                    "the attempt was received before");
-  else
-    nod_part_error (node, result, RW_E_NOT_FOUND, WIR_RAN_NO, "admission",
-                    "this daemon does not know the target");
+  switch (reason)
+    {
+    case SUBMITTED_REPEATED:
+      nod_part_error (node, result, RW_E_DUPLICATE, WIR_RAN_UNKNOWN,
+                      "admission", "the attempt was received before");
+      break;
+    case SUBMITTED_TO_UNKNOWN:
+      nod_part_error (node, result, RW_E_NOT_FOUND, WIR_RAN_NO, "admission",
+                      "this daemon does not know the target");
+      break;
+    case SUBMITTED_WITHOUT_ROOM:
+      nod_part_error (node, result, RW_E_QUEUE_FULL, WIR_RAN_NO, "admission",
+                      "no memory for the request");
+      break;
+    }
 }
 
 /* Returns a new batch with a copy of SUBMIT, in the list of STREAM or, if that
@@ -367,26 +382,31 @@
   return batch;
 }
 
+/* Whether the attempt WIRE of SUBMIT was received before, and may run.  */
+static bool
+is_repeated (struct nod_node *node, const struct wir_submit *submit,
+             const struct wir_part *wire)
+{
+  return rw_map_get (&node->parts, part_key (submit->id, wire->attempt))
+         != NULL;
+}
+
 /* Refuses all parts of SUBMIT, as there is no memory for them.  */
 static void
 refuse_all (struct nod_node *node, struct nod_stream *stream,
             const struct wir_submit *submit)
 {
   struct nod_batch batch = { .submit = *submit, .arrived_at = node->now };
-  struct nod_target unknown_target = { .name = "" };
 
   batch.stream = stream != NULL ? stream->number : 0;
   for (uint32_t i = 0; i < submit->part_count; i++)
     {
-      struct nod_part part = { .batch = &batch,
-                               .wire = submit->parts[i],
-                               .target = &unknown_target };
-      struct wir_part_result *result = nod_part_add_result (node, &part);
+      const struct wir_part *wire = &submit->parts[i];
 
-      result->target
-          = rw_arena_str (&node->results.arena, submit->parts[i].target);
-      nod_part_error (node, result, RW_E_QUEUE_FULL, WIR_RAN_NO, "admission",
-                      "no memory for the request");
+      refuse_submitted (node, &batch, wire,
+                        is_repeated (node, submit, wire)
+                            ? SUBMITTED_REPEATED
+                            : SUBMITTED_WITHOUT_ROOM);
     }
 }
 
@@ -416,13 +436,13 @@
       const struct wir_part *wire = &batch->submit.parts[i];
       struct nod_target *target = nod_target_find (node, wire->target);
       struct nod_part *part;
-      bool repeated
-          = rw_map_get (&node->parts, part_key (submit->id, wire->attempt))
-            != NULL;
+      bool repeated = is_repeated (node, submit, wire);
 
       if (target == NULL || repeated)
         {
-          refuse_submitted (node, batch, wire, repeated);
+          refuse_submitted (node, batch, wire,
+                            repeated ? SUBMITTED_REPEATED
+                                     : SUBMITTED_TO_UNKNOWN);
           continue;
         }
       part = part_new (node, batch, i, node->now + remaining, class_id);
--- a/lib/node/test_part.c
+++ b/lib/node/test_part.c
@@ -11,6 +11,7 @@
 
 #define START (1000 * RW_SEC)
 #define STREAM 7
+#define MAX_BYTES 1000000
 
 static rw_time now;
 
@@ -101,18 +102,21 @@
   deliver (node, &msg);
 }
 
-/* Guards against "not run" for an attempt that arrives a second time while the
-   first one runs.  */
+/* Sends an attempt twice, the second one while MEMORY is held.  Guards against
+   "not run" for an attempt that arrives a second time while the first one
+   runs.  */
 static void
-repeated_attempt_is_not_reported_as_not_run (void **state)
+check_repeated (size_t memory)
 {
+  struct acc_account account;
   struct nod_settings settings = { .vm = RW_LIT ("mid-1"),
                                    .dc = RW_LIT ("a"),
                                    .addr = RW_LIT ("10.0.0.1"),
                                    .rpc_port = 7000,
-                                   .incarnation = 1 };
+                                   .incarnation = 1,
+                                   .account = &account };
 
-  (void)state;
+  acc_init (&account, MAX_BYTES, 10);
   for (int kind = WIR_KIND_SEARCH; kind <= WIR_KIND_ONCE; kind++)
     {
       struct results results = { .count = 0 };
@@ -141,22 +145,41 @@
       take_actions (node, &results);
       assert_int_equal (results.exchanges, 1);
       assert_int_equal (results.count, 0);
+      acc_add (&account, memory);
       submit (node, kind);
       take_actions (node, &results);
       assert_int_equal (results.exchanges, 1);
       assert_int_equal (results.count, 1);
       assert_int_equal (results.last.status, RW_E_DUPLICATE);
       assert_int_equal (results.last.ran, WIR_RAN_UNKNOWN);
+      acc_sub (&account, memory);
       nod_free (node);
       rw_arena_finish (&results.arena);
     }
 }
 
+static void
+repeated_attempt_is_not_reported_as_not_run (void **state)
+{
+  (void)state;
+  check_repeated (0);
+}
+
+/* Guards against the answer "not run" for lack of memory in its place.  */
+static void
+repeated_attempt_without_room_is_not_reported_as_not_run (void **state)
+{
+  (void)state;
+  check_repeated (MAX_BYTES + 1);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[]
-      = { cmocka_unit_test (repeated_attempt_is_not_reported_as_not_run) };
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (repeated_attempt_is_not_reported_as_not_run),
+    cmocka_unit_test (repeated_attempt_without_room_is_not_reported_as_not_run)
+  };
 
   return cmocka_run_group_tests_name ("part", tests, NULL, NULL);
 }
