--- a/cmd/rwfd/admin.c
+++ b/cmd/rwfd/admin.c
@@ -151,6 +151,8 @@
   update_listener_metrics (rwfd, &rwfd->admin, RW_LIT ("listener=\"admin\""));
   set_gauge (rwfd, "rwf_held_bytes",
              "Bytes held for clients and their requests.", rwfd->account.used);
+  set_gauge (rwfd, "rwf_held_bytes_peak", "The highest value of it so far.",
+             rwfd->account.peak);
   set_gauge (rwfd, "rwf_held_descriptors",
              "Connections of clients, daemons and to targets.",
              rwfd->account.places);
