--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -268,14 +268,13 @@
   struct rw_str headers; /* lines that each end in CR LF; without
                             Content-Length and Connection */
   struct rw_str body;
-  struct acc_blob
-      *blob;  /* holds BODY, which is not copied then; may be null */
-  bool close; /* end the connection after the reply */
+  struct acc_blob *blob; /* holds BODY, which then is not copied; null: no */
+  bool close;            /* end the connection after the reply */
 };
 
 /* Listens on ADDR.  LIMITS must stay valid as long as SERVER.  Above MAX_CONNS
-   connections the one that has advanced least is dropped for a new one, or the
-   new one is closed if all wait for answers.  Returns 0 or a
+   connections, a new one takes the place of one that is not served, see
+   lib/account; if all are served, the new one is closed.  Returns 0 or a
    negative error number; after an error, too, h1_server_stop and
    h1_server_finish free the handles and the memory.  */
 int h1_server_init (struct h1_server *server, uv_loop_t *loop,
--- a/lib/net/net.h
+++ b/lib/net/net.h
@@ -225,8 +225,7 @@
   struct rw_str path;
   struct rw_str headers; /* lines that each end in CR LF, or empty */
   struct rw_str body;
-  struct acc_blob
-      *blob; /* holds BODY, which is not copied then; may be null */
+  struct acc_blob *blob; /* holds BODY, not copied then; may be null */
   net_call_done *done;
   void *arg;
   uint64_t tag;
