h1: last answers that are not read count, and ending connections give way

A crowd could keep memory from being freed: a connection whose last answer was written, and not read, was always the first choice to be dropped for memory, and was then left alone until its time was over, 0.5 s later. As the choice fell on it again and again, no other connection was dropped either, and its own answer counted for nothing. Cause: one state for all ending connections, which was meant for those that hold nothing any more. Change: one that still has an answer to write is unread, and is closed like others; one that has not is closed at once when its memory is needed; a last answer makes room as any other. Found by reading.

--- a/lib/h1/server.c
+++ b/lib/h1/server.c
@@ -111,6 +111,8 @@
       client->state = ACC_SERVED;
       break;
     case CONN_LINGER:
+      client->state = conn->writer.queued > 0 ? ACC_UNREAD : ACC_ENDING;
+      break;
     case CONN_CLOSED:
       client->state = ACC_ENDING;
       break;
@@ -293,11 +295,15 @@
   struct h1_conn *conn = client->owner;
   struct h1_server *server = conn->server;
   if (client->state == ACC_ARRIVING)
-    refuse_arriving (conn, cause);
+    {
+      refuse_arriving (conn, cause);
+      /* Its buffers are free; the caller may still read the refusal.  */
+      if (cause == ACC_FOR_MEMORY)
+        return;
+    }
   else if (client->state != ACC_ENDING && server->ops->on_drop != NULL)
     server->ops->on_drop (server->arg, conn, cause, 0);
-  if (client->state != ACC_ENDING || cause == ACC_FOR_PLACE)
-    conn_close (conn);
+  conn_close (conn);
 }
 
 /* Makes room for LEN more bytes of the request that arrives on CONN.  Refuses
@@ -511,6 +517,8 @@
   if (close || !conn->keep_alive)
     {
       conn_linger (conn);
+      if (conn->state == CONN_LINGER)
+        settle (conn);
       return;
     }
   h1_reader_reset (&conn->reader);
--- a/lib/h1/test_held.c
+++ b/lib/h1/test_held.c
@@ -20,6 +20,9 @@
   struct h1_server server;
   struct sockaddr_in addr;
   struct rw_str reply; /* body of all replies */
+  bool is_late;        /* replies are sent by answer_late */
+  struct h1_conn *late[MAX_CONNS];
+  size_t late_count;
   size_t requests;
   struct acc_blob *shared; /* body of the last request */
   bool is_sharing;
@@ -34,6 +37,11 @@
   struct fixture *f = arg;
   struct h1_reply reply = { .status = 200, .body = f->reply };
   f->requests++;
+  if (f->is_late)
+    {
+      f->late[f->late_count++] = conn;
+      return;
+    }
   if (f->is_sharing)
     {
       f->shared = h1_message_share_body (request, &f->account);
@@ -212,6 +220,64 @@
   free (body);
 }
 
+/* Answers the requests of which the replies are late.  */
+static void
+answer_late (struct fixture *f)
+{
+  struct h1_reply reply = { .status = 200, .body = f->reply };
+  for (size_t i = 0; i < f->late_count; i++)
+    h1_conn_reply (f->late[i], &reply);
+  f->late_count = 0;
+}
+
+/* Lets four callers ask for a last reply that they do not read.  */
+static void
+check_unread_last (struct fixture *f, bool is_late)
+{
+  size_t size = (size_t)8 << 20;
+  char *body = rw_xcalloc (1, size);
+  int fds[4];
+  f->account.max = size + size / 2;
+  f->reply = (struct rw_str){ body, size };
+  f->is_late = is_late;
+  for (int i = 0; i < 4; i++)
+    {
+      fds[i] = open_conn (f);
+      send_text (fds[i], "GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+      run (f);
+      answer_late (f);
+      assert_true (f->account.used <= f->account.max);
+    }
+  assert_int_equal (f->requests, 4);
+  for (int i = 0; i < 4; i++)
+    close (fds[i]);
+  free (body);
+}
+
+/* Guards against last replies that are not read and are kept beyond the
+   memory, as their connections are ending.  */
+TEST_WITH_FIXTURE (unread_last_answers_count) { check_unread_last (f, false); }
+
+TEST_WITH_FIXTURE (unread_last_answers_that_come_late_count)
+{
+  check_unread_last (f, true);
+}
+
+/* Guards against an ending connection that is chosen again and again and so
+   keeps the memory of all others from being freed.  */
+TEST_WITH_FIXTURE (ending_connections_do_not_keep_others)
+{
+  int ending = open_conn (f);
+  int silent = open_conn (f);
+  send_text (ending, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+  run (f);
+  assert_int_equal (f->server.conn_count, 2);
+  f->account.max = f->account.used;
+  assert_true (acc_make_room (&f->account, 1, 0));
+  close (ending);
+  close (silent);
+}
+
 /* Guards against silent connections that keep all others out.  */
 TEST_WITH_FIXTURE (silent_connections_make_place)
 {
--- a/tests/rwfcrowd/main.c
+++ b/tests/rwfcrowd/main.c
@@ -9,6 +9,8 @@
      chunks  a request with that body in chunks of --chunk bytes
      head    a head of --bytes
      ahead   --bytes of whole requests, whose answers it does not read
+     last    a whole request that closes its connection, whose answer it does
+             not read
      record  an RPC record of --bytes
      silent  nothing
 
@@ -44,13 +46,14 @@
   KIND_CHUNKS,
   KIND_HEAD,
   KIND_AHEAD,
+  KIND_LAST,
   KIND_RECORD,
   KIND_SILENT,
   KIND_COUNT
 };
 
 static const char *const kind_names[KIND_COUNT]
-    = { "body", "chunks", "head", "ahead", "record", "silent" };
+    = { "body", "chunks", "head", "ahead", "last", "record", "silent" };
 
 struct options
 {
@@ -203,6 +206,15 @@
         rw_buf_append (&unit, "x", 1);
       unit_total = options.bytes;
       return;
+    case KIND_LAST:
+      rw_buf_printf (&unit,
+                     "GET %s HTTP/1.1\r\nHost: site.example\r\n"
+                     "X-Redwingfork-Request-Id: last\r\n"
+                     "X-Redwingfork-Deadline-Ms: 1500\r\n"
+                     "Connection: close\r\n\r\n",
+                     options.path);
+      repeats = 1;
+      break;
     case KIND_SILENT:
     case KIND_COUNT:
       break;
@@ -242,6 +254,7 @@
       rw_buf_append (&conn->head, mark, sizeof mark);
       break;
     case KIND_AHEAD:
+    case KIND_LAST:
     case KIND_SILENT:
     case KIND_COUNT:
       whole = true;
@@ -347,7 +360,9 @@
       if (conns[i].fd < 0 && now >= conns[i].reopen_at)
         open_conn (&conns[i]);
       polls[i].fd = conns[i].fd;
-      polls[i].events = options.kind == KIND_AHEAD ? 0 : POLLIN;
+      polls[i].events = options.kind == KIND_AHEAD || options.kind == KIND_LAST
+                            ? 0
+                            : POLLIN;
       if (conns[i].sent < conns[i].total)
         polls[i].events |= POLLOUT;
     }
