node: parts count with the memory that they need, not only their record's

A record of 1 MB may name 4,096 parts, each of which is some hundred bytes at the holder: a peer could make a daemon hold several times what was counted. Cause: room was asked for the body alone, and parts counted nowhere. Evidence: test_part, parts_count_with_what_they_need, failed before. Found by reading; no crowd of tests/process sends records that can be read.

--- a/lib/node/part.c
+++ b/lib/node/part.c
@@ -81,6 +81,7 @@
       batch->parts[i] = NULL;
   if (rw_map_get (&node->parts, part->key) == part)
     rw_map_remove (&node->parts, part->key);
+  acc_sub (node->settings.account, sizeof *part);
   free (part);
   if (--batch->unanswered == 0)
     free_batch (node, batch);
@@ -288,6 +289,7 @@
   struct trc_context parent = { submit->trace.trace_hi, submit->trace.trace_lo,
                                 submit->trace.span, submit->trace.sampled };
 
+  acc_add (node->settings.account, sizeof *part);
   part->batch = batch;
   part->wire = submit->parts[index];
   part->key = part_key (submit->id, part->wire.attempt);
@@ -421,7 +423,9 @@
   rw_time remaining = submit->remaining;
   unsigned int class_id = nod_class_id (node, submit->caller_class);
 
-  if (!acc_has_room (node->settings.account, submit->body.len))
+  if (!acc_has_room (node->settings.account,
+                     submit->body.len
+                         + submit->part_count * sizeof (struct nod_part)))
     {
       refuse_all (node, stream, submit);
       return;
--- a/lib/node/test_part.c
+++ b/lib/node/test_part.c
@@ -102,6 +102,26 @@
   deliver (node, &msg);
 }
 
+/* Lets NODE hold t-1, and know the clock of its peer.  */
+static void
+prepare (struct nod_node *node, struct results *results, const char *rules)
+{
+  offer (node, "rules", rules);
+  offer (node, "vms",
+         "{\"vms\":[{\"name\":\"mid-1\",\"dc\":\"a\",\"addr\":"
+         "\"10.0.0.1\",\"rpc\":7000,\"state\":\"live\"}]}");
+  offer (node, "map/s",
+         "{\"service\":\"s\",\"snapshot\":\"s1\",\"shards\":[[\"t-1\"]],"
+         "\"targets\":[{\"name\":\"t-1\",\"dc\":\"a\",\"addr\":"
+         "\"10.9.0.1\",\"port\":1}]}");
+  for (; now < START + 5 * RW_SEC; now += 50 * RW_MSEC)
+    {
+      nod_tick (node, now);
+      take_actions (node, results);
+    }
+  exchange_hello (node);
+}
+
 /* Sends an attempt twice, the second one while MEMORY is held.  Guards against
    "not run" for an attempt that arrives a second time while the first one
    runs.  */
@@ -125,22 +145,9 @@
       now = START;
       rw_arena_init (&results.arena, 4096);
       node = nod_new (&settings, now);
-      offer (node, "rules",
-             kind == WIR_KIND_ONCE ? "service s kind=once slots=4 # me\n"
-                                   : "service s slots=4 # me\n");
-      offer (node, "vms",
-             "{\"vms\":[{\"name\":\"mid-1\",\"dc\":\"a\",\"addr\":"
-             "\"10.0.0.1\",\"rpc\":7000,\"state\":\"live\"}]}");
-      offer (node, "map/s",
-             "{\"service\":\"s\",\"snapshot\":\"s1\",\"shards\":[[\"t-1\"]],"
-             "\"targets\":[{\"name\":\"t-1\",\"dc\":\"a\",\"addr\":"
-             "\"10.9.0.1\",\"port\":1}]}");
-      for (; now < START + 5 * RW_SEC; now += 50 * RW_MSEC)
-        {
-          nod_tick (node, now);
-          take_actions (node, &results);
-        }
-      exchange_hello (node);
+      prepare (node, &results,
+               kind == WIR_KIND_ONCE ? "service s kind=once slots=4 # me\n"
+                                     : "service s slots=4 # me\n");
       submit (node, kind);
       take_actions (node, &results);
       assert_int_equal (results.exchanges, 1);
@@ -173,13 +180,50 @@
   check_repeated (MAX_BYTES + 1);
 }
 
+/* Guards against parts that need more memory than their record has bytes and
+   are taken although there is only room for the record.  */
+static void
+parts_count_with_what_they_need (void **state)
+{
+  struct acc_account account;
+  struct nod_settings settings = { .vm = RW_LIT ("mid-1"),
+                                   .dc = RW_LIT ("a"),
+                                   .addr = RW_LIT ("10.0.0.1"),
+                                   .rpc_port = 7000,
+                                   .incarnation = 1,
+                                   .account = &account };
+  struct results results = { .count = 0 };
+  struct nod_node *node;
+
+  (void)state;
+  acc_init (&account, MAX_BYTES, 10);
+  now = START;
+  rw_arena_init (&results.arena, 4096);
+  node = nod_new (&settings, now);
+  prepare (node, &results, "service s slots=4 # me\n");
+  acc_add (&account, MAX_BYTES - 100);
+  submit (node, WIR_KIND_SEARCH);
+  take_actions (node, &results);
+  assert_int_equal (results.exchanges, 0);
+  assert_int_equal (results.count, 1);
+  assert_int_equal (results.last.status, RW_E_QUEUE_FULL);
+  assert_int_equal (results.last.ran, WIR_RAN_NO);
+  acc_sub (&account, MAX_BYTES - 100);
+  submit (node, WIR_KIND_SEARCH);
+  take_actions (node, &results);
+  assert_int_equal (results.exchanges, 1);
+  nod_free (node);
+  rw_arena_finish (&results.arena);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = {
-    cmocka_unit_test (repeated_attempt_is_not_reported_as_not_run),
-    cmocka_unit_test (repeated_attempt_without_room_is_not_reported_as_not_run)
-  };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (repeated_attempt_is_not_reported_as_not_run),
+          cmocka_unit_test (
+              repeated_attempt_without_room_is_not_reported_as_not_run),
+          cmocka_unit_test (parts_count_with_what_they_need) };
 
   return cmocka_run_group_tests_name ("part", tests, NULL, NULL);
 }
