--- a/cmd/rwfd/options.c
+++ b/cmd/rwfd/options.c
@@ -7,6 +7,7 @@
 /* The texts of SETTINGS state these limits.  */
 #define DRAIN_DELAY_MAX (9 * RW_SEC)
 #define PATH_LEN_MAX 4095
+/* Highest value of --memory, in MB, and of --max-files.  */
 #define MAX_SIZE 1000000
 
 /* Keys of argp; above the character codes, since there are no short flags.  */
--- a/lib/net/rpc.c
+++ b/lib/net/rpc.c
@@ -1,11 +1,11 @@
 #include "net.h"
+#include "rpc_udp.h"
 
 #include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define READ_BUF_SIZE ((size_t)64 * 1024)
 #define LISTEN_BACKLOG 512
 /* Interval at which connecting streams are checked against
    NET_CONNECT_TIMEOUT.  */
@@ -244,7 +244,7 @@
   struct net_stream *stream = handle->data;
 
   (void)suggested;
-  *buf = uv_buf_init (stream->rpc->read_buf, READ_BUF_SIZE);
+  *buf = uv_buf_init (stream->rpc->read_buf, RPC_READ_BUF_SIZE);
 }
 
 /* Delivers the whole records in INPUT until one is malformed or the stream is
@@ -382,7 +382,6 @@
       return NULL;
     }
   stream = new_stream (rpc, true);
-
   stream->addr = *to;
   net_addr_format (to, stream->peer_name);
   rw_map_put (&rpc->outgoing_by_addr, addr_key (to), stream);
@@ -636,54 +635,6 @@
     uv_timer_stop (timer);
 }
 
-static void
-on_udp_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
-{
-  struct net_rpc *rpc = handle->data;
-
-  (void)suggested;
-  *buf = uv_buf_init (rpc->read_buf, READ_BUF_SIZE);
-}
-
-static void
-on_udp_read (uv_udp_t *udp, ssize_t nread, const uv_buf_t *buf,
-             const struct sockaddr *sa, unsigned int flags)
-{
-  struct net_rpc *rpc = udp->data;
-  struct net_addr from;
-  struct rw_err err;
-  int code;
-
-  if (nread <= 0 || sa == NULL || net_addr_from_sockaddr (sa, &from) < 0)
-    return;
-  if ((flags & UV_UDP_PARTIAL) != 0 || nread > WIR_MAX_DATAGRAM)
-    {
-      rpc->counts.datagrams_dropped++;
-      return;
-    }
-  rpc->counts.datagrams_in++;
-  code = rpc->ops->on_datagram (
-      rpc->arg, &from, (struct rw_str){ buf->base, (size_t)nread }, &err);
-  if (code < 0)
-    rpc->ops->on_error (rpc->arg, &err);
-}
-
-/* Sends a datagram.  It is dropped if the kernel does not accept it at once;
-   the probes sent this way are repeated.  */
-void
-net_rpc_send_datagram (struct net_rpc *rpc, const struct net_addr *to,
-                       struct rw_str data)
-{
-  struct sockaddr_storage sa;
-  uv_buf_t buf = uv_buf_init ((char *)data.ptr, (unsigned int)data.len);
-
-  if (net_addr_to_sockaddr (to, &sa) == 0
-      && uv_udp_try_send (&rpc->udp, &buf, 1, (struct sockaddr *)&sa) >= 0)
-    rpc->counts.datagrams_out++;
-  else
-    rpc->counts.datagrams_dropped++;
-}
-
 static int
 bind_tcp (struct net_rpc *rpc, const struct net_addr *addr)
 {
@@ -708,24 +659,6 @@
   return rc;
 }
 
-static int
-bind_udp (struct net_rpc *rpc, const struct net_addr *addr)
-{
-  struct net_addr same_port = *addr;
-  struct sockaddr_storage sa;
-  int rc;
-
-  same_port.port = rpc->port;
-  rc = net_addr_to_sockaddr (&same_port, &sa);
-  uv_udp_init (rpc->loop, &rpc->udp);
-  rpc->udp.data = rpc;
-  if (rc == 0)
-    rc = uv_udp_bind (&rpc->udp, (struct sockaddr *)&sa, 0);
-  if (rc == 0)
-    rc = uv_udp_recv_start (&rpc->udp, on_udp_alloc, on_udp_read);
-  return rc;
-}
-
 /* Closes the sockets of a failed attempt, and runs the loop once, so that the
    handles can be used again.  */
 static void
@@ -752,7 +685,7 @@
       if (rc == 0)
         {
           udp = true;
-          rc = bind_udp (rpc, addr);
+          rc = net_rpc_bind_udp (rpc, addr);
         }
       if (rc == 0)
         return 0;
@@ -786,7 +719,7 @@
   if (rc < 0)
     return rw_err_set (err, rc, "listen rpc", net_addr_format (addr, name),
                        "%s", uv_strerror (rc));
-  rpc->read_buf = rw_xmalloc (READ_BUF_SIZE);
+  rpc->read_buf = rw_xmalloc (RPC_READ_BUF_SIZE);
   uv_timer_init (loop, &rpc->connect_timer);
   rpc->connect_timer.data = rpc;
   uv_timer_start (&rpc->connect_timer, on_connect_check, CONNECT_CHECK_MS,
