--- a/review/standin-3/rv3.c
+++ b/review/standin-3/rv3.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -459,26 +460,42 @@
   return best;
 }
 
+/* Whether the store holds KEY with the value that its searcher wrote.  */
+static bool
+is_unchanged (const char *key, const char *value)
+{
+  bool found = false;
+  pthread_mutex_lock (&lock);
+  for (size_t i = 0; i < item_count; i++)
+    if (strcmp (items[i].key, key) == 0 && items[i].value != NULL)
+      found = strncmp (items[i].value, value, strlen (value)) == 0;
+  pthread_mutex_unlock (&lock);
+  return found;
+}
+
 double
 rv_searcher_beat (struct rv_searcher *s)
 {
   char key[128];
-  char value[600];
+  char value[700];
   double left = s->cold_until - rv_now ();
   snprintf (key, sizeof key, "servers/%s", s->id);
-  snprintf (value, sizeof value,
+  snprintf (s->written, sizeof s->written,
             "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"%s\","
             "\"version\":\"v1\",\"capacity\":%d,\"state\":\"%s\","
-            "\"warmupLeftMs\":%lld,\"sequence\":%lld,\"born\":%lld}",
+            "\"warmupLeftMs\":%lld,\"born\":%lld,",
             s->service, s->host, s->port, s->zone, s->capacity,
             s->is_draining ? "draining" : "ready",
-            left > 0 ? (long long)left : 0LL, (long long)++s->sequence,
-            (long long)s->born);
+            left > 0 ? (long long)left : 0LL, (long long)s->born);
+  s->sequence++;
+  if (is_unchanged (key, s->written))
+    return rv_now ();
+  snprintf (value, sizeof value, "%s\"sequence\":%lld}", s->written,
+            (long long)s->sequence);
   return put_item (key, value);
 }
 
-/* Writes the entry every BEAT_MS if it would change, and while the store
-   answers.  */
+/* Writes the entry every BEAT_MS while the store answers.  */
 static void *
 beat (void *arg)
 {
@@ -619,6 +636,19 @@
   rv_searcher_crash (s);
 }
 
+/* The size of the answer to the request in HEAD.  Of numbers in a row the
+   sizes differ much.  */
+static size_t
+answer_bytes (const struct rv_searcher *s, const char *head)
+{
+  const char *end = strstr (head, " HTTP/");
+  const char *at = end;
+  while (at != NULL && at > head && at[-1] != '/')
+    at--;
+  unsigned long number = at != NULL ? strtoul (at, NULL, 10) : 0;
+  return s->body_bytes + s->body_spread * (number * 37 % 64) / 64;
+}
+
 /* Runs or refuses the request in HEAD.  */
 static bool
 serve_request (struct connection *c, const char *head)
@@ -660,7 +690,7 @@
     }
   snprintf (more, sizeof more, "X-Redwingfork-Server-Stamp: %s.%s\r\n", s->id,
             request);
-  return answer_request (c, request, 200, more, s->body_bytes);
+  return answer_request (c, request, 200, more, answer_bytes (s, head));
 }
 
 static void *
@@ -867,9 +897,9 @@
 setting (const struct rv_front *front, int count, const char *name, char *out,
          size_t size)
 {
-  static const char *const values[][2]
+  const char *const values[][2]
       = { { "internalPorts.0", "7380" },
-          { "bootstrap", "true" },
+          { "bootstrap", front->was_started ? "false" : "true" },
           { "limits.maxFds", "2870" },
           { "bounds.drainMs", "3000" },
           { "heartbeatMs", "1200" },
@@ -935,14 +965,11 @@
   fclose (out);
 }
 
-void
-rv_front_start (struct rv_front *front, int n, int count, const char *zone)
+static void
+launch (struct rv_front *front, int count)
 {
   char path[200];
   char log_path[200];
-  snprintf (front->name, sizeof front->name, "front-%d", n);
-  host_name (front->host, sizeof front->host, n);
-  front->zone = zone;
   snprintf (path, sizeof path, "%s/%s.settings", folder, front->name);
   snprintf (log_path, sizeof log_path, "%s/%s.log", folder, front->name);
   write_settings (front, count, path);
@@ -958,17 +985,46 @@
     }
   if (front->pid < 0)
     rv_cannot_run ("no process");
+  front->was_started = true;
+  rv_log ("%s: starts at %s in %s", front->name, front->host, front->zone);
+}
+
+void
+rv_front_start (struct rv_front *front, int n, int count, const char *zone)
+{
+  if (front_count == RV_MAX_FRONTS)
+    rv_cannot_run ("too many daemons");
+  snprintf (front->name, sizeof front->name, "front-%d", n);
+  host_name (front->host, sizeof front->host, n);
+  front->zone = zone;
+  front->number = n;
   fronts[front_count++] = front;
-  rv_log ("%s: starts at %s in %s", front->name, front->host, zone);
+  launch (front, count);
 }
 
 void
 rv_front_signal (struct rv_front *front, int signum)
 {
-  kill (front->pid, signum);
+  if (front->pid > 0)
+    kill (front->pid, signum);
   rv_log ("%s: gets signal %d", front->name, signum);
 }
 
+void
+rv_front_kill (struct rv_front *front)
+{
+  rv_front_signal (front, SIGKILL);
+  if (front->pid > 0)
+    waitpid (front->pid, NULL, 0);
+  front->pid = 0;
+}
+
+void
+rv_front_restart (struct rv_front *front, int count)
+{
+  launch (front, count);
+}
+
 static int
 connect_to (const char *host, int port, int recv_bytes)
 {
@@ -1013,6 +1069,48 @@
   rv_cannot_run ("a daemon is not ready");
 }
 
+size_t
+rv_front_memory (const struct rv_front *front)
+{
+  char path[64];
+  unsigned long pages = 0;
+  unsigned long resident = 0;
+  snprintf (path, sizeof path, "/proc/%d/statm", (int)front->pid);
+  FILE *in = fopen (path, "r");
+  if (in == NULL)
+    return 0;
+  if (fscanf (in, "%lu %lu", &pages, &resident) != 2)
+    resident = 0;
+  fclose (in);
+  return resident * (size_t)sysconf (_SC_PAGESIZE);
+}
+
+double
+rv_front_metric (const struct rv_front *front, const char *name)
+{
+  static const char call[]
+      = "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+  char *text = malloc (MAX_HEAD * 4 + 1);
+  size_t len = 0;
+  double value = -1;
+  int fd = connect_to (front->host, READY_PORT, 0);
+  if (fd >= 0 && write_all (fd, call, strlen (call)))
+    {
+      ssize_t n;
+      while ((n = recv (fd, text + len, MAX_HEAD * 4 - len, 0)) > 0)
+        len += (size_t)n;
+    }
+  text[len] = '\0';
+  for (char *line = strstr (text, name); line != NULL && value < 0;
+       line = strstr (line + 1, name))
+    if (line[strlen (name)] == ' ' && line > text && line[-1] == '\n')
+      value = strtod (line + strlen (name), NULL);
+  if (fd >= 0)
+    close (fd);
+  free (text);
+  return value;
+}
+
 /* Clients.  */
 
 void
@@ -1114,6 +1212,15 @@
   free (head);
 }
 
+int
+rv_connect (const struct rv_front *front, const char *text)
+{
+  int fd = connect_to (front->host, CALLERS_PORT, 0);
+  if (fd >= 0)
+    (void)write_all (fd, text, strlen (text));
+  return fd;
+}
+
 static void *
 run_call (void *arg)
 {
@@ -1194,7 +1301,8 @@
 {
   (void)signum;
   for (size_t i = 0; i < front_count; i++)
-    kill (fronts[i]->pid, SIGKILL);
+    if (fronts[i]->pid > 0)
+      kill (fronts[i]->pid, SIGKILL);
   _exit (2);
 }
 
@@ -1230,7 +1338,14 @@
   char path[256];
   char host[40];
   const char *tmp = getenv ("TMPDIR");
+  struct rlimit limit;
   start_ms = steady_ms ();
+  /* Each descriptor of a crowd has one here, too.  */
+  if (getrlimit (RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < 8192)
+    {
+      limit.rlim_cur = limit.rlim_max < 8192 ? limit.rlim_max : 8192;
+      setrlimit (RLIMIT_NOFILE, &limit);
+    }
   signal (SIGPIPE, SIG_IGN);
   signal (SIGTERM, on_signal);
   signal (SIGINT, on_signal);
--- a/review/standin-3/rv3.h
+++ b/review/standin-3/rv3.h
@@ -46,18 +46,20 @@
   const char *id;
   const char *service;
   const char *zone;
-  int capacity;      /* requests at once */
-  int queue;         /* further ones that wait */
-  double work_ms;    /* of a request */
-  size_t body_bytes; /* of an answer */
-  double warmup_ms;  /* cold after each start but the first; 0: never */
-  int crash_per_s;   /* a cold searcher ends above this rate; 0: never */
-  double down_ms;    /* before it starts again after such an end */
+  int capacity;       /* requests at once */
+  int queue;          /* further ones that wait */
+  double work_ms;     /* of a request */
+  size_t body_bytes;  /* of an answer, at least */
+  size_t body_spread; /* up to so much more, by the number of the path */
+  double warmup_ms;   /* cold after each start but the first; 0: never */
+  int crash_per_s;    /* a cold searcher ends above this rate; 0: never */
+  double down_ms;     /* before it starts again after such an end */
 
   char host[40];
   uint16_t port;
   int64_t born;
   int64_t sequence;
+  char written[600]; /* its entry, without the sequence */
   double started_at;
   double cold_until;
   bool is_up;
@@ -87,7 +89,7 @@
 /* Lets it say that it leaves, in its entry and its answers.  Returns the time
    of the store's acknowledgement, or a negative value.  */
 double rv_searcher_drain (struct rv_searcher *searcher);
-/* Writes its entry.  */
+/* Writes its entry, which changes if more than the sequence does.  */
 double rv_searcher_beat (struct rv_searcher *searcher);
 /* The highest number of arrivals within WINDOW_MS, of those from FROM on.  */
 size_t rv_peak (struct rv_searcher *searcher, double from, double window_ms,
@@ -107,7 +109,7 @@
 
 /* Daemons.  */
 
-#define RV_MAX_FRONTS 8
+#define RV_MAX_FRONTS 16
 
 struct rv_front
 {
@@ -116,6 +118,8 @@
   const char *zone;
   bool binds_source; /* its connections to searchers come from its address */
   pid_t pid;
+  int number;
+  bool was_started;
 };
 
 /* Starts the daemon N, 1 or more, in ZONE with the command of the deploy
@@ -123,6 +127,14 @@
 void rv_front_start (struct rv_front *front, int n, int count,
                      const char *zone);
 void rv_front_signal (struct rv_front *front, int signum);
+/* Kills the daemon and waits for its end.  */
+void rv_front_kill (struct rv_front *front);
+/* Starts it again; it is not the first start of the system any more.  */
+void rv_front_restart (struct rv_front *front, int count);
+/* Its resident memory in bytes; 0 if it has ended.  */
+size_t rv_front_memory (const struct rv_front *front);
+/* A value of its metrics; negative if there is none.  */
+double rv_front_metric (const struct rv_front *front, const char *name);
 /* Waits until the daemon answers 200 to GET /ready.  */
 void rv_front_await (const struct rv_front *front);
 /* Whether connections from SOURCE to searchers are reset, new ones too.  */
@@ -153,7 +165,9 @@
 
 /* Sends a request on a new connection and reads its answer.  */
 void rv_call (struct rv_call *call);
-/* The same in a thread of its own.  */
+/* Opens a connection, sends TEXT and leaves it open.  */
+int rv_connect (const struct rv_front *front, const char *text);
+/* The same as rv_call in a thread of its own.  */
 pthread_t rv_call_start (struct rv_call *call);
 /* A new id of a request.  */
 void rv_new_id (char *id, size_t size);
